--- /dev/null
+++ b/check.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Builds, formats, lints and tests the whole tree.
+set -eu
+cd "$(dirname "$0")"
+export GOFLAGS="${GOFLAGS:-} -mod=readonly"
+go build ./...
+unformatted=$(git ls-files -co --exclude-standard '*.go' | grep -v -e '\.pb\.go$' -e '\.connect\.go$' -e wire_gen.go | xargs go tool gofumpt -l)
+if [ -n "$unformatted" ]; then
+  echo "not formatted by gofumpt:"
+  echo "$unformatted"
+  exit 1
+fi
+go vet ./...
+go tool revive -set_exit_status ./...
+go test -race -timeout 420s ./...
+cat KNOWN-RED.txt
--- /dev/null
+++ b/cmd/pistachiotray/main.go
@@ -0,0 +1,11 @@
+// Command pistachiotray is a database proxy for PostgreSQL's protocol with
+// session consistency.
+package main
+
+import "os"
+
+func main() {
+	if err := root().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/pistachiotray/standin.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pistachiotray/pistachiotray/standin/stage"
+)
+
+const standinUsage = `Standin runs the platform's stand-in and one group of three members for each
+database, so that hosts can be run as processes of their own before them. It is
+for trials on one machine.`
+
+const standinExample = `  pistachiotray standin --platform-listen 127.0.0.1:6400 --database fittings \
+    --listed-host a=http://127.0.0.1:7001,zone-a
+  pistachiotray serve --host a --zone zone-a --peer-listen 127.0.0.1:7001`
+
+func standinCommand() *cobra.Command {
+	var listen string
+	var databases, hosts []string
+	var slots int
+	var delay, ship, apply time.Duration
+	c := &cobra.Command{
+		Use: "standin", Short: "Run stand-ins of the platform and of databases",
+		Long: standinUsage, Example: standinExample, Args: cobra.NoArgs,
+	}
+	f := c.Flags()
+	f.StringVar(&listen, "platform-listen", "127.0.0.1:6400", "IP number and port of the platform")
+	f.StringSliceVar(&databases, "database", []string{"fittings"}, "name of a database group; may be given again")
+	f.StringArrayVar(&hosts, "listed-host", nil, "host that the platform lists, name=URL,zone; may be given again")
+	f.IntVar(&slots, "slots", 5, "slots of each member")
+	f.DurationVar(&delay, "connect-delay", 10*time.Millisecond, "time that a new slot takes")
+	f.DurationVar(&ship, "ship-lag", 0, "time that an entry takes to reach a replica")
+	f.DurationVar(&apply, "apply-lag", 0, "time that a replica takes to show an entry")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		s, err := stage.New(ctx, listen, databases, hosts, slots, delay)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		s.SetLag(ship, apply)
+		for _, line := range s.Lines() {
+			if _, err := fmt.Fprintln(c.OutOrStdout(), line); err != nil {
+				return err
+			}
+		}
+		<-ctx.Done()
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/connection/cloud/cloud.go
@@ -0,0 +1,136 @@
+// Package cloud holds the connection to the platform's table service, object
+// store and list of hosts.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/process/news"
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/wrap"
+)
+
+// answerLimit is the longest answer that is read, in bytes.
+const answerLimit = 64 << 20
+
+// ErrConflict tells that a row had another version: nothing was written.
+var ErrConflict = errors.New("a row has another version")
+
+// ErrNotFound tells that there is no such object.
+var ErrNotFound = errors.New("no such object")
+
+// Cloud is a client of the platform. Any error of a write but ErrConflict
+// leaves open whether the write took effect.
+type Cloud struct {
+	base   string
+	client *http.Client
+}
+
+// New returns a client of the platform at the base URL.
+func New(base string, client *http.Client) *Cloud {
+	return &Cloud{base: base, client: client}
+}
+
+// Scan returns the rows whose key begins with the prefix, in order of keys;
+// with last, only the last of them.
+func (c *Cloud) Scan(ctx context.Context, prefix string, last bool) ([]record.Row, error) {
+	q := url.Values{"prefix": {prefix}}
+	if last {
+		q.Set("last", "1")
+	}
+	var rows []record.Row
+	err := c.get(ctx, "/rows?"+q.Encode(), &rows)
+	return rows, wrap.If(err, "Cloud.Scan")
+}
+
+// Commit writes all rows where each still has the version it is given with;
+// otherwise it writes none and returns ErrConflict.
+func (c *Cloud) Commit(ctx context.Context, rows ...record.Row) error {
+	body, err := json.Marshal(rows)
+	if err != nil {
+		return errors.Wrap(err, "Cloud.Commit")
+	}
+	_, err = c.do(ctx, http.MethodPost, "/commit", body)
+	return wrap.If(err, "Cloud.Commit")
+}
+
+// PutObject writes an object, unless there is one of that name.
+func (c *Cloud) PutObject(ctx context.Context, name string, body []byte) error {
+	_, err := c.do(ctx, http.MethodPut, "/objects/"+name, body)
+	return wrap.If(err, "Cloud.PutObject")
+}
+
+// GetObject returns an object, or ErrNotFound.
+func (c *Cloud) GetObject(ctx context.Context, name string) ([]byte, error) {
+	body, err := c.do(ctx, http.MethodGet, "/objects/"+name, nil)
+	return body, wrap.If(err, "Cloud.GetObject")
+}
+
+// ListObjects returns the names of objects with the prefix that come after a
+// name, in order.
+func (c *Cloud) ListObjects(ctx context.Context, prefix, after string) ([]string, error) {
+	q := url.Values{"list": {"1"}, "after": {after}}
+	var names []string
+	err := c.get(ctx, "/objects/"+prefix+"?"+q.Encode(), &names)
+	return names, wrap.If(err, "Cloud.ListObjects")
+}
+
+// Hosts returns the hosts that the platform lists, which is late at times.
+func (c *Cloud) Hosts(ctx context.Context) ([]news.News, error) {
+	var listed []struct {
+		Host    string
+		Address string
+		Zone    string
+		Leaving bool
+	}
+	if err := c.get(ctx, "/hosts", &listed); err != nil {
+		return nil, errors.Wrap(err, "Cloud.Hosts")
+	}
+	hosts := make([]news.News, 0, len(listed))
+	for _, l := range listed {
+		if !l.Leaving {
+			hosts = append(hosts, news.New(l.Host, l.Address, l.Zone, 0))
+		}
+	}
+	return hosts, nil
+}
+
+func (c *Cloud) get(ctx context.Context, path string, out any) error {
+	body, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, out)
+}
+
+func (c *Cloud) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	read, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit))
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case answer.StatusCode == http.StatusConflict:
+		return nil, ErrConflict
+	case answer.StatusCode == http.StatusNotFound:
+		return nil, ErrNotFound
+	case answer.StatusCode/100 != 2:
+		return nil, errors.Errorf("the platform answered %s", answer.Status)
+	}
+	return read, nil
+}
--- /dev/null
+++ b/connection/codec/codec.go
@@ -0,0 +1,62 @@
+// Package codec turns requests into the messages between hosts and back.
+package codec
+
+import (
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/connection/wirepb"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+	"github.com/pistachiotray/pistachiotray/version/class"
+)
+
+// Encode returns the message of a call sent at the time now. Times are sent
+// as spans, since hosts do not share a clock.
+func Encode(c call.Call, now time.Time) *wirepb.Call {
+	return &wirepb.Call{
+		Id: c.ID, Session: c.Session, Group: c.Group,
+		Service: c.Class.Service, Class: c.Class.Name,
+		Read: c.Class.Read, Repeatable: c.Class.Repeatable, Once: c.Class.Once, Long: c.Class.Long,
+		Weight: int32(c.Class.Weight), MaxAgeMicros: c.Class.MaxAge.Microseconds(),
+		FloorTerm: c.Floor.Term, FloorPosition: c.Floor.Position, FreshFloor: c.FreshFloor,
+		LeftMicros: c.Deadline.Sub(now).Microseconds(), WaitedMicros: now.Sub(c.Arrived).Microseconds(),
+		Key: c.Key, Follows: c.Follows, Body: c.Body, Prepare: c.Prepare, Settings: c.Settings,
+		Copy: c.Copy, Dirty: c.Dirty, Changes: c.Changes, Begins: c.Begins, Ends: c.Ends, Sent: c.Sent,
+	}
+}
+
+// Decode returns the call of a message received at the time now.
+func Decode(p *wirepb.Call, now time.Time) call.Call {
+	return call.Call{
+		ID: p.GetId(), Session: p.GetSession(), Group: p.GetGroup(),
+		Class: class.Class{
+			Service: p.GetService(), Name: p.GetClass(),
+			Read: p.GetRead(), Repeatable: p.GetRepeatable(), Once: p.GetOnce(), Long: p.GetLong(),
+			Weight: int(p.GetWeight()), MaxAge: micros(p.GetMaxAgeMicros()), Deadline: micros(p.GetLeftMicros()),
+		},
+		Floor: mark.New(p.GetFloorTerm(), p.GetFloorPosition()), FreshFloor: p.GetFreshFloor(),
+		Deadline: now.Add(micros(p.GetLeftMicros())), Arrived: now.Add(-micros(p.GetWaitedMicros())),
+		Key: p.GetKey(), Follows: p.GetFollows(), Body: p.GetBody(), Prepare: p.GetPrepare(), Settings: p.GetSettings(),
+		Copy: p.GetCopy(), Dirty: p.GetDirty(), Changes: p.GetChanges(), Begins: p.GetBegins(), Ends: p.GetEnds(),
+		Sent: p.GetSent(),
+	}
+}
+
+// Fail returns the message of a request's fault.
+func Fail(id string, f *fault.Fault) *wirepb.Frame {
+	return &wirepb.Frame{
+		Kind: wirepb.Frame_KIND_FAIL, Id: id, Code: int32(f.Code),
+		Detail: f.Detail, RetryMicros: f.RetryAfter.Microseconds(),
+	}
+}
+
+// Fault returns the fault of a message.
+func Fault(f *wirepb.Frame) *fault.Fault {
+	return fault.New(code.Code(f.GetCode()), f.GetDetail()).WithRetryAfter(micros(f.GetRetryMicros()))
+}
+
+func micros(n int64) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
--- /dev/null
+++ b/connection/ctrl/control.go
@@ -0,0 +1,122 @@
+// Package ctrl asks one member for its reports and gives it orders.
+package ctrl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/pistachiotray/pistachiotray/connection/adapt"
+	"github.com/pistachiotray/pistachiotray/process/report"
+)
+
+// Control is the connection to a member on which it is asked and ordered. It
+// is opened on first use and anew after a failure; it takes no slot.
+type Control struct {
+	member  string
+	dsn     string
+	self    string
+	adapter adapt.Adapter
+	mu      sync.Mutex
+	conn    *pgconn.PgConn
+}
+
+// New returns a control for the member, reached by a connection string, on
+// behalf of the host self.
+func New(member, dsn, self string) *Control {
+	return &Control{member: member, dsn: dsn, self: self, adapter: adapt.New()}
+}
+
+// Poll returns the member's report and when it was asked for.
+func (c *Control) Poll(ctx context.Context) (report.Report, time.Time, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asked := time.Now()
+	r, err := c.ask(ctx, c.adapter.PositionSQL())
+	return r, asked, err
+}
+
+// Fence makes the member promise the term and returns its report after that.
+// A refusal carries the member's own term in the report beside the error.
+func (c *Control) Fence(ctx context.Context, term uint64) (report.Report, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.order(ctx, c.adapter.FenceSQL(term, c.self))
+}
+
+// Promote makes the member the primary of the term.
+func (c *Control) Promote(ctx context.Context, term uint64) (report.Report, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.order(ctx, c.adapter.PromoteSQL(term, c.self))
+}
+
+// order gives an order; the report that follows tells what came of it.
+func (c *Control) order(ctx context.Context, text string) (report.Report, error) {
+	_, refusal := c.exec(ctx, text)
+	r, err := c.ask(ctx, c.adapter.PositionSQL())
+	if refusal != nil {
+		return r, errors.Wrap(refusal, "Control.order")
+	}
+	return r, err
+}
+
+func (c *Control) ask(ctx context.Context, text string) (report.Report, error) {
+	row, err := c.exec(ctx, text)
+	if err != nil {
+		return report.Report{}, errors.Wrap(err, "Control.ask")
+	}
+	return c.adapter.Decode(c.member, row)
+}
+
+// exec runs one statement and returns the first row of its answer.
+func (c *Control) exec(ctx context.Context, text string) ([][]byte, error) {
+	if err := c.connect(ctx); err != nil {
+		return nil, err
+	}
+	results, err := c.conn.Exec(ctx, text).ReadAll()
+	if err != nil {
+		c.dropBroken()
+		return nil, err
+	}
+	for _, r := range results {
+		if len(r.Rows) > 0 {
+			return r.Rows[0], nil
+		}
+	}
+	return nil, nil
+}
+
+func (c *Control) connect(ctx context.Context) error {
+	if c.conn != nil && !c.conn.IsClosed() {
+		return nil
+	}
+	conn, err := pgconn.Connect(ctx, c.dsn)
+	if err != nil {
+		return err
+	}
+	c.conn = conn
+	return nil
+}
+
+func (c *Control) dropBroken() {
+	if c.conn != nil && c.conn.IsClosed() {
+		c.conn = nil
+	}
+}
+
+// Close closes the connection.
+func (c *Control) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Millisecond)
+	defer stop()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
+}
--- /dev/null
+++ b/connection/frame/reader.go
@@ -0,0 +1,100 @@
+// Package frame reads the frames of PostgreSQL's protocol, version 3, without
+// decoding them.
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+)
+
+const (
+	// headerLength is the length in bytes of a frame's type and length fields.
+	headerLength = 5
+	// bufferLength is the length in bytes of the read buffer.
+	bufferLength = 8 << 10
+)
+
+// Reader reads frames from a connection.
+type Reader struct {
+	buffer *bufio.Reader
+	limit  int
+}
+
+// New returns a reader of frames of at most limit bytes.
+func New(r io.Reader, limit int) *Reader {
+	return &Reader{buffer: bufio.NewReaderSize(r, bufferLength), limit: limit}
+}
+
+// Append reads one frame and appends all of it, header included, to p. It
+// returns the frame's type and the extended slice. A frame over the limit or
+// with an impossible length gives a fault of MessageTooLarge or BadMessage.
+func (r *Reader) Append(p []byte) (byte, []byte, error) {
+	header, err := r.buffer.Peek(headerLength)
+	if err != nil {
+		return 0, p, err
+	}
+	kind := header[0]
+	length := binary.BigEndian.Uint32(header[1:])
+	if length < 4 {
+		return 0, p, fault.New(code.BadMessage, "impossible message length")
+	}
+	if uint64(length)+1 > uint64(r.limit) {
+		return 0, p, fault.New(code.MessageTooLarge, "a message is longer than the limit")
+	}
+	start := len(p)
+	p = append(p, make([]byte, length+1)...)
+	if _, err := io.ReadFull(r.buffer, p[start:]); err != nil {
+		return 0, p[:start], errors.Wrap(err, "Reader.Append")
+	}
+	return kind, p, nil
+}
+
+// Buffered returns how many bytes can be read without waiting.
+func (r *Reader) Buffered() int {
+	return r.buffer.Buffered()
+}
+
+// Body returns a frame without its header.
+func Body(p []byte) []byte {
+	return p[headerLength:]
+}
+
+// Split returns the first frame of p and the rest. It reports false where p
+// does not begin with a whole frame.
+func Split(p []byte) (kind byte, frame, rest []byte, ok bool) {
+	if len(p) < headerLength {
+		return 0, nil, p, false
+	}
+	length := uint64(binary.BigEndian.Uint32(p[1:])) + 1
+	if length < headerLength || length > uint64(len(p)) {
+		return 0, nil, p, false
+	}
+	return p[0], p[:length], p[length:], true
+}
+
+// startupLimit is the longest startup message, in bytes, as PostgreSQL has it.
+const startupLimit = 10000
+
+// Startup reads one message of the kind that begins a connection, which has
+// no type, and returns it without its length.
+func (r *Reader) Startup() ([]byte, error) {
+	header, err := r.buffer.Peek(headerLength - 1)
+	if err != nil {
+		return nil, err
+	}
+	length := binary.BigEndian.Uint32(header)
+	if length < 2*(headerLength-1) || length > startupLimit {
+		return nil, fault.New(code.BadMessage, "impossible length of a startup message")
+	}
+	p := make([]byte, length)
+	if _, err := io.ReadFull(r.buffer, p); err != nil {
+		return nil, errors.Wrap(err, "Reader.Startup")
+	}
+	return p[headerLength-1:], nil
+}
--- /dev/null
+++ b/connection/link/link.go
@@ -0,0 +1,393 @@
+// Package link holds this host's end of the stream to another host.
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/codec"
+	"github.com/pistachiotray/pistachiotray/connection/wirepb"
+	"github.com/pistachiotray/pistachiotray/connection/wirepb/wirepbconnect"
+	"github.com/pistachiotray/pistachiotray/request/answer"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+const (
+	// queueLength is how many frames may wait for the stream.
+	queueLength = 4096
+	// redialLeast and redialMost bound the pause before a stream is made anew.
+	redialLeast = 10 * time.Millisecond
+	redialMost  = time.Second
+	// fetchTimeout is how long the answers of a broken stream are asked for at
+	// the same host before the host counts as gone.
+	fetchTimeout = 400 * time.Millisecond
+	// submitTimeout is how long a request waits for a stream to come about.
+	submitTimeout = 250 * time.Millisecond
+)
+
+// outcomes takes what became of requests that got no answer.
+type outcomes interface {
+	// Refused tells that the owner refused a request.
+	Refused(id string, f *fault.Fault)
+	// Lost tells that the owner is gone; sent that it may have the request,
+	// begun that a part of the answer reached the caller.
+	Lost(id string, sent, begun bool)
+	// Forget tells that a request was answered.
+	Forget(id string)
+}
+
+// entry is one request on the link.
+type entry struct {
+	call     call.Call
+	answer   *answer.Answer
+	run      int
+	received int64
+	sent     bool
+	since    time.Time
+}
+
+// Link is one multiplexed stream to a host. It is made anew whenever it
+// breaks, until Close.
+type Link struct {
+	host     string
+	log      *zap.Logger
+	client   wirepbconnect.PeerClient
+	outcomes outcomes
+
+	mu        sync.Mutex
+	pending   map[string]*entry
+	attaching map[string]chan bool
+	up        bool
+	frames    chan *wirepb.Frame
+	stop      context.CancelFunc
+	ctx       context.Context
+	done      sync.WaitGroup
+}
+
+// New returns a link to a host and begins to connect it.
+func New(host, url string, client connect.HTTPClient, log *zap.Logger, o outcomes, options ...connect.ClientOption) *Link {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Link{
+		host: host, log: log, outcomes: o,
+		client:  wirepbconnect.NewPeerClient(client, url, options...),
+		pending: map[string]*entry{}, attaching: map[string]chan bool{},
+		frames: make(chan *wirepb.Frame, queueLength), ctx: ctx, stop: stop,
+	}
+	l.done.Go(l.run)
+	l.done.Go(l.watch)
+	return l
+}
+
+// Client returns the client for single questions to the host.
+func (l *Link) Client() wirepbconnect.PeerClient {
+	return l.client
+}
+
+// Up tells whether the stream stands.
+func (l *Link) Up() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up
+}
+
+// Submit sends a request to the host.
+func (l *Link) Submit(c call.Call, a *answer.Answer) {
+	e := &entry{call: c, answer: a, run: a.Begin(), since: time.Now()}
+	l.mu.Lock()
+	l.pending[c.ID] = e
+	l.mu.Unlock()
+	l.push(&wirepb.Frame{Kind: wirepb.Frame_KIND_SUBMIT, Id: c.ID, Call: codec.Encode(c, time.Now())})
+	if c.Copy {
+		go l.pump(e)
+	}
+}
+
+// pump sends the caller's COPY data to the host.
+func (l *Link) pump(e *entry) {
+	for {
+		p, end, err := e.answer.Input(l.ctx)
+		if err != nil {
+			return
+		}
+		l.push(&wirepb.Frame{Kind: wirepb.Frame_KIND_INPUT, Id: e.call.ID, Data: p, End: end})
+	}
+}
+
+// Send sends a frame that needs no answer. It is dropped where too much waits.
+func (l *Link) Send(f *wirepb.Frame) {
+	l.push(f)
+}
+
+// push queues a frame; it never waits.
+func (l *Link) push(f *wirepb.Frame) {
+	select {
+	case l.frames <- f:
+	default:
+		l.dropped(f)
+	}
+}
+
+func (l *Link) dropped(f *wirepb.Frame) {
+	if f.GetKind() == wirepb.Frame_KIND_SUBMIT {
+		l.lose(f.GetId(), false)
+	}
+}
+
+// Attach asks whether a session has an open transaction at the host.
+func (l *Link) Attach(ctx context.Context, group, session string) bool {
+	found := make(chan bool, 1)
+	l.mu.Lock()
+	l.attaching[session] = found
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.attaching, session)
+		l.mu.Unlock()
+	}()
+	l.push(&wirepb.Frame{Kind: wirepb.Frame_KIND_ATTACH, Id: session, Group: group})
+	select {
+	case open := <-found:
+		return open
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run keeps a stream to the host.
+func (l *Link) run() {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = redialLeast
+	pause.MaxInterval = redialMost
+	for l.ctx.Err() == nil {
+		began := time.Now()
+		l.stream()
+		if time.Since(began) > redialMost {
+			pause.Reset()
+		}
+		timer := time.NewTimer(pause.NextBackOff())
+		select {
+		case <-l.ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// stream carries frames until the stream breaks.
+func (l *Link) stream() {
+	ctx, stop := context.WithCancel(l.ctx)
+	defer stop()
+	s := l.client.Link(ctx)
+	if err := s.Send(&wirepb.Frame{Kind: wirepb.Frame_KIND_UNSPECIFIED}); err != nil {
+		return
+	}
+	greeted := make(chan struct{})
+	go func() {
+		defer stop()
+		l.receive(s, greeted)
+	}()
+	select {
+	case <-greeted:
+	case <-ctx.Done():
+		return
+	}
+	l.setUp(true)
+	defer l.setUp(false)
+	l.refetch()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.frames:
+			l.markSent(f)
+			if s.Send(f) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (l *Link) markSent(f *wirepb.Frame) {
+	if f.GetKind() != wirepb.Frame_KIND_SUBMIT {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.pending[f.GetId()]; e != nil {
+		e.sent = true
+	}
+}
+
+func (l *Link) setUp(up bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.up = up
+	for _, e := range l.pending {
+		e.since = time.Now()
+	}
+}
+
+// refetch asks for the answers of requests that an earlier stream carried.
+func (l *Link) refetch() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, e := range l.pending {
+		if e.sent {
+			l.push(&wirepb.Frame{Kind: wirepb.Frame_KIND_FETCH, Id: id, Offset: e.received})
+		}
+	}
+}
+
+// receive takes frames until the stream breaks.
+func (l *Link) receive(s *connect.BidiStreamForClient[wirepb.Frame, wirepb.Frame], greeted chan struct{}) {
+	first := true
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			return
+		}
+		if first {
+			close(greeted)
+			first = false
+		}
+		l.take(f)
+	}
+}
+
+func (l *Link) take(f *wirepb.Frame) {
+	switch f.GetKind() {
+	case wirepb.Frame_KIND_PART:
+		l.part(f)
+	case wirepb.Frame_KIND_DONE:
+		if e := l.remove(f.GetId()); e != nil {
+			e.answer.Append(e.run, f.GetData())
+			l.outcomes.Forget(f.GetId())
+			e.answer.Finish(mark.New(f.GetTerm(), f.GetPosition()), byte(f.GetStatus()), false)
+		}
+	case wirepb.Frame_KIND_FAIL:
+		if e := l.remove(f.GetId()); e != nil {
+			l.failed(e, f)
+		}
+	case wirepb.Frame_KIND_ATTACHED:
+		l.mu.Lock()
+		found := l.attaching[f.GetId()]
+		l.mu.Unlock()
+		if found != nil {
+			found <- f.GetOpen()
+		}
+	}
+}
+
+func (l *Link) failed(e *entry, f *wirepb.Frame) {
+	if f.GetOpen() {
+		l.outcomes.Lost(e.call.ID, true, e.received > 0)
+		return
+	}
+	l.outcomes.Refused(e.call.ID, codec.Fault(f))
+}
+
+func (l *Link) part(f *wirepb.Frame) {
+	l.mu.Lock()
+	e := l.pending[f.GetId()]
+	if e != nil {
+		e.received += int64(len(f.GetData()))
+	}
+	l.mu.Unlock()
+	if e == nil {
+		return
+	}
+	e.answer.Append(e.run, f.GetData())
+	e.answer.Release()
+	go func() {
+		if e.answer.AwaitRoom(l.ctx) == nil {
+			l.push(&wirepb.Frame{Kind: wirepb.Frame_KIND_TAKEN, Id: f.GetId(), Offset: e.received})
+			return
+		}
+		if e.answer.Forsaken() {
+			l.push(&wirepb.Frame{Kind: wirepb.Frame_KIND_CANCEL, Id: f.GetId(), End: true})
+		}
+	}()
+}
+
+func (l *Link) remove(id string) *entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.pending[id]
+	delete(l.pending, id)
+	return e
+}
+
+// watch gives up the requests of a host that stays unreachable.
+func (l *Link) watch() {
+	t := time.NewTicker(redialLeast * 2)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-t.C:
+			l.giveUp(time.Now())
+		}
+	}
+}
+
+func (l *Link) giveUp(now time.Time) {
+	l.mu.Lock()
+	var lost []*entry
+	for _, e := range l.pending {
+		limit := submitTimeout
+		if e.sent {
+			limit = fetchTimeout
+		}
+		if !l.up && now.Sub(e.since) > limit {
+			lost = append(lost, e)
+		}
+	}
+	l.mu.Unlock()
+	for _, e := range lost {
+		l.lose(e.call.ID, e.sent)
+	}
+}
+
+func (l *Link) lose(id string, sent bool) {
+	e := l.remove(id)
+	if e == nil {
+		return
+	}
+	l.outcomes.Lost(id, sent, e.received > 0)
+}
+
+// Abandon gives up all requests at once, since the host is known to be gone.
+func (l *Link) Abandon() {
+	l.mu.Lock()
+	ids := map[string]bool{}
+	for id, e := range l.pending {
+		ids[id] = e.sent
+	}
+	l.mu.Unlock()
+	for id, sent := range ids {
+		l.lose(id, sent)
+	}
+}
+
+// Fail ends a request of the link with a fault.
+func (l *Link) Fail(id string, c code.Code, detail string) {
+	if e := l.remove(id); e != nil {
+		l.outcomes.Refused(id, fault.New(c, detail))
+	}
+}
+
+// Close ends the link and gives up what it carries.
+func (l *Link) Close() {
+	l.stop()
+	l.done.Wait()
+	l.Abandon()
+}
--- /dev/null
+++ b/connection/peer/peer.go
@@ -0,0 +1,381 @@
+// Package peer serves the streams of other hosts.
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/pistachiotray/pistachiotray/connection/codec"
+	"github.com/pistachiotray/pistachiotray/connection/wirepb"
+	"github.com/pistachiotray/pistachiotray/request/answer"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+)
+
+const (
+	// keptBytes is how much of an answer is kept to be fetched again.
+	keptBytes = 256 << 10
+	// keptFor is how long a finished answer is kept.
+	keptFor = 10 * time.Second
+	// unreadBytes is how much may be on its way to the entry host unread.
+	unreadBytes = 1 << 20
+	// inputTimeout bounds the wait for a slot to take COPY data.
+	inputTimeout = 5 * time.Second
+)
+
+// engine runs requests as their owner.
+type engine interface {
+	// Serve takes a request of another host's caller.
+	Serve(c call.Call) *answer.Answer
+	// CancelOwned cancels a request.
+	CancelOwned(group, id string)
+	// LeaveOwned ends a session.
+	LeaveOwned(group, session string)
+	// DetachOwned tells that a session lost its connection.
+	DetachOwned(group, session string)
+	// AttachOwned tells that a session came back.
+	AttachOwned(ctx context.Context, group, session string) bool
+	// Reaches asks a member itself.
+	Reaches(ctx context.Context, group, member string) bool
+}
+
+// gossip answers probes.
+type gossip interface {
+	// Probed takes a probe and returns the answer.
+	Probed(ctx context.Context, r *wirepb.ProbeRequest) *wirepb.ProbeReply
+}
+
+// bodies keeps configuration versions.
+type bodies interface {
+	// Body returns the body of a version, and false where it is not known.
+	Body(version uint64) ([]byte, bool)
+}
+
+// callers are the connections of this host's front.
+type callers interface {
+	// CancelKey cancels what the caller with a key runs.
+	CancelKey(pid uint32, secret []byte) bool
+}
+
+// exchange is one request of another host's caller.
+type exchange struct {
+	mu     sync.Mutex
+	id     string
+	group  string
+	answer *answer.Answer
+	kept   []byte
+	whole  bool
+	final  *wirepb.Frame
+	out    func(*wirepb.Frame) error
+	sent   int64
+	taken  int64
+	moved  chan struct{}
+}
+
+// Peer is the handler of the other hosts' streams and questions.
+type Peer struct {
+	engine engine
+	gossip gossip
+	bodies bodies
+	caller callers
+
+	mu        sync.Mutex
+	exchanges map[string]*exchange
+}
+
+// New returns the handler.
+func New(e engine, g gossip, b bodies, c callers) *Peer {
+	return &Peer{engine: e, gossip: g, bodies: b, caller: c, exchanges: map[string]*exchange{}}
+}
+
+// stream is one stream of an entry host.
+type stream struct {
+	peer     *Peer
+	mu       sync.Mutex
+	send     *connect.BidiStream[wirepb.Frame, wirepb.Frame]
+	sessions map[string]string
+}
+
+// Link serves one stream until it breaks.
+func (p *Peer) Link(ctx context.Context, s *connect.BidiStream[wirepb.Frame, wirepb.Frame]) error {
+	st := &stream{peer: p, send: s, sessions: map[string]string{}}
+	if err := st.write(&wirepb.Frame{Kind: wirepb.Frame_KIND_ACCEPTED}); err != nil {
+		return err
+	}
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			break
+		}
+		st.take(ctx, f)
+	}
+	st.detachAll()
+	return nil
+}
+
+func (s *stream) write(f *wirepb.Frame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.send.Send(f)
+}
+
+// detachAll begins the grace period of all sessions of the entry host.
+func (s *stream) detachAll() {
+	s.mu.Lock()
+	sessions := s.sessions
+	s.sessions = nil
+	s.mu.Unlock()
+	for session, group := range sessions {
+		s.peer.engine.DetachOwned(group, session)
+	}
+}
+
+func (s *stream) take(ctx context.Context, f *wirepb.Frame) {
+	e := s.peer.engine
+	switch f.GetKind() {
+	case wirepb.Frame_KIND_SUBMIT:
+		s.submit(f)
+	case wirepb.Frame_KIND_FETCH:
+		s.fetch(f)
+	case wirepb.Frame_KIND_CANCEL:
+		s.cancel(f)
+	case wirepb.Frame_KIND_INPUT:
+		s.input(ctx, f)
+	case wirepb.Frame_KIND_TAKEN:
+		if x := s.peer.exchange(f.GetId()); x != nil {
+			x.tookUpTo(f.GetOffset())
+		}
+	case wirepb.Frame_KIND_LEAVE:
+		s.forget(f.GetId())
+		e.LeaveOwned(f.GetGroup(), f.GetId())
+	case wirepb.Frame_KIND_DETACH:
+		s.forget(f.GetId())
+		e.DetachOwned(f.GetGroup(), f.GetId())
+	case wirepb.Frame_KIND_ATTACH:
+		s.remember(f.GetId(), f.GetGroup())
+		go func() {
+			open := e.AttachOwned(ctx, f.GetGroup(), f.GetId())
+			_ = s.write(&wirepb.Frame{Kind: wirepb.Frame_KIND_ATTACHED, Id: f.GetId(), Open: open})
+		}()
+	}
+}
+
+func (s *stream) remember(session, group string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions != nil {
+		s.sessions[session] = group
+	}
+}
+
+func (s *stream) forget(session string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, session)
+}
+
+// submit runs a request, unless its id is known: then its answer goes to this
+// stream.
+func (s *stream) submit(f *wirepb.Frame) {
+	c := codec.Decode(f.GetCall(), time.Now())
+	s.remember(c.Session, c.Group)
+	x, fresh := s.peer.open(c, s.write)
+	if !fresh {
+		x.resume(s.write, f.GetOffset())
+		return
+	}
+	go s.peer.carry(x)
+}
+
+// fetch sends the answer of a request that was submitted on another stream.
+func (s *stream) fetch(f *wirepb.Frame) {
+	x := s.peer.exchange(f.GetId())
+	if x == nil || !x.resume(s.write, f.GetOffset()) {
+		unknown := codec.Fail(f.GetId(), fault.New(code.OutcomeUnknown, "the owner does not know the request any more"))
+		unknown.Open = true
+		_ = s.write(unknown)
+	}
+}
+
+func (s *stream) cancel(f *wirepb.Frame) {
+	x := s.peer.exchange(f.GetId())
+	if x == nil {
+		return
+	}
+	if f.GetEnd() {
+		x.answer.Forsake()
+	}
+	s.peer.engine.CancelOwned(x.group, f.GetId())
+}
+
+func (s *stream) input(ctx context.Context, f *wirepb.Frame) {
+	x := s.peer.exchange(f.GetId())
+	if x == nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, inputTimeout)
+	defer stop()
+	if x.answer.Put(ctx, f.GetData(), f.GetEnd()) != nil {
+		x.answer.Forsake()
+	}
+}
+
+func (p *Peer) exchange(id string) *exchange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exchanges[id]
+}
+
+// open returns the exchange of a request and whether it is new. A request
+// that was refused as not run may be submitted again under its id.
+func (p *Peer) open(c call.Call, out func(*wirepb.Frame) error) (*exchange, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x, ok := p.exchanges[c.ID]; ok && !x.notRun() {
+		return x, false
+	}
+	x := &exchange{id: c.ID, group: c.Group, whole: true, out: out, moved: make(chan struct{}, 1)}
+	x.answer = p.engine.Serve(c)
+	p.exchanges[c.ID] = x
+	return x, true
+}
+
+func (x *exchange) notRun() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.final != nil && x.final.GetKind() == wirepb.Frame_KIND_FAIL && code.Code(x.final.GetCode()).NotRun()
+}
+
+// carry sends an answer on as it comes and keeps it for a while.
+func (p *Peer) carry(x *exchange) {
+	for {
+		data, done, err := x.answer.Take(context.Background())
+		if err != nil {
+			return
+		}
+		if done {
+			x.finish(data)
+			break
+		}
+		x.part(data)
+		x.awaitTaken()
+	}
+	time.AfterFunc(keptFor, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.exchanges[x.id] == x {
+			delete(p.exchanges, x.id)
+		}
+	})
+}
+
+func (x *exchange) keep(data []byte) {
+	if len(x.kept)+len(data) > keptBytes {
+		x.whole = false
+		x.kept = nil
+	}
+	if x.whole {
+		x.kept = append(x.kept, data...)
+	}
+}
+
+func (x *exchange) part(data []byte) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.keep(data)
+	x.sent += int64(len(data))
+	_ = x.out(&wirepb.Frame{Kind: wirepb.Frame_KIND_PART, Id: x.id, Data: data})
+}
+
+// finish sends the end of an answer. The last data travels with it.
+func (x *exchange) finish(data []byte) {
+	seen, status, f := x.answer.Outcome()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.final = &wirepb.Frame{
+		Kind: wirepb.Frame_KIND_DONE, Id: x.id, Data: data,
+		Term: seen.Term, Position: seen.Position, Status: uint32(status),
+	}
+	if f != nil {
+		x.final = codec.Fail(x.id, f)
+	}
+	if !x.whole && len(data) > keptBytes {
+		x.final.Data = data
+	}
+	_ = x.out(x.final)
+}
+
+// resume sends what an entry host lacks on its new stream. It reports false
+// where that is not kept.
+func (x *exchange) resume(out func(*wirepb.Frame) error, offset int64) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if offset != x.sent && (!x.whole || offset > x.sent) {
+		return false
+	}
+	x.out = out
+	if offset < x.sent {
+		_ = out(&wirepb.Frame{Kind: wirepb.Frame_KIND_PART, Id: x.id, Data: x.kept[offset:x.sent]})
+	}
+	if x.final != nil {
+		_ = out(x.final)
+	}
+	return true
+}
+
+func (x *exchange) tookUpTo(offset int64) {
+	x.mu.Lock()
+	x.taken = max(x.taken, offset)
+	x.mu.Unlock()
+	select {
+	case x.moved <- struct{}{}:
+	default:
+	}
+}
+
+// awaitTaken waits while too much is on its way unread.
+func (x *exchange) awaitTaken() {
+	for {
+		x.mu.Lock()
+		behind := x.sent - x.taken
+		x.mu.Unlock()
+		if behind < unreadBytes || x.answer.Forsaken() {
+			return
+		}
+		timer := time.NewTimer(inputTimeout)
+		select {
+		case <-x.moved:
+			timer.Stop()
+		case <-timer.C:
+			x.answer.Forsake()
+			return
+		}
+	}
+}
+
+// Sight tells whether this host reaches a member.
+func (p *Peer) Sight(ctx context.Context, r *connect.Request[wirepb.SightRequest]) (*connect.Response[wirepb.SightReply], error) {
+	reached := p.engine.Reaches(ctx, r.Msg.GetGroup(), r.Msg.GetMember())
+	return connect.NewResponse(&wirepb.SightReply{Reached: reached}), nil
+}
+
+// Probe answers a probe.
+func (p *Peer) Probe(ctx context.Context, r *connect.Request[wirepb.ProbeRequest]) (*connect.Response[wirepb.ProbeReply], error) {
+	return connect.NewResponse(p.gossip.Probed(ctx, r.Msg)), nil
+}
+
+// Body returns the body of a configuration version.
+func (p *Peer) Body(_ context.Context, r *connect.Request[wirepb.BodyRequest]) (*connect.Response[wirepb.BodyReply], error) {
+	body, ok := p.bodies.Body(r.Msg.GetVersion())
+	return connect.NewResponse(&wirepb.BodyReply{Found: ok, Body: body}), nil
+}
+
+// Cancel cancels what the caller with a key runs at this host.
+func (p *Peer) Cancel(_ context.Context, r *connect.Request[wirepb.CancelKeyRequest]) (*connect.Response[wirepb.CancelKeyReply], error) {
+	found := p.caller.CancelKey(r.Msg.GetPid(), r.Msg.GetSecret())
+	return connect.NewResponse(&wirepb.CancelKeyReply{Found: found}), nil
+}
--- /dev/null
+++ b/connection/slot/read.go
@@ -0,0 +1,348 @@
+package slot
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/pistachiotray/pistachiotray/connection/frame"
+	"github.com/pistachiotray/pistachiotray/connection/script"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/result"
+)
+
+// SQLSTATE values that decide what a failure means.
+const (
+	stateUnique  = "23505"
+	stateNoTable = "42P01"
+)
+
+// exchange writes the pipeline and reads all that it is owed.
+func (r *run) exchange(ctx context.Context) {
+	if len(r.out) <= smallBody {
+		if n, err := r.slot.conn.Write(r.out); err != nil {
+			r.fail(n > 0)
+			return
+		}
+	} else {
+		go func() { _, _ = r.slot.conn.Write(r.out) }()
+	}
+	r.got = true
+	for !r.script.Done() {
+		kind, p, err := r.slot.reader.Append(r.part[:0])
+		if err != nil {
+			r.fail(true)
+			return
+		}
+		r.part = p
+		if !r.take(ctx, kind, p) {
+			return
+		}
+	}
+}
+
+func (r *run) fail(sent bool) {
+	r.slot.failed = true
+	r.got = sent
+}
+
+// take handles one frame of the target; it returns false where the run ended.
+func (r *run) take(ctx context.Context, kind byte, p []byte) bool {
+	if kind == 'N' || kind == 'S' || kind == 'A' {
+		return r.pass(ctx, p)
+	}
+	part, before := r.script.Next(kind)
+	if len(before) > 0 && !r.pass(ctx, before) {
+		return false
+	}
+	if kind == 'Z' && (part == script.Caller || part == script.Commit || part == script.Marker) {
+		r.status = frame.Body(p)[0]
+	}
+	switch part {
+	case script.Caller:
+		return r.takeCaller(ctx, kind, p)
+	case script.Prepare:
+		if kind == 'E' {
+			return r.pass(ctx, p)
+		}
+	case script.Marker:
+		r.takeMarker(kind, p)
+	case script.Commit:
+		r.takeCommit(kind, p)
+	case script.Position:
+		r.takePosition(kind, p)
+	}
+	return true
+}
+
+func (r *run) takeCaller(ctx context.Context, kind byte, p []byte) bool {
+	if r.conflict || r.noTable {
+		return true
+	}
+	switch kind {
+	case 'E':
+		r.refused = true
+	case 'Z':
+		if r.call.Key != "" && !r.call.Follows {
+			return true
+		}
+	case 'G':
+		return r.pass(ctx, p) && r.copyIn(ctx)
+	}
+	return r.pass(ctx, p)
+}
+
+func (r *run) pass(ctx context.Context, p []byte) bool {
+	if !r.sink.Append(p) {
+		return true
+	}
+	if err := r.sink.Pause(ctx); err != nil {
+		r.slot.failed = true
+		return false
+	}
+	return true
+}
+
+// copyIn sends the caller's COPY data on to the target.
+func (r *run) copyIn(ctx context.Context) bool {
+	r.sink.Flush()
+	for {
+		p, end, err := r.sink.Input(ctx)
+		if err == nil {
+			_, err = r.slot.conn.Write(p)
+		}
+		if err != nil {
+			r.slot.failed = true
+			return false
+		}
+		if end {
+			return true
+		}
+	}
+}
+
+func (r *run) takeMarker(kind byte, p []byte) {
+	if kind != 'E' {
+		return
+	}
+	switch errorState(p) {
+	case stateUnique:
+		r.conflict = true
+	case stateNoTable:
+		r.noTable = true
+	default:
+		r.refused = true
+		r.sink.Append(p)
+	}
+}
+
+func (r *run) takeCommit(kind byte, p []byte) {
+	switch kind {
+	case 'E':
+		r.refused = true
+		r.commitNo = bytes.Clone(p)
+	case 'C':
+		r.commitOK = bytes.HasPrefix(frame.Body(p), []byte("COMMIT"))
+	}
+}
+
+func (r *run) takePosition(kind byte, p []byte) {
+	if kind != 'D' {
+		return
+	}
+	var row pgproto3.DataRow
+	if row.Decode(frame.Body(p)) != nil {
+		return
+	}
+	r.row = make([][]byte, len(row.Values))
+	for i, v := range row.Values {
+		r.row[i] = bytes.Clone(v)
+	}
+}
+
+// finish turns what was read into a result.
+func (r *run) finish(ctx context.Context) result.Result {
+	if r.slot.failed {
+		return r.failure(ctx)
+	}
+	if r.noTable {
+		return result.Result{Failure: result.Unsent}
+	}
+	if r.call.Key != "" && !r.call.Follows {
+		r.closeAnswer()
+	}
+	out := r.report(result.Result{Status: r.status}).WithRefused(r.refused)
+	if r.conflict {
+		return r.conflicted(out)
+	}
+	return out
+}
+
+func (r *run) failure(ctx context.Context) result.Result {
+	switch {
+	case !r.got:
+		return result.Result{Failure: result.Unsent}
+	case ctx.Err() == nil && r.sinkLeft():
+		return result.Result{Failure: result.Overflow}
+	}
+	return result.Result{Failure: result.Lost}
+}
+
+// sinkLeft tells whether the run ended because its caller left.
+func (r *run) sinkLeft() bool {
+	l, ok := r.sink.(interface{ Forsaken() bool })
+	return ok && l.Forsaken()
+}
+
+// closeAnswer ends the answer of a run whose transaction the proxy ended.
+func (r *run) closeAnswer() {
+	if r.conflict || r.noTable {
+		return
+	}
+	if r.commitNo != nil {
+		r.sink.Append(r.commitNo)
+	}
+	r.sink.Append(mustEncode(&pgproto3.ReadyForQuery{TxStatus: r.status}))
+}
+
+func (r *run) report(out result.Result) result.Result {
+	if r.row == nil {
+		return out
+	}
+	rep, err := r.slot.adapter.Decode(r.slot.member, r.row)
+	if err != nil {
+		return out
+	}
+	out = out.WithMember(rep.Term, rep.Primary)
+	out.Mark = rep.Applied
+	if rep.Primary {
+		out.Mark = rep.Received
+	}
+	return out
+}
+
+// conflicted asks what kind of key stood in the way.
+func (r *run) conflicted(out result.Result) result.Result {
+	if r.status != result.Idle {
+		if !r.slot.Rollback() {
+			r.slot.failed = true
+			return result.Result{Failure: result.Lost}
+		}
+		out.Status = result.Idle
+	}
+	return r.slot.find(r.call, out)
+}
+
+// find looks a key up and adds to the result what it is and how far the
+// member's log went then.
+func (s *Slot) find(c call.Call, out result.Result) result.Result {
+	r := &run{slot: s, call: c, script: script.New()}
+	r.query(s.adapter.FindMarkerSQL(c.Key), script.Marker)
+	r.position()
+	if _, err := s.conn.Write(r.out); err != nil {
+		s.failed = true
+		return result.Result{Failure: result.Lost}
+	}
+	kind := ""
+	for !r.script.Done() {
+		k, p, err := s.reader.Append(r.part[:0])
+		if err != nil {
+			s.failed = true
+			return result.Result{Failure: result.Lost}
+		}
+		r.part = p
+		part, _ := r.script.Next(k)
+		if part == script.Marker && k == 'D' {
+			kind = firstColumn(p)
+		}
+		if part == script.Position {
+			r.takePosition(k, p)
+		}
+	}
+	return r.report(out).WithConflict(kind != "").WithWithdrawn(kind == "withdrawn")
+}
+
+// Settle withdraws a call's key unless it is in the marker table, and says
+// which of the two it found.
+func (s *Slot) Settle(c call.Call) result.Result {
+	if !s.createMarker() || !s.simple("SET default_transaction_read_only = off") {
+		return result.Result{Failure: result.Lost}
+	}
+	s.readOnly = false
+	if !s.simple(s.adapter.WithdrawMarkerSQL(c.Key, s.now().Unix())) {
+		return result.Result{Failure: result.Lost}
+	}
+	return s.find(c, result.Result{Status: result.Idle})
+}
+
+func (s *Slot) createMarker() bool {
+	return s.simple(s.adapter.CreateMarkerSQL())
+}
+
+// simple runs a statement and reports whether it ended without an error.
+func (s *Slot) simple(text string) bool {
+	if _, err := s.conn.Write(mustEncode(&pgproto3.Query{String: text})); err != nil {
+		s.failed = true
+		return false
+	}
+	ok := true
+	var buffer []byte
+	for {
+		kind, p, err := s.reader.Append(buffer[:0])
+		if err != nil {
+			s.failed = true
+			return false
+		}
+		buffer = p
+		if kind == 'E' {
+			ok = false
+		}
+		if kind == 'Z' {
+			return ok
+		}
+	}
+}
+
+// Broken tells whether the slot can't be used any more.
+func (s *Slot) Broken() bool {
+	return s.failed
+}
+
+func errorState(p []byte) string {
+	var e pgproto3.ErrorResponse
+	if e.Decode(frame.Body(p)) != nil {
+		return ""
+	}
+	return e.Code
+}
+
+func firstColumn(p []byte) string {
+	var row pgproto3.DataRow
+	if row.Decode(frame.Body(p)) != nil || len(row.Values) == 0 {
+		return ""
+	}
+	return string(row.Values[0])
+}
+
+func parseName(p []byte) string {
+	name, _, _ := bytes.Cut(frame.Body(p), []byte{0})
+	return string(name)
+}
+
+// bindStatement returns the name of the statement that a Bind frame uses.
+func bindStatement(p []byte) string {
+	_, rest, _ := bytes.Cut(frame.Body(p), []byte{0})
+	name, _, _ := bytes.Cut(rest, []byte{0})
+	return string(name)
+}
+
+// describeStatement returns the statement that a Describe frame names.
+func describeStatement(p []byte) (string, bool) {
+	body := frame.Body(p)
+	if len(body) == 0 || body[0] != 'S' {
+		return "", false
+	}
+	name, _, _ := bytes.Cut(body[1:], []byte{0})
+	return string(name), true
+}
--- /dev/null
+++ b/connection/slot/run.go
@@ -0,0 +1,225 @@
+package slot
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/pistachiotray/pistachiotray/connection/frame"
+	"github.com/pistachiotray/pistachiotray/connection/script"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/result"
+)
+
+// smallBody is the length in bytes up to which a body is written before any
+// answer is read; a longer one is written beside the reading.
+const smallBody = 16 << 10
+
+// sink takes an answer as it is read.
+type sink interface {
+	// Append adds a part. It returns true where the slot has to pause.
+	Append(p []byte) bool
+	// Pause waits until the part read so far has been released.
+	Pause(ctx context.Context) error
+	// Flush releases the part read so far at once.
+	Flush()
+	// Input waits for the caller's COPY data and tells whether it is the last.
+	Input(ctx context.Context) ([]byte, bool, error)
+}
+
+// run is the state of one call in the slot.
+type run struct {
+	slot     *Slot
+	call     call.Call
+	sink     sink
+	script   *script.Script
+	out      []byte
+	wrapped  bool
+	status   byte
+	row      [][]byte
+	conflict bool
+	noTable  bool
+	refused  bool
+	commitOK bool
+	commitNo []byte
+	part     []byte
+	got      bool
+}
+
+// Run sends a call and passes its answer to the sink. Every failure is told
+// apart in the result: nothing sent, or sent and not fully answered.
+func (s *Slot) Run(ctx context.Context, c call.Call, out sink) result.Result {
+	r := s.attempt(ctx, c, out)
+	if r.noTable && s.createMarker() {
+		r = s.attempt(ctx, c, out)
+	}
+	return r.finish(ctx)
+}
+
+func (s *Slot) attempt(ctx context.Context, c call.Call, out sink) *run {
+	r := &run{slot: s, call: c, sink: out, script: script.New()}
+	r.build()
+	r.exchange(ctx)
+	return r
+}
+
+func (r *run) build() {
+	s := r.slot
+	if !r.call.Follows {
+		r.ready()
+	}
+	r.wrapped = r.call.Key != "" && !r.call.Follows && !r.call.Begins
+	if r.wrapped {
+		r.query("BEGIN", script.Prepare)
+		r.query(s.adapter.InsertMarkerSQL(r.call.Key, s.now().Unix()), script.Marker)
+	}
+	r.body()
+	if r.call.Key != "" && r.call.Begins && !r.call.Follows {
+		r.query(s.adapter.InsertMarkerSQL(r.call.Key, s.now().Unix()), script.Marker)
+	}
+	if r.wrapped {
+		r.query("COMMIT", script.Commit)
+	}
+	if !r.call.Copy {
+		r.position()
+	}
+	s.dirty = s.dirty || r.call.Dirty
+	if r.call.Changes {
+		s.known = false
+	}
+}
+
+// ready brings the slot's settings and mode to what the call needs.
+func (r *run) ready() {
+	s := r.slot
+	if s.dirty || len(s.prepared) > preparedLimit {
+		r.query("DISCARD ALL", script.Prepare)
+		r.message(&pgproto3.Parse{Name: positionName, Query: s.adapter.PositionSQL()}, 'P', script.Prepare)
+		r.message(&pgproto3.Sync{}, 'S', script.Prepare)
+		s.dirty = false
+		s.known = true
+		s.settings = nil
+		s.readOnly = false
+		clear(s.prepared)
+	}
+	if !s.sameSettings(r.call.Settings) {
+		r.applySettings()
+	}
+	if r.call.Class.Read != s.readOnly {
+		r.setMode()
+	}
+}
+
+func (r *run) applySettings() {
+	s := r.slot
+	r.query("RESET ALL", script.Prepare)
+	s.readOnly = false
+	for _, statement := range r.call.Settings {
+		r.query(statement, script.Prepare)
+	}
+	s.settings = r.call.Settings
+	s.known = true
+}
+
+func (r *run) setMode() {
+	r.slot.readOnly = r.call.Class.Read
+	mode := "off"
+	if r.slot.readOnly {
+		mode = "on"
+	}
+	r.query("SET default_transaction_read_only = "+mode, script.Prepare)
+}
+
+// body adds the caller's messages. Statements that the slot holds already are
+// not sent again.
+func (r *run) body() {
+	prepared := map[string]bool{}
+	rest := r.call.Body
+	for len(rest) > 0 {
+		kind, p, next, ok := frame.Split(rest)
+		if !ok {
+			return
+		}
+		rest = next
+		r.add(kind, p, prepared)
+	}
+}
+
+func (r *run) add(kind byte, p []byte, prepared map[string]bool) {
+	switch kind {
+	case 'P':
+		r.parse(p, prepared)
+	case 'B':
+		r.need(bindStatement(p), prepared)
+		r.raw(kind, p, script.Caller)
+	case 'D':
+		if name, ok := describeStatement(p); ok {
+			r.need(name, prepared)
+		}
+		r.raw(kind, p, script.Caller)
+	case 'C':
+		r.closing(p)
+	case 'H':
+		r.out = append(r.out, p...)
+	default:
+		r.raw(kind, p, script.Caller)
+	}
+}
+
+func (r *run) parse(p []byte, prepared map[string]bool) {
+	name := parseName(p)
+	if name != "" && r.slot.prepared[name] {
+		r.script.Answer(mustEncode(&pgproto3.ParseComplete{}))
+		return
+	}
+	prepared[name] = true
+	if name != "" {
+		r.slot.prepared[name] = true
+	}
+	r.raw('P', p, script.Caller)
+}
+
+// need prepares a statement that the session has and the slot lacks.
+func (r *run) need(name string, prepared map[string]bool) {
+	if prepared[name] || (name != "" && r.slot.prepared[name]) {
+		return
+	}
+	p, ok := r.call.Prepare[name]
+	if !ok {
+		return
+	}
+	prepared[name] = true
+	if name != "" {
+		r.slot.prepared[name] = true
+	}
+	r.raw('P', p, script.Prepare)
+}
+
+// closing answers the closing of a statement itself: the slot keeps it.
+func (r *run) closing(p []byte) {
+	if frame.Body(p)[0] == 'S' {
+		r.script.Answer(mustEncode(&pgproto3.CloseComplete{}))
+		return
+	}
+	r.raw('C', p, script.Caller)
+}
+
+func (r *run) position() {
+	r.message(&pgproto3.Bind{DestinationPortal: positionName, PreparedStatement: positionName}, 'B', script.Position)
+	r.message(&pgproto3.Execute{Portal: positionName}, 'E', script.Position)
+	r.message(&pgproto3.Close{ObjectType: 'P', Name: positionName}, 'C', script.Position)
+	r.message(&pgproto3.Sync{}, 'S', script.Position)
+}
+
+func (r *run) query(text string, part int) {
+	r.message(&pgproto3.Query{String: text}, 'Q', part)
+}
+
+func (r *run) message(m pgproto3.FrontendMessage, kind byte, part int) {
+	r.raw(kind, mustEncode(m), part)
+}
+
+func (r *run) raw(kind byte, p []byte, part int) {
+	r.out = append(r.out, p...)
+	r.script.Expect(kind, part)
+}
--- /dev/null
+++ b/connection/slot/slot.go
@@ -0,0 +1,176 @@
+// Package slot holds one connection to a member of a database group.
+package slot
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/pistachiotray/pistachiotray/connection/adapt"
+	"github.com/pistachiotray/pistachiotray/connection/frame"
+	"github.com/pistachiotray/pistachiotray/process/wrap"
+)
+
+const (
+	// positionName names the prepared statement and the portal that ask for a
+	// member's report.
+	positionName = "pistachiotray_position"
+	// answerLimit is the longest frame that a target may send, in bytes.
+	answerLimit = 1 << 30
+	// preparedLimit is how many statements a slot keeps prepared.
+	preparedLimit = 500
+	// cancelTimeout bounds the sending of a cancel request.
+	cancelTimeout = time.Second
+)
+
+// Slot is one connection to a member. Run, Settle and Rollback are called by
+// one goroutine at a time; Cancel and Close by any.
+type Slot struct {
+	member     string
+	address    string
+	adapter    adapt.Adapter
+	conn       net.Conn
+	reader     *frame.Reader
+	pid        uint32
+	secret     []byte
+	parameters map[string]string
+	prepared   map[string]bool
+	settings   []string
+	known      bool
+	readOnly   bool
+	dirty      bool
+	failed     bool
+	now        func() time.Time
+	dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	once       sync.Once
+}
+
+// WithClock returns an option that sets the clock for the keys' time.
+func WithClock(now func() time.Time) func(*Slot) {
+	return func(s *Slot) { s.now = now }
+}
+
+// WithDial returns an option that sets how connections are made.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(*Slot) {
+	return func(s *Slot) { s.dial = dial }
+}
+
+// New opens a slot to the member with a connection string of pgconn's form.
+// The error wraps that of the target, which tells a refusal by SQLSTATE.
+func New(ctx context.Context, member, dsn string, options ...func(*Slot)) (*Slot, error) {
+	s := &Slot{member: member, adapter: adapt.New(), prepared: map[string]bool{}, known: true, now: time.Now}
+	for _, o := range options {
+		o(s)
+	}
+	config, err := pgconn.ParseConfig(dsn)
+	if err != nil {
+		return nil, errors.Wrap(err, "New: connection string")
+	}
+	if s.dial != nil {
+		config.DialFunc = s.dial
+	} else {
+		s.dial = (&net.Dialer{}).DialContext
+		config.DialFunc = s.dial
+	}
+	pc, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, errors.Wrap(err, "New")
+	}
+	hijacked, err := pc.Hijack()
+	if err != nil {
+		return nil, errors.Wrap(err, "New")
+	}
+	s.adopt(hijacked)
+	if err := s.preparePosition(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Slot) adopt(h *pgconn.HijackedConn) {
+	s.conn = h.Conn
+	s.address = h.Conn.RemoteAddr().String()
+	s.pid = h.PID
+	s.secret = h.SecretKey
+	s.parameters = h.ParameterStatuses
+	s.reader = frame.New(h.Conn, answerLimit)
+}
+
+func (s *Slot) preparePosition() error {
+	out := mustEncode(&pgproto3.Parse{Name: positionName, Query: s.adapter.PositionSQL()})
+	out = append(out, mustEncode(&pgproto3.Sync{})...)
+	if _, err := s.conn.Write(out); err != nil {
+		return errors.Wrap(err, "Slot.preparePosition")
+	}
+	_, err := s.drain()
+	return err
+}
+
+// drain reads up to the next ReadyForQuery and returns the status it gives.
+func (s *Slot) drain() (byte, error) {
+	var buffer []byte
+	for {
+		kind, p, err := s.reader.Append(buffer[:0])
+		if err != nil {
+			return 0, errors.Wrap(err, "Slot.drain")
+		}
+		buffer = p
+		if kind == 'Z' {
+			return frame.Body(p)[0], nil
+		}
+	}
+}
+
+// Parameters returns what the target reported of its settings at the start.
+func (s *Slot) Parameters() map[string]string {
+	return s.parameters
+}
+
+// Cancel asks the member to cancel what runs in the slot.
+func (s *Slot) Cancel(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	conn, err := s.dial(ctx, "tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "Slot.Cancel")
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write(mustEncode(&pgproto3.CancelRequest{ProcessID: s.pid, SecretKey: s.secret}))
+	return wrap.If(err, "Slot.Cancel")
+}
+
+// Close closes the connection; what runs in it ends with an error.
+func (s *Slot) Close() {
+	s.once.Do(func() { _ = s.conn.Close() })
+}
+
+// Rollback ends the open transaction and reports whether the slot is clean.
+func (s *Slot) Rollback() bool {
+	if _, err := s.conn.Write(mustEncode(&pgproto3.Query{String: "ROLLBACK"})); err != nil {
+		return false
+	}
+	status, err := s.drain()
+	return err == nil && status == 'I'
+}
+
+func (s *Slot) sameSettings(settings []string) bool {
+	return s.known && slices.Equal(s.settings, settings)
+}
+
+func mustEncode(m interface {
+	Encode([]byte) ([]byte, error)
+},
+) []byte {
+	p, err := m.Encode(nil)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
--- /dev/null
+++ b/connection/token/token.go
@@ -0,0 +1,74 @@
+// Package token holds the signed token by which a session is known at other
+// hosts.
+package token
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/golang-jwt/jwt/v5"
+
+	"github.com/pistachiotray/pistachiotray/process/wrap"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+// claims is the content of a token.
+type claims struct {
+	Session  string `json:"Session"`
+	User     string `json:"User"`
+	Group    string `json:"Group"`
+	Term     uint64 `json:"Term"`
+	Position uint64 `json:"Position"`
+	jwt.RegisteredClaims
+}
+
+// Token names a session, its user, its group and what it has seen. A Token is
+// immutable.
+type Token struct {
+	// Session is the session's name.
+	Session string
+	// User is the user that the session was opened by.
+	User string
+	// Group is the session's database group.
+	Group string
+	// Floor is the newest mark that the session has seen.
+	Floor mark.Mark
+}
+
+// New returns the token of a session.
+func New(session, user, group string) Token {
+	return Token{Session: session, User: user, Group: group}
+}
+
+// WithFloor returns the token with another floor.
+func (t Token) WithFloor(floor mark.Mark) Token {
+	t.Floor = floor
+	return t
+}
+
+// Sign returns the token in its text form, signed with the named key.
+func (t Token) Sign(name string, key []byte) (string, error) {
+	c := claims{Session: t.Session, User: t.User, Group: t.Group, Term: t.Floor.Term, Position: t.Floor.Position}
+	signed := jwt.NewWithClaims(jwt.SigningMethodHS256, c)
+	signed.Header["kid"] = name
+	text, err := signed.SignedString(key)
+	return text, wrap.If(err, "Token.Sign")
+}
+
+// Parse reads a token that was signed with one of the keys. Any doubt gives a
+// fault of BadToken.
+func Parse(text string, keys map[string][]byte) (Token, error) {
+	var c claims
+	_, err := jwt.ParseWithClaims(text, &c, func(t *jwt.Token) (any, error) {
+		name, _ := t.Header["kid"].(string)
+		key, ok := keys[name]
+		if !ok {
+			return nil, errors.New("unknown key")
+		}
+		return key, nil
+	}, jwt.WithValidMethods([]string{jwt.SigningMethodHS256.Alg()}))
+	if err != nil {
+		return Token{}, fault.New(code.BadToken, "the session token could not be verified")
+	}
+	return New(c.Session, c.User, c.Group).WithFloor(mark.New(c.Term, c.Position)), nil
+}
--- /dev/null
+++ b/process/conf/settings.go
@@ -0,0 +1,211 @@
+// Package conf holds the settings of one host.
+package conf
+
+import (
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/pflag"
+)
+
+// variablePrefix begins the name of each environment variable.
+const variablePrefix = "PISTACHIOTRAY_"
+
+// Settings are what a host is told at its start. A flag goes before its
+// environment variable, which goes before the default.
+type Settings struct {
+	Host           string
+	Zone           string
+	Listen         string
+	PeerListen     string
+	PeerAddress    string
+	OperatorListen string
+	Platform       string
+	UsersFile      string
+	KeysFile       string
+	PeerKeyFile    string
+	TargetUser     string
+	TargetPassword string
+	CertFile       string
+	KeyFile        string
+	PeerCertFile   string
+	PeerKeyTLSFile string
+	PeerCAFile     string
+	PlainPeers     bool
+	AllowTrust     bool
+	MessageLimit   int
+	CallerLimit    int
+	Workers        int
+	DrainTime      time.Duration
+	Grace          time.Duration
+	IdleLimit      time.Duration
+	LongAfter      time.Duration
+	Aging          time.Duration
+	Heartbeat      time.Duration
+	ProbeInterval  time.Duration
+	LogLevel       string
+}
+
+// Defaults returns the settings of a host that is told nothing.
+func Defaults() Settings {
+	return Settings{
+		Listen:         "127.0.0.1:6432",
+		PeerListen:     "127.0.0.1:6433",
+		OperatorListen: "127.0.0.1:6434",
+		Platform:       "http://127.0.0.1:6400",
+		TargetUser:     "pistachiotray",
+		MessageLimit:   16 << 20,
+		CallerLimit:    10_000,
+		Workers:        8,
+		DrainTime:      30 * time.Second,
+		Grace:          2 * time.Second,
+		IdleLimit:      10 * time.Second,
+		LongAfter:      100 * time.Millisecond,
+		Aging:          time.Second,
+		Heartbeat:      200 * time.Millisecond,
+		ProbeInterval:  250 * time.Millisecond,
+		LogLevel:       "info",
+	}
+}
+
+// Flags adds a flag for each setting; what is set is kept in s.
+func (s *Settings) Flags(f *pflag.FlagSet) {
+	f.StringVar(&s.Host, "host", s.Host, "name of this host, unique in the fleet")
+	f.StringVar(&s.Zone, "zone", s.Zone, "availability zone of this host")
+	f.StringVar(&s.Listen, "listen", s.Listen, "IP number and port for callers")
+	f.StringVar(&s.PeerListen, "peer-listen", s.PeerListen, "IP number and port for other hosts")
+	f.StringVar(&s.PeerAddress, "peer-address", s.PeerAddress, "IP number and port under which other hosts reach this one; empty takes peer-listen")
+	f.StringVar(&s.OperatorListen, "operator-listen", s.OperatorListen, "IP number and port for operators")
+	f.StringVar(&s.Platform, "platform", s.Platform, "URL of the platform's table service and object store")
+	f.StringVar(&s.UsersFile, "users-file", s.UsersFile, "file of callers' names and passwords, one name:password a line")
+	f.StringVar(&s.KeysFile, "token-keys-file", s.KeysFile, "file of session token keys, one name:key a line; the first signs")
+	f.StringVar(&s.PeerKeyFile, "peer-key-file", s.PeerKeyFile, "file with the key that peers and operators show")
+	f.StringVar(&s.TargetUser, "target-user", s.TargetUser, "name under which targets are reached")
+	f.StringVar(&s.TargetPassword, "target-password-file", s.TargetPassword, "file with the password for targets")
+	f.StringVar(&s.CertFile, "tls-cert-file", s.CertFile, "certificate shown to callers, PEM")
+	f.StringVar(&s.KeyFile, "tls-key-file", s.KeyFile, "key of the certificate shown to callers, PEM")
+	f.StringVar(&s.PeerCertFile, "peer-tls-cert-file", s.PeerCertFile, "certificate shown to other hosts and operators, PEM")
+	f.StringVar(&s.PeerKeyTLSFile, "peer-tls-key-file", s.PeerKeyTLSFile, "key of the certificate shown to other hosts, PEM")
+	f.StringVar(&s.PeerCAFile, "peer-tls-ca-file", s.PeerCAFile, "authority that other hosts' certificates are checked against, PEM")
+	f.BoolVar(&s.PlainPeers, "plain-peers", s.PlainPeers, "let hosts talk without TLS although they are not on loopback")
+	f.BoolVar(&s.AllowTrust, "allow-trust", s.AllowTrust, "let callers in without a password although not on loopback")
+	f.IntVar(&s.MessageLimit, "message-limit", s.MessageLimit, "longest message of a caller, in bytes")
+	f.IntVar(&s.CallerLimit, "caller-limit", s.CallerLimit, "most connections of callers")
+	f.IntVar(&s.Workers, "workers", s.Workers, "number of workers that take decisions")
+	f.DurationVar(&s.DrainTime, "drain-time", s.DrainTime, "longest time that a planned stop waits for work in progress")
+	f.DurationVar(&s.Grace, "grace", s.Grace, "how long a transaction waits for a session that lost its host")
+	f.DurationVar(&s.IdleLimit, "idle-limit", s.IdleLimit, "how long a transaction may hold a slot without a statement")
+	f.DurationVar(&s.LongAfter, "long-after", s.LongAfter, "service time from which a request counts as long")
+	f.DurationVar(&s.Aging, "aging", s.Aging, "longest wait of long work behind short work where its cap lets it run")
+	f.DurationVar(&s.Heartbeat, "heartbeat", s.Heartbeat, "time between two heartbeats to a primary")
+	f.DurationVar(&s.ProbeInterval, "probe-interval", s.ProbeInterval, "time between two probes of other hosts")
+	f.StringVar(&s.LogLevel, "log-level", s.LogLevel, "debug, info, warn or error")
+}
+
+// Variable returns the name of a flag's environment variable.
+func Variable(flag string) string {
+	return variablePrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Environment sets each flag that was not given from its environment
+// variable. The error lists every variable that can't be read.
+func Environment(f *pflag.FlagSet) error {
+	var found []error
+	f.VisitAll(func(flag *pflag.Flag) {
+		value, ok := os.LookupEnv(Variable(flag.Name))
+		if !ok || flag.Changed {
+			return
+		}
+		if err := f.Set(flag.Name, value); err != nil {
+			found = append(found, errors.Wrap(err, Variable(flag.Name)))
+		}
+	})
+	return errors.Join(found...)
+}
+
+// Validate returns an error that lists every bad setting, or nil.
+func (s Settings) Validate() error {
+	var found []error
+	add := func(bad bool, text string) {
+		if bad {
+			found = append(found, errors.New(text))
+		}
+	}
+	add(s.Host == "", "host: must not be empty")
+	add(strings.ContainsAny(s.Host, " /\x00"), "host: must hold no space and no slash")
+	for _, a := range [][2]string{{"listen", s.Listen}, {"peer-listen", s.PeerListen}, {"operator-listen", s.OperatorListen}} {
+		add(!isAddress(a[1]), a[0]+": must be an IP number and a port")
+	}
+	add(s.PeerAddress != "" && !isAddress(s.PeerAddress), "peer-address: must be an IP number and a port")
+	add(!strings.HasPrefix(s.Platform, "http://") && !strings.HasPrefix(s.Platform, "https://"), "platform: must be a URL of http or https")
+	add((s.CertFile == "") != (s.KeyFile == ""), "tls-cert-file, tls-key-file: give both or none")
+	add((s.PeerCertFile == "") != (s.PeerKeyTLSFile == ""), "peer-tls-cert-file, peer-tls-key-file: give both or none")
+	add(s.UsersFile == "" && !s.AllowTrust && !isLoopback(s.Listen), "users-file: needed where callers do not come from loopback, or set allow-trust")
+	add(s.PeerCertFile == "" && !s.PlainPeers && !isLoopback(s.PeerListen), "peer-tls-cert-file: needed where hosts are not on loopback, or set plain-peers")
+	add(s.PeerKeyFile == "" && !isLoopback(s.PeerListen), "peer-key-file: needed where hosts are not on loopback")
+	add(s.PeerKeyFile == "" && !isLoopback(s.OperatorListen), "peer-key-file: needed where operators are not on loopback")
+	add(s.KeysFile == "" && !isLoopback(s.Listen), "token-keys-file: needed where callers do not come from loopback")
+	found = append(found, s.checkNumbers()...)
+	return errors.Join(found...)
+}
+
+func (s Settings) checkNumbers() []error {
+	const leastMessage = 1 << 10
+	var found []error
+	add := func(bad bool, text string) {
+		if bad {
+			found = append(found, errors.New(text))
+		}
+	}
+	add(s.MessageLimit < leastMessage, "message-limit: must be 1024 or more")
+	add(s.CallerLimit < 1, "caller-limit: must be 1 or more")
+	add(s.Workers < 1, "workers: must be 1 or more")
+	for _, d := range []struct {
+		name string
+		d    time.Duration
+	}{
+		{"drain-time", s.DrainTime},
+		{"grace", s.Grace},
+		{"idle-limit", s.IdleLimit},
+		{"long-after", s.LongAfter},
+		{"aging", s.Aging},
+		{"heartbeat", s.Heartbeat},
+		{"probe-interval", s.ProbeInterval},
+	} {
+		add(d.d <= 0, d.name+": must be over 0")
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		add(true, "log-level: must be debug, info, warn or error")
+	}
+	return found
+}
+
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isLoopback(text string) bool {
+	host, _, err := net.SplitHostPort(text)
+	if err != nil {
+		return true
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+// Summary returns the settings as one line of name=value, without secrets:
+// files are named, never read.
+func (s Settings) Summary() string {
+	copied := s
+	f := pflag.NewFlagSet("", pflag.ContinueOnError)
+	copied.Flags(f)
+	var parts []string
+	f.VisitAll(func(flag *pflag.Flag) { parts = append(parts, flag.Name+"="+flag.Value.String()) })
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/process/elect/elect.go
@@ -0,0 +1,282 @@
+// Package elect replaces the primary of a database group.
+package elect
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+const (
+	// missesToSuspect is how many heartbeats in a row a primary may miss.
+	missesToSuspect = 2
+	// opinionTimeout bounds the wait for other hosts' opinions.
+	opinionTimeout = 250 * time.Millisecond
+	// stepTimeout bounds the wait for a majority of fences and for a promotion.
+	stepTimeout = 300 * time.Millisecond
+	// retryDelay is the pause before the next try; a host's share is added.
+	retryDelay = 100 * time.Millisecond
+	// vetoesRespected is how often in a row other hosts may hold up a replacement.
+	vetoesRespected = 2
+	// opinionsNeeded is how many other hosts are asked.
+	opinionsNeeded = 2
+)
+
+type phase int
+
+const (
+	idle phase = iota
+	asking
+	fencing
+	promoting
+)
+
+// duties are what an election needs to have done. Answers come back through
+// the election's methods; a duty returns at once.
+type duties interface {
+	// Opine asks other hosts whether they reach the member.
+	Opine(member string)
+	// Fence asks a member to promise the term.
+	Fence(member string, term uint64)
+	// Promote makes a member the primary of the term.
+	Promote(member string, term uint64)
+	// Elected tells that the member leads the term.
+	Elected(member string, term uint64)
+}
+
+// Elect is the state of one group's replacement at one host. Several hosts
+// may run one at a time: a member promises each term to one of them, so at
+// most one gets a majority. It has no lock and no clock of its own.
+type Elect struct {
+	out      duties
+	members  []string
+	jitter   time.Duration
+	phase    phase
+	primary  string
+	term     uint64
+	highest  uint64
+	misses   int
+	vetoes   int
+	opinions int
+	deadline time.Time
+	ballot   uint64
+	granted  map[string]mark.Mark
+	chosen   string
+	prefer   string
+	leaving  map[string]bool
+	ignore   bool
+}
+
+// New returns an election among members. The jitter is added to each pause
+// and differs between hosts.
+func New(members []string, jitter time.Duration, out duties, options ...func(*Elect)) *Elect {
+	e := &Elect{out: out, members: members, jitter: jitter, leaving: map[string]bool{}}
+	for _, o := range options {
+		o(e)
+	}
+	return e
+}
+
+// WithoutMarks returns an option that promotes the first member to answer,
+// whatever it holds. It exists so that tests can show that the checks catch
+// the fault it makes.
+func WithoutMarks() func(*Elect) {
+	return func(e *Elect) { e.ignore = true }
+}
+
+// Seen takes a member's report.
+func (e *Elect) Seen(now time.Time, r report.Report) {
+	e.highest = max(e.highest, r.Term)
+	e.leaving[r.Member] = r.Leaving
+	if r.Primary && r.Term >= e.term {
+		e.follow(r)
+	}
+	if r.Member == e.primary {
+		e.misses = 0
+	}
+	e.checkTerm(now, r)
+}
+
+func (e *Elect) follow(r report.Report) {
+	changed := r.Term > e.term
+	e.term = r.Term
+	e.primary = r.Member
+	if changed && e.phase != idle && r.Term >= e.ballot {
+		e.rest()
+	}
+	if e.phase == asking {
+		e.rest()
+	}
+}
+
+// checkTerm finds a replacement that somebody began and did not end.
+func (e *Elect) checkTerm(now time.Time, r report.Report) {
+	if e.phase != idle || r.Term <= e.term || now.Before(e.deadline) {
+		return
+	}
+	if e.deadline.IsZero() {
+		e.deadline = now.Add(stepTimeout + e.jitter)
+		return
+	}
+	e.fence(now)
+}
+
+// Missed takes a heartbeat that a member did not answer.
+func (e *Elect) Missed(now time.Time, member string) {
+	if member != e.primary && e.primary != "" {
+		return
+	}
+	e.misses++
+	if e.misses < missesToSuspect || e.phase != idle || now.Before(e.deadline) {
+		return
+	}
+	e.phase = asking
+	e.opinions = 0
+	e.deadline = now.Add(opinionTimeout)
+	e.out.Opine(member)
+}
+
+// Opined takes one other host's opinion: whether it reached the primary.
+func (e *Elect) Opined(now time.Time, reached bool) {
+	if e.phase != asking {
+		return
+	}
+	if reached && e.vetoes < vetoesRespected {
+		e.vetoes++
+		e.misses = 0
+		e.rest()
+		e.deadline = now.Add(retryDelay)
+		return
+	}
+	e.opinions++
+	if e.opinions >= opinionsNeeded {
+		e.fence(now)
+	}
+}
+
+// Switch begins a planned change to the member.
+func (e *Elect) Switch(now time.Time, member string) {
+	e.prefer = member
+	e.fence(now)
+}
+
+func (e *Elect) fence(now time.Time) {
+	e.phase = fencing
+	e.vetoes = 0
+	e.ballot = max(e.highest, e.term, e.ballot) + 1
+	e.highest = e.ballot
+	e.granted = map[string]mark.Mark{}
+	e.deadline = now.Add(stepTimeout)
+	for _, m := range e.members {
+		e.out.Fence(m, e.ballot)
+	}
+}
+
+// Granted takes a member's promise of the term and the end of its log.
+func (e *Elect) Granted(now time.Time, member string, term uint64, received mark.Mark) {
+	if e.phase != fencing || term != e.ballot {
+		return
+	}
+	e.granted[member] = received
+	if len(e.granted) <= len(e.members)/2 {
+		return
+	}
+	e.chosen = e.choose()
+	e.phase = promoting
+	e.deadline = now.Add(stepTimeout)
+	e.out.Promote(e.chosen, e.ballot)
+}
+
+// choose returns the member with the highest mark; among equals the preferred
+// one, then one that is not leaving, then the first by name.
+func (e *Elect) choose() string {
+	names := make([]string, 0, len(e.granted))
+	for name := range e.granted {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, e.rank)
+	return names[0]
+}
+
+func (e *Elect) rank(a, b string) int {
+	if c := e.granted[b].Compare(e.granted[a]); c != 0 && !e.ignore {
+		return c
+	}
+	if (a == e.prefer) != (b == e.prefer) {
+		return order(a == e.prefer)
+	}
+	if e.leaving[a] != e.leaving[b] {
+		return order(!e.leaving[a])
+	}
+	return order(a < b)
+}
+
+func order(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+// Denied takes a member's refusal: it has promised a higher term.
+func (e *Elect) Denied(_ time.Time, _ string, term uint64) {
+	e.highest = max(e.highest, term)
+}
+
+// Promoted takes the answer to a promotion.
+func (e *Elect) Promoted(now time.Time, member string, term uint64, ok bool) {
+	if e.phase != promoting || term != e.ballot || member != e.chosen {
+		return
+	}
+	if !ok {
+		e.retry(now)
+		return
+	}
+	e.primary = member
+	e.term = term
+	e.misses = 0
+	e.prefer = ""
+	e.rest()
+	e.out.Elected(member, term)
+}
+
+// Tick ends waits that took too long.
+func (e *Elect) Tick(now time.Time) {
+	if now.Before(e.deadline) {
+		return
+	}
+	switch e.phase {
+	case asking:
+		e.fence(now)
+	case fencing, promoting:
+		e.retry(now)
+	case idle:
+		if e.highest > e.term && !e.deadline.IsZero() {
+			e.fence(now)
+		}
+	}
+}
+
+// retry pauses before the next ballot, so that two hosts do not hinder each
+// other for ever.
+func (e *Elect) retry(now time.Time) {
+	e.phase = idle
+	e.deadline = now.Add(retryDelay + e.jitter)
+}
+
+func (e *Elect) rest() {
+	e.phase = idle
+	e.deadline = time.Time{}
+}
+
+// Busy tells whether a replacement is under way.
+func (e *Elect) Busy() bool {
+	return e.phase == fencing || e.phase == promoting
+}
+
+// Primary returns the known primary and its term.
+func (e *Elect) Primary() (string, uint64) {
+	return e.primary, e.term
+}
--- /dev/null
+++ b/process/fleet/fleet.go
@@ -0,0 +1,430 @@
+// Package fleet keeps this host's view of the other hosts and its links to
+// them.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/link"
+	"github.com/pistachiotray/pistachiotray/connection/wirepb"
+	"github.com/pistachiotray/pistachiotray/process/news"
+	"github.com/pistachiotray/pistachiotray/process/swim"
+	"github.com/pistachiotray/pistachiotray/request/answer"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+)
+
+const (
+	// probeTimeout bounds the wait for a probed host.
+	probeTimeout = 150 * time.Millisecond
+	// helpTimeout bounds the wait for hosts that probe on this one's behalf.
+	helpTimeout = 300 * time.Millisecond
+	// defaultInterval is the time between two probes.
+	defaultInterval = 250 * time.Millisecond
+	// opinions is how many hosts are asked whether they reach a member.
+	opinions = 2
+)
+
+// engine owns groups over the hosts that are believed live.
+type engine interface {
+	// SetHosts takes the hosts that are believed live.
+	SetHosts(hosts []string)
+	// Refused tells that an owner refused a request.
+	Refused(id string, f *fault.Fault)
+	// Lost tells that an owner is gone.
+	Lost(id string, sent, begun bool)
+	// Forget tells that a request was answered.
+	Forget(id string)
+}
+
+// versions follows the number of the newest configuration.
+type versions interface {
+	// Newest returns the newest number known here.
+	Newest() uint64
+	// Learn takes a number that another host knows.
+	Learn(number uint64)
+}
+
+// lister gives the platform's list of hosts.
+type lister interface {
+	// Hosts returns the hosts that the platform lists.
+	Hosts(ctx context.Context) ([]news.News, error)
+}
+
+// Fleet is the table of hosts: the first lock in the lock order.
+type Fleet struct {
+	self     news.News
+	log      *zap.Logger
+	engine   engine
+	versions versions
+	lister   lister
+	client   connect.HTTPClient
+	options  []connect.ClientOption
+	interval time.Duration
+
+	mu        sync.Mutex
+	swim      *swim.Swim
+	links     map[string]*link.Link
+	addresses map[string]string
+	live      []string
+	heard     time.Time
+	listed    time.Time
+	bytesOut  int64
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// WithInterval returns an option that sets the time between two probes.
+func WithInterval(d time.Duration) func(*Fleet) {
+	return func(f *Fleet) { f.interval = d }
+}
+
+// WithClientOptions returns an option that sets options of the peers' clients.
+func WithClientOptions(options ...connect.ClientOption) func(*Fleet) {
+	return func(f *Fleet) { f.options = options }
+}
+
+// New returns the fleet as the host self sees it. Start begins the probes.
+func New(self news.News, log *zap.Logger, e engine, v versions, l lister, client connect.HTTPClient, options ...func(*Fleet)) *Fleet {
+	seed := xxhash.Sum64String(self.Host)
+	f := &Fleet{
+		self: self, log: log, engine: e, versions: v, lister: l, client: client, interval: defaultInterval,
+		swim:  swim.New(self, rand.New(rand.NewPCG(seed, self.Incarnation))),
+		links: map[string]*link.Link{}, addresses: map[string]string{}, stop: make(chan struct{}),
+	}
+	for _, o := range options {
+		o(f)
+	}
+	return f
+}
+
+// Start takes the platform's list and begins the probes.
+func (f *Fleet) Start(ctx context.Context) {
+	f.relist(ctx)
+	f.done.Go(f.probeLoop)
+	f.done.Go(f.listLoop)
+}
+
+// relist takes the platform's list of hosts, which is late at times.
+func (f *Fleet) relist(ctx context.Context) {
+	hosts, err := f.lister.Hosts(ctx)
+	if err != nil {
+		f.log.Debug("host list not available", zap.Error(err))
+		return
+	}
+	f.change(func(now time.Time) {
+		f.listed = now
+		f.swim.Candidates(now, hosts)
+	})
+}
+
+// change runs g on the view and tells the engine where the live hosts changed.
+func (f *Fleet) change(g func(now time.Time)) {
+	f.mu.Lock()
+	g(time.Now())
+	live := f.swim.Live()
+	changed := !equal(live, f.live)
+	f.live = live
+	var gone []*link.Link
+	for host, l := range f.links {
+		if p, ok := f.swim.Peer(host); ok && p.State >= news.Suspect && p.State != news.Left {
+			gone = append(gone, l)
+		}
+	}
+	f.mu.Unlock()
+	if !changed {
+		return
+	}
+	f.log.Info("live hosts changed", zap.Strings("Hosts", live))
+	f.engine.SetHosts(live)
+	for _, l := range gone {
+		if !l.Up() {
+			l.Abandon()
+		}
+	}
+}
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) listLoop() {
+	const every = 5 * time.Second
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-t.C:
+			ctx, stop := context.WithTimeout(context.Background(), every)
+			f.relist(ctx)
+			stop()
+		}
+	}
+}
+
+func (f *Fleet) probeLoop() {
+	t := time.NewTicker(f.interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-t.C:
+			f.probeNext()
+		}
+	}
+}
+
+func (f *Fleet) probeNext() {
+	var target news.News
+	found := false
+	f.change(func(now time.Time) {
+		f.swim.Tick(now)
+		target, found = f.swim.Next()
+	})
+	if found {
+		go f.probe(target)
+	}
+}
+
+func (f *Fleet) probe(target news.News) {
+	if f.ask(target, probeTimeout, "", "") {
+		f.answered(target.Host)
+		return
+	}
+	f.mu.Lock()
+	helpers := f.swim.Helpers(target.Host)
+	f.mu.Unlock()
+	reached := make(chan bool, len(helpers))
+	for _, h := range helpers {
+		go func() { reached <- f.ask(h, helpTimeout, target.Host, target.Address) }()
+	}
+	for range helpers {
+		if <-reached {
+			f.answered(target.Host)
+			return
+		}
+	}
+	f.change(func(now time.Time) { f.swim.Silent(now, target.Host) })
+}
+
+func (f *Fleet) answered(host string) {
+	f.change(func(now time.Time) {
+		f.heard = now
+		f.swim.Answered(now, host)
+	})
+}
+
+// ask sends one probe and takes the news that comes back.
+func (f *Fleet) ask(to news.News, timeout time.Duration, target, address string) bool {
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	f.mu.Lock()
+	given := f.swim.Give()
+	f.mu.Unlock()
+	r, err := f.Link(to.Host, to.Address).Client().Probe(ctx, connect.NewRequest(&wirepb.ProbeRequest{
+		From: f.self.Host, Target: target, TargetAddress: address, News: encode(given), Version: f.versions.Newest(),
+	}))
+	if err != nil || (target == "" && r.Msg.GetHost() != to.Host) {
+		return false
+	}
+	f.versions.Learn(r.Msg.GetVersion())
+	f.change(func(now time.Time) {
+		f.heard = now
+		f.swim.Take(now, decode(r.Msg.GetNews()))
+	})
+	return r.Msg.GetReached()
+}
+
+// Probed answers a probe, on another host's behalf where it asks for that.
+func (f *Fleet) Probed(_ context.Context, r *wirepb.ProbeRequest) *wirepb.ProbeReply {
+	f.versions.Learn(r.GetVersion())
+	f.change(func(now time.Time) {
+		f.heard = now
+		f.swim.Take(now, decode(r.GetNews()))
+		f.swim.Answered(now, r.GetFrom())
+	})
+	reached := true
+	if r.GetTarget() != "" && r.GetTarget() != f.self.Host {
+		reached = f.ask(news.New(r.GetTarget(), r.GetTargetAddress(), "", 0), probeTimeout, "", "")
+	}
+	f.mu.Lock()
+	given := f.swim.Give()
+	f.mu.Unlock()
+	return &wirepb.ProbeReply{Reached: reached, News: encode(given), Version: f.versions.Newest(), Host: f.self.Host}
+}
+
+func encode(all []news.News) []*wirepb.News {
+	out := make([]*wirepb.News, len(all))
+	for i, n := range all {
+		out[i] = &wirepb.News{Host: n.Host, Address: n.Address, Zone: n.Zone, Incarnation: n.Incarnation, State: int32(n.State)}
+	}
+	return out
+}
+
+func decode(all []*wirepb.News) []news.News {
+	out := make([]news.News, len(all))
+	for i, n := range all {
+		out[i] = news.New(n.GetHost(), n.GetAddress(), n.GetZone(), n.GetIncarnation()).WithState(int(n.GetState()))
+	}
+	return out
+}
+
+// Link returns the link to a host, made on first use or where its address
+// changed.
+func (f *Fleet) Link(host, address string) *link.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l, ok := f.links[host]; ok && f.addresses[host] == address {
+		return l
+	}
+	if old, ok := f.links[host]; ok {
+		go old.Close()
+	}
+	l := link.New(host, address, f.client, f.log, f.engine, f.options...)
+	f.links[host] = l
+	f.addresses[host] = address
+	return l
+}
+
+// to returns the link to a known host, or nil.
+func (f *Fleet) to(host string) *link.Link {
+	f.mu.Lock()
+	n, ok := f.swim.Peer(host)
+	f.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return f.Link(host, n.Address)
+}
+
+// Submit sends a request to a host.
+func (f *Fleet) Submit(host string, c call.Call, a *answer.Answer) {
+	l := f.to(host)
+	if l == nil {
+		f.engine.Lost(c.ID, false, false)
+		return
+	}
+	l.Submit(c, a)
+}
+
+// Cancel asks a host to cancel a request.
+func (f *Fleet) Cancel(host, id string) {
+	f.send(host, &wirepb.Frame{Kind: wirepb.Frame_KIND_CANCEL, Id: id})
+}
+
+// Leave tells a host that a session ended on purpose.
+func (f *Fleet) Leave(host, group, session string) {
+	f.send(host, &wirepb.Frame{Kind: wirepb.Frame_KIND_LEAVE, Id: session, Group: group})
+}
+
+// Detach tells a host that a session lost its connection.
+func (f *Fleet) Detach(host, group, session string) {
+	f.send(host, &wirepb.Frame{Kind: wirepb.Frame_KIND_DETACH, Id: session, Group: group})
+}
+
+func (f *Fleet) send(host string, frame *wirepb.Frame) {
+	if l := f.to(host); l != nil {
+		l.Send(frame)
+	}
+}
+
+// Attach asks a host whether a session has an open transaction there.
+func (f *Fleet) Attach(ctx context.Context, host, group, session string) bool {
+	l := f.to(host)
+	return l != nil && l.Attach(ctx, group, session)
+}
+
+// Sight asks two hosts, those in other availability zones first, whether they
+// reach a member. A host that is missing or silent counts as not reaching it.
+func (f *Fleet) Sight(ctx context.Context, group, member string, tell func(reached bool)) {
+	asked := f.witnesses()
+	for range opinions - len(asked) {
+		tell(false)
+	}
+	for _, n := range asked {
+		go func() {
+			r, err := f.Link(n.Host, n.Address).Client().Sight(ctx, connect.NewRequest(&wirepb.SightRequest{Group: group, Member: member}))
+			tell(err == nil && r.Msg.GetReached())
+		}()
+	}
+	<-ctx.Done()
+}
+
+func (f *Fleet) witnesses() []news.News {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var elsewhere, same []news.News
+	for _, n := range f.swim.Helpers("") {
+		if n.Zone != f.self.Zone {
+			elsewhere = append(elsewhere, n)
+			continue
+		}
+		same = append(same, n)
+	}
+	all := append(elsewhere, same...)
+	return all[:min(len(all), opinions)]
+}
+
+// Known returns what is known of all hosts, this one first.
+func (f *Fleet) Known() []news.News {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.swim.Known()
+}
+
+// Alarms returns how often this host suspected another.
+func (f *Fleet) Alarms() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.swim.Alarms()
+}
+
+// Alone tells whether no other host was heard within d although others are
+// known.
+func (f *Fleet) Alone(d time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.swim.Known()) > 1 && time.Since(f.heard) > d
+}
+
+// Depart tells the others that this host leaves.
+func (f *Fleet) Depart() {
+	f.change(func(time.Time) { f.swim.Leave() })
+	for _, n := range f.Known()[1:] {
+		if n.State == news.Alive {
+			f.ask(n, probeTimeout, "", "")
+		}
+	}
+}
+
+// Close ends the probes and the links.
+func (f *Fleet) Close() {
+	close(f.stop)
+	f.done.Wait()
+	f.mu.Lock()
+	links := f.links
+	f.links = map[string]*link.Link{}
+	f.mu.Unlock()
+	for _, l := range links {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/process/group/member.go
@@ -0,0 +1,381 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+const (
+	// pollStepLeast and pollStepMost bound the pause between two polls of a
+	// member that has yet to receive what a write awaits.
+	pollStepLeast = 500 * time.Microsecond
+	pollStepMost  = 16 * time.Millisecond
+	// catchUpLeast and catchUpMost bound the pause between two polls of a
+	// replica that has yet to apply what is confirmed.
+	catchUpLeast = 5 * time.Millisecond
+	catchUpMost  = 160 * time.Millisecond
+	// replicaBeats is how many heartbeats of a primary fall on one of a replica.
+	replicaBeats = 4
+	// dialPauseLeast and dialPauseMost bound the pause after a refused slot.
+	dialPauseLeast = 20 * time.Millisecond
+	dialPauseMost  = 2 * time.Second
+	// missesToAvoid is how many missed reports in a row take a member out.
+	missesToAvoid = 2
+	// demandAge is the age from which a member's report is asked for anew
+	// when a read could use a fresher one.
+	demandAge = 200 * time.Millisecond
+	// heardWithin is how old the last word of a majority may be for an answer
+	// of the primary to be released without asking again.
+	heardWithin = 2 * time.Second
+)
+
+// member is what the group knows of one member besides its reports.
+type member struct {
+	name      string
+	limit     int
+	leaving   bool
+	usable    bool
+	polling   bool
+	again     bool
+	heard     time.Time
+	misses    int
+	step      time.Duration
+	catchUp   time.Duration
+	opening   int
+	dialAfter time.Time
+	dialPause time.Duration
+}
+
+// permitted returns the set of members that may serve a call now.
+func (g *Group) permitted(now time.Time, c call.Call) uint8 {
+	p := g.primaryIndex()
+	if !c.Class.Read {
+		if p < 0 || !g.majority || g.blocked() {
+			return 0
+		}
+		return 1 << p
+	}
+	var mask uint8
+	for i := range g.members {
+		if i == p || g.fresh(now, i, c) {
+			mask |= 1 << i
+		}
+	}
+	if p >= 0 && (g.members[p].misses >= missesToAvoid || g.blocked()) {
+		mask &^= 1 << p
+	}
+	return mask
+}
+
+// fresh tells whether replica i may serve a read.
+func (g *Group) fresh(now time.Time, i int, c call.Call) bool {
+	m := g.members[i]
+	r, _, ok := g.quorum.Seen(m.name)
+	if !ok || m.misses >= missesToAvoid || m.leaving || r.Primary {
+		return false
+	}
+	if !r.Applied.AtLeast(c.Floor) {
+		return false
+	}
+	age, known := g.quorum.Age(r.Applied, now)
+	return known && age <= maxAge(c)
+}
+
+// sessionAge bounds the age of a read that states none: its session's own
+// work is what it must see.
+const sessionAge = 10 * time.Second
+
+func maxAge(c call.Call) time.Duration {
+	if c.Class.MaxAge > 0 {
+		return c.Class.MaxAge
+	}
+	return sessionAge
+}
+
+func (g *Group) primaryIndex() int {
+	name, _ := g.quorum.Primary()
+	if i, ok := g.index[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// order returns the members in the order in which free slots are tried:
+// replicas with more free slots first, the primary last.
+func (g *Group) order() []int {
+	p := g.primaryIndex()
+	order := make([]int, 0, len(g.members))
+	for i := range g.members {
+		order = append(order, i)
+	}
+	rank := func(i int) int {
+		_, free := g.queue.Open(i)
+		if i == p {
+			return 1
+		}
+		return -free
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return rank(a) - rank(b) })
+	return order
+}
+
+// refreshFor asks for fresher reports where a read could use them.
+func (g *Group) refreshFor(now time.Time, c call.Call) {
+	if !c.Class.Read || now.Sub(g.wanted) < demandAge {
+		return
+	}
+	g.wanted = now
+	for i, m := range g.members {
+		if now.Sub(m.heard) >= demandAge {
+			g.poll(i, 0)
+		}
+	}
+}
+
+func (g *Group) poll(i int, after time.Duration) {
+	m := g.members[i]
+	if m.polling {
+		m.again = true
+		return
+	}
+	m.polling = true
+	g.count("Polls")
+	g.out.Poll(m.name, after)
+}
+
+func (g *Group) pollAll(after time.Duration) {
+	for i := range g.members {
+		g.poll(i, after)
+	}
+}
+
+// pollForQuorum asks the members whose word a waiting call lacks.
+func (g *Group) pollForQuorum(now time.Time) {
+	p := g.primaryIndex()
+	highest := g.quorum.Highest()
+	for i, m := range g.members {
+		r, _, _ := g.quorum.Seen(m.name)
+		if i != p && !r.Received.AtLeast(highest) {
+			g.poll(i, 0)
+		}
+	}
+	if g.quorum.Indexing() > 0 {
+		g.pollAll(0)
+	}
+	_ = now
+}
+
+// Heard takes a member's report that was asked for at the time asked.
+func (g *Group) Heard(now time.Time, r report.Report, asked time.Time) {
+	i, ok := g.index[r.Member]
+	if !ok {
+		return
+	}
+	m := g.members[i]
+	before, _, _ := g.quorum.Seen(r.Member)
+	g.heardFrom(now, i)
+	m.polling = false
+	m.leaving = r.Leaving
+	if r.Slots > 0 {
+		m.limit = r.Slots
+	}
+	g.quorum.Observe(r, asked)
+	g.elect.Seen(now, r)
+	g.changed(now)
+	g.decide(now)
+	g.pollOn(i, r, before)
+	g.dial(now)
+	g.dispatch(now)
+}
+
+// pollOn decides when a member that answered is asked again.
+func (g *Group) pollOn(i int, r, before report.Report) {
+	m := g.members[i]
+	progress := r.Received != before.Received || r.Applied != before.Applied
+	if progress || m.step == 0 {
+		m.step = pollStepLeast
+		m.catchUp = catchUpLeast
+	}
+	highest := g.quorum.Highest()
+	switch {
+	case m.again:
+		m.again = false
+		g.poll(i, 0)
+	case g.quorum.Indexing() > 0:
+		g.poll(i, m.step)
+		m.step = min(m.step*2, pollStepMost)
+	case i != g.primaryIndex() && !highest.IsZero() && !r.Received.AtLeast(highest):
+		g.poll(i, m.step)
+		m.step = min(m.step*2, pollStepMost)
+	case i != g.primaryIndex() && !r.Applied.AtLeast(g.quorum.Confirmed()) && m.catchUp <= catchUpMost:
+		g.poll(i, m.catchUp)
+		m.catchUp *= 2
+	}
+}
+
+// heardFrom takes any sign of life of member i.
+func (g *Group) heardFrom(now time.Time, i int) {
+	m := g.members[i]
+	m.heard = now
+	m.misses = 0
+}
+
+// Missed takes a poll that a member did not answer in time.
+func (g *Group) Missed(now time.Time, name string) {
+	i, ok := g.index[name]
+	if !ok {
+		return
+	}
+	m := g.members[i]
+	m.polling = false
+	m.again = false
+	m.misses++
+	g.count("Misses")
+	if g.active {
+		g.elect.Missed(now, name)
+		g.poll(i, g.missPause(m))
+	}
+	g.changed(now)
+	g.dispatch(now)
+}
+
+// missPause spaces the polls of a member that does not answer.
+func (g *Group) missPause(m *member) time.Duration {
+	if m.misses <= missesToAvoid {
+		return 0
+	}
+	return g.heartbeat
+}
+
+// changed adapts the queue to what is known of the members.
+func (g *Group) changed(now time.Time) {
+	name, term := g.quorum.Primary()
+	majority := g.reachable() > len(g.members)/2
+	moved := name != g.lastFirst || term != g.lastTerm || majority != g.majority
+	g.lastFirst, g.lastTerm, g.majority = name, term, majority
+	for i, m := range g.members {
+		usable := m.misses < missesToAvoid && (!m.leaving || i == g.primaryIndex())
+		moved = moved || usable != m.usable
+		m.usable = usable
+		g.queue.SetMember(i, usable, m.limit)
+	}
+	if moved {
+		g.loseOldWrites(now)
+		g.remask(now)
+	}
+}
+
+func (g *Group) remask(now time.Time) {
+	g.queue.Remask(func(c call.Call) uint8 { return g.permitted(now, c) })
+}
+
+func (g *Group) reachable() int {
+	n := 0
+	for _, m := range g.members {
+		if m.misses < missesToAvoid {
+			n++
+		}
+	}
+	return n
+}
+
+// recentlyHeard tells whether a majority confirmed the term a short while ago.
+func (g *Group) recentlyHeard(now time.Time) bool {
+	return now.Sub(g.quorum.IndexedAt()) <= heardWithin
+}
+
+// loseOldWrites gives up the runs of writes whose member no longer leads.
+func (g *Group) loseOldWrites(now time.Time) {
+	_, term := g.quorum.Primary()
+	for id, s := range g.seats {
+		if !s.ready || s.term >= term || !s.write {
+			continue
+		}
+		if s.call != "" && s.call != rollbackCall {
+			g.loseRun(now, id, s.call)
+			continue
+		}
+		if s.session != "" {
+			g.endTransaction(s.session)
+			g.closeSlot(id)
+		}
+	}
+}
+
+// Dialed takes the end of opening a slot. Refused tells that the member has
+// no slot to give now.
+func (g *Group) Dialed(now time.Time, slot uint64, ok bool) {
+	s := g.seats[slot]
+	if s == nil {
+		g.out.Hang(slot)
+		return
+	}
+	m := g.members[s.member]
+	m.opening--
+	if !ok {
+		delete(g.seats, slot)
+		m.dialPause = min(max(m.dialPause*2, dialPauseLeast), dialPauseMost)
+		m.dialAfter = now.Add(m.dialPause)
+		return
+	}
+	m.dialPause = 0
+	s.ready = true
+	if !g.active {
+		g.closeSlot(slot)
+		return
+	}
+	g.queue.AddSlot(s.member, slot)
+	g.dispatch(now)
+}
+
+// Broke takes the loss of a slot in which nothing ran.
+func (g *Group) Broke(now time.Time, slot uint64) {
+	s := g.seats[slot]
+	if s == nil {
+		return
+	}
+	if s.session != "" {
+		g.endTransaction(s.session)
+	}
+	g.closeSlot(slot)
+	g.dial(now)
+}
+
+// dial opens slots ahead of demand: each member's slots are all kept open.
+func (g *Group) dial(now time.Time) {
+	if !g.active {
+		return
+	}
+	for i, m := range g.members {
+		if m.misses >= missesToAvoid || now.Before(m.dialAfter) || (m.leaving && i != g.primaryIndex()) {
+			continue
+		}
+		open, _ := g.queue.Open(i)
+		for n := open + m.opening; n < m.limit; n++ {
+			g.nextSlot++
+			m.opening++
+			g.seats[g.nextSlot] = &seat{member: i}
+			g.out.Dial(g.nextSlot, m.name)
+		}
+	}
+}
+
+// Lag returns by how many entries a member's applied log is behind what is
+// confirmed, 0 where it is not.
+func (g *Group) Lag(name string) uint64 {
+	r, _, _ := g.quorum.Seen(name)
+	confirmed := g.quorum.Confirmed()
+	if r.Applied.AtLeast(confirmed) {
+		return 0
+	}
+	return confirmed.Position - min(r.Applied.Position, confirmed.Position)
+}
+
+// Confirmed returns the highest mark known to be confirmed.
+func (g *Group) Confirmed() mark.Mark {
+	return g.quorum.Confirmed()
+}
--- /dev/null
+++ b/process/group/stand.go
@@ -0,0 +1,71 @@
+package group
+
+import (
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/stand"
+)
+
+// Members returns how each member stands, in order.
+func (g *Group) Members() []stand.Standing {
+	out := make([]stand.Standing, 0, len(g.members))
+	p := g.primaryIndex()
+	for i, m := range g.members {
+		r, asked, _ := g.quorum.Seen(m.name)
+		s := stand.New(m.name)
+		s.Primary = i == p
+		s.Usable = m.usable
+		s.Leaving = m.leaving
+		s.Term = r.Term
+		s.Received = r.Received.String()
+		s.Applied = r.Applied.String()
+		s.LagEntries = g.Lag(m.name)
+		s.SlotsOpen, s.SlotsFree = g.queue.Open(i)
+		if !asked.IsZero() {
+			s.HeardAgo = g.ticked.Sub(asked)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Wrong says what is wrong with the group now and since when, as far as its
+// owner knows; an empty text where nothing is.
+func (g *Group) Wrong() (string, time.Time) {
+	return g.wrong, g.wrongSince
+}
+
+// diagnose keeps what is wrong and since when.
+func (g *Group) diagnose(now time.Time) {
+	g.ticked = now
+	text := g.findWrong()
+	if text != g.wrong {
+		g.wrong = text
+		g.wrongSince = now
+	}
+}
+
+func (g *Group) findWrong() string {
+	if !g.active {
+		return ""
+	}
+	name, _ := g.quorum.Primary()
+	switch {
+	case !g.majority:
+		return "a majority of members is unreachable: writes wait and can't be confirmed"
+	case name == "":
+		return "no primary is known"
+	case g.elect.Busy():
+		return "the primary " + name + " is being replaced"
+	case g.members[g.index[name]].misses >= missesToAvoid:
+		return "the primary " + name + " does not answer"
+	case g.shifting != nil:
+		return "a planned change of primary to " + g.shifting.to + " is in progress"
+	}
+	for _, m := range g.members {
+		if m.misses >= missesToAvoid {
+			return "member " + m.name + " does not answer"
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/process/host/provide.go
@@ -0,0 +1,152 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/wire"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/cloud"
+	"github.com/pistachiotray/pistachiotray/connection/front"
+	"github.com/pistachiotray/pistachiotray/connection/peer"
+	"github.com/pistachiotray/pistachiotray/process/audit"
+	"github.com/pistachiotray/pistachiotray/process/conf"
+	"github.com/pistachiotray/pistachiotray/process/config"
+	"github.com/pistachiotray/pistachiotray/process/engine"
+	"github.com/pistachiotray/pistachiotray/process/fleet"
+	"github.com/pistachiotray/pistachiotray/process/groups"
+	"github.com/pistachiotray/pistachiotray/process/news"
+	"github.com/pistachiotray/pistachiotray/process/pool"
+	"github.com/pistachiotray/pistachiotray/process/ring"
+	"github.com/pistachiotray/pistachiotray/process/vault"
+	"github.com/pistachiotray/pistachiotray/process/wrap"
+)
+
+// providers is what google/wire builds a host of.
+var providers = wire.NewSet(
+	provideSecrets, provideListeners, provideVault, provideGroups, providePool, provideTrail, ring.New,
+	provideEngine, provideConfig, provideFleet, provideFront, providePeer, provideHost,
+)
+
+func provideSecrets(s conf.Settings) (*secrets, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return newSecrets(s)
+}
+
+func provideListeners(s conf.Settings, _ *secrets) (*listeners, error) {
+	return newListeners(s)
+}
+
+func provideVault(s conf.Settings) *vault.Vault {
+	return vault.New(cloud.New(s.Platform, &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+	}}))
+}
+
+func provideGroups(v *vault.Vault, s conf.Settings, k *secrets) *groups.Groups {
+	return groups.New(v, s.TargetUser, k.password)
+}
+
+func providePool(s conf.Settings) *pool.Pool {
+	return pool.New(s.Workers)
+}
+
+func provideTrail(s conf.Settings, log *zap.Logger, v *vault.Vault) *audit.Trail {
+	return audit.New(s.Host, log, v)
+}
+
+// recorder passes what groups tell to the trail and the ring.
+type recorder struct {
+	trail *audit.Trail
+	ring  *ring.Ring
+}
+
+// Changed records a change of a group's primary.
+func (r recorder) Changed(group, primary string, term uint64) {
+	r.trail.Record("Replacement", group, "primary "+primary+", term "+utoa(term))
+}
+
+// Note keeps one decision for an explanation.
+func (r recorder) Note(group, id, session, text string) {
+	r.ring.Note(group, id, session, text)
+}
+
+func provideEngine(s conf.Settings, log *zap.Logger, p *pool.Pool, g *groups.Groups, t *audit.Trail, r *ring.Ring) *engine.Engine {
+	return engine.New(s.Host, log, p, g, recorder{t, r}, engine.WithGroups(groupOptions(s)...))
+}
+
+func provideConfig(log *zap.Logger, v *vault.Vault, t *audit.Trail) *config.Config {
+	return config.New(log, v, config.WithAdopted(func(from, to uint64) {
+		t.Record("Configuration", "", "version "+utoa(from)+" to "+utoa(to))
+	}))
+}
+
+func provideFleet(s conf.Settings, log *zap.Logger, e *engine.Engine, c *config.Config, v *vault.Vault, k *secrets, l *listeners) *fleet.Fleet {
+	address := s.PeerAddress
+	if address == "" {
+		address = l.peers.Addr().String()
+	}
+	scheme := "http://"
+	if k.clientTLS != nil {
+		scheme = "https://"
+	}
+	self := news.New(s.Host, scheme+address, s.Zone, uint64(time.Now().UnixMilli()))
+	return fleet.New(self, log, e, c, v, peerClient(k.clientTLS),
+		fleet.WithInterval(s.ProbeInterval),
+		fleet.WithClientOptions(connect.WithInterceptors(k.interceptor()), connect.WithGRPC()))
+}
+
+// peerClient speaks HTTP/2 with other hosts, with or without TLS. A broken
+// connection is found by pings.
+func peerClient(t *tls.Config) *http.Client {
+	const (
+		dialTimeout = 500 * time.Millisecond
+		pingAfter   = time.Second
+		pingTimeout = time.Second
+	)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(t != nil)
+	protocols.SetUnencryptedHTTP2(t == nil)
+	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig: t,
+		Protocols:       protocols,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			d := net.Dialer{Timeout: dialTimeout}
+			c, err := d.DialContext(ctx, network, address)
+			return c, wrap.If(err, "peerClient")
+		},
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}}
+}
+
+func provideFront(s conf.Settings, log *zap.Logger, e *engine.Engine, c *config.Config, g *groups.Groups, k *secrets) *front.Front {
+	options := []func(*front.Front){
+		front.WithUsers(k.users), front.WithKeys(k.tokenKeys, k.signKey), front.WithTLS(k.callerTLS),
+		front.WithMessageLimit(s.MessageLimit), front.WithCallerLimit(s.CallerLimit),
+	}
+	return front.New(s.Host, log, e, c, g, options...)
+}
+
+func providePeer(e *engine.Engine, f *fleet.Fleet, c *config.Config, fr *front.Front) *peer.Peer {
+	return peer.New(e, f, c, fr)
+}
+
+func provideHost(s conf.Settings, log *zap.Logger, p *pool.Pool, v *vault.Vault, g *groups.Groups, e *engine.Engine, c *config.Config,
+	f *fleet.Fleet, fr *front.Front, pe *peer.Peer, t *audit.Trail, r *ring.Ring, k *secrets, l *listeners,
+) *Host {
+	h := &Host{
+		settings: s, log: log, pool: p, vault: v, groups: g, engine: e, config: c,
+		fleet: f, front: fr, peer: pe, trail: t, ring: r, keys: k, listen: l,
+		stop: make(chan struct{}), draining: make(chan struct{}),
+	}
+	fr.SetRelay(h, numberOf(s.Host))
+	h.publish()
+	return h
+}
--- /dev/null
+++ b/process/owner/owner.go
@@ -0,0 +1,58 @@
+// Package owner decides which host owns a database group.
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owner ranks hosts for groups by rendezvous hashing: each group has an order
+// of its own, and the loss of a host moves only the groups that it owned. It
+// is immutable.
+type Owner struct {
+	hosts []string
+}
+
+// New returns the ranking of the hosts that are believed live.
+func New(hosts []string) Owner {
+	return Owner{hosts: slices.Clone(hosts)}
+}
+
+// WithHosts returns the ranking of other hosts.
+func (o Owner) WithHosts(hosts []string) Owner {
+	o.hosts = slices.Clone(hosts)
+	return o
+}
+
+// Of returns the owner of a group, or an empty name where there are no hosts.
+// It costs time in proportion to the number of hosts and allocates nothing.
+func (o Owner) Of(group string) string {
+	var best string
+	var most uint64
+	for _, h := range o.hosts {
+		if s := score(group, h); best == "" || s > most || (s == most && h < best) {
+			best, most = h, s
+		}
+	}
+	return best
+}
+
+// Order returns all hosts in the order in which they would own the group.
+func (o Owner) Order(group string) []string {
+	order := slices.Clone(o.hosts)
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(group, b), score(group, a)), cmp.Compare(a, b))
+	})
+	return order
+}
+
+func score(group, host string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(group)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(host)
+	return d.Sum64()
+}
--- /dev/null
+++ b/process/pool/pool.go
@@ -0,0 +1,98 @@
+// Package pool holds the fixed pool of workers that take every decision.
+package pool
+
+import (
+	"sync"
+)
+
+// Pool runs tasks on a fixed number of workers, in order of submission. A
+// task takes locks in the stated order, decides and returns; it never waits
+// for I/O.
+type Pool struct {
+	mu     sync.Mutex
+	wake   *sync.Cond
+	tasks  []func()
+	head   int
+	closed bool
+	done   sync.WaitGroup
+}
+
+// New starts a pool of n workers, at least one.
+func New(n int) *Pool {
+	p := &Pool{}
+	p.wake = sync.NewCond(&p.mu)
+	for range max(n, 1) {
+		p.done.Go(p.work)
+	}
+	return p
+}
+
+// Submit queues a task. It reports false where the pool is closed; the task
+// is then not run. The queue needs no bound of its own: each task belongs to
+// a request, slot or timer that is bounded where it is made.
+func (p *Pool) Submit(task func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.tasks = append(p.tasks, task)
+	p.wake.Signal()
+	return true
+}
+
+// Waiting returns the number of tasks that no worker has taken.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.tasks) - p.head
+}
+
+// Close runs what was submitted and ends the workers.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.wake.Broadcast()
+	p.mu.Unlock()
+	p.done.Wait()
+}
+
+func (p *Pool) work() {
+	for {
+		task := p.next()
+		if task == nil {
+			return
+		}
+		task()
+	}
+}
+
+func (p *Pool) next() func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.head == len(p.tasks) {
+		if p.closed {
+			return nil
+		}
+		p.tasks = p.tasks[:0]
+		p.head = 0
+		p.wake.Wait()
+	}
+	task := p.tasks[p.head]
+	p.tasks[p.head] = nil
+	p.head++
+	p.compact()
+	return task
+}
+
+// compact keeps the queue's memory in proportion to what waits.
+func (p *Pool) compact() {
+	const least = 1024
+	if p.head < least || p.head*2 < len(p.tasks) {
+		return
+	}
+	n := copy(p.tasks, p.tasks[p.head:])
+	clear(p.tasks[n:])
+	p.tasks = p.tasks[:n]
+	p.head = 0
+}
--- /dev/null
+++ b/process/queue/pick.go
@@ -0,0 +1,174 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/request/call"
+)
+
+// Pick takes the next call that may run and the slot that it is granted. The
+// members are tried in the given order of preference. It reports false where
+// no permitted call waits for a free slot.
+func (q *Queue) Pick(now time.Time, order []int) (c call.Call, member int, slot uint64, ok bool) {
+	for _, i := range order {
+		s := q.servers[i]
+		if !s.usable || len(s.free) == 0 {
+			continue
+		}
+		t := q.policy(q, now, i)
+		if t == nil {
+			continue
+		}
+		return t.call, i, q.grant(now, i, t), true
+	}
+	return call.Call{}, 0, 0, false
+}
+
+// shortFirst chooses short work before long work, except for long work that
+// has waited for the aging time. Among services the one that has had least
+// for its weight comes first.
+func (q *Queue) shortFirst(now time.Time, i int) *item {
+	room := q.longRoom(q.servers[i])
+	var short, long *item
+	for mask, l := range q.lanes {
+		if l == nil || mask&(1<<i) == 0 {
+			continue
+		}
+		for _, s := range l.stands {
+			short = q.better(short, first(s.short))
+			long = q.better(long, first(s.long))
+		}
+	}
+	if !room {
+		return short
+	}
+	if long != nil && (short == nil || now.Sub(long.call.Arrived) >= q.aging) {
+		return long
+	}
+	return short
+}
+
+// firstCome chooses in order of arrival.
+func (q *Queue) firstCome(_ time.Time, i int) *item {
+	var best *item
+	for _, t := range q.items {
+		if t.mask&(1<<i) != 0 && (best == nil || t.sequence < best.sequence) {
+			best = t
+		}
+	}
+	return best
+}
+
+func first(h laneHeap) *item {
+	if len(h) == 0 {
+		return nil
+	}
+	return h[0]
+}
+
+func (q *Queue) better(a, b *item) *item {
+	if a == nil {
+		return b
+	}
+	if b == nil {
+		return a
+	}
+	pa := q.shareOf(a).pass
+	pb := q.shareOf(b).pass
+	if pa != pb && a.call.Class.Service != b.call.Class.Service {
+		if pa < pb {
+			return a
+		}
+		return b
+	}
+	if earlier(b, a) {
+		return b
+	}
+	return a
+}
+
+// predict returns how long an item will wait: the expected time of the work
+// that goes before it over the slots that may serve it.
+func (q *Queue) predict(now time.Time, t *item) time.Duration {
+	slots, free, residual := q.slotsFor(now, t)
+	ahead := q.ahead(t)
+	if free > 0 && ahead == 0 {
+		return 0
+	}
+	if slots == 0 {
+		return 0
+	}
+	total := (ahead + residual) / time.Duration(slots)
+	own, ok := q.services[t.call.Class.Service]
+	if !ok {
+		return total
+	}
+	weights := q.activeWeights(own)
+	fair := (own.expected + residual) * time.Duration(weights) / time.Duration(slots*own.weight)
+	return min(total, fair)
+}
+
+// slotsFor counts the slots that an item may use beside running long work,
+// the free ones, and the expected rest of what runs in them.
+func (q *Queue) slotsFor(now time.Time, t *item) (slots, free int, residual time.Duration) {
+	for i, s := range q.servers {
+		if t.mask&(1<<i) == 0 || !s.usable {
+			continue
+		}
+		free += len(s.free)
+		for _, k := range s.slots {
+			if k.busy && k.long && !t.long {
+				continue
+			}
+			slots++
+			if k.busy {
+				residual += max(k.charged-now.Sub(k.since), 0)
+			}
+		}
+	}
+	return slots, free, residual
+}
+
+// ahead sums the expected time of the waiting work that goes before an item.
+func (q *Queue) ahead(t *item) time.Duration {
+	var sum time.Duration
+	for mask, l := range q.lanes {
+		if l == nil || uint8(mask)&t.mask == 0 {
+			continue
+		}
+		share := q.overlap(uint8(mask), t.mask)
+		sum += time.Duration(float64(l.short) * share)
+		if t.long {
+			sum += time.Duration(float64(l.long) * share)
+		}
+	}
+	return sum
+}
+
+// overlap returns which share of the slots for lane lie among those for mask.
+func (q *Queue) overlap(lane, mask uint8) float64 {
+	var all, common int
+	for i, s := range q.servers {
+		if lane&(1<<i) == 0 || !s.usable {
+			continue
+		}
+		all += len(s.slots)
+		if mask&(1<<i) != 0 {
+			common += len(s.slots)
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(common) / float64(all)
+}
+
+func (q *Queue) activeWeights(own *share) int {
+	sum := own.weight
+	for _, s := range q.services {
+		if s != own && s.waiting > 0 {
+			sum += s.weight
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/process/queue/queue.go
@@ -0,0 +1,238 @@
+// Package queue decides which waiting request gets which slot of a group.
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/learn"
+	"github.com/pistachiotray/pistachiotray/request/call"
+)
+
+const (
+	// defaultLongAfter is the service time from which a request is long.
+	defaultLongAfter = 100 * time.Millisecond
+	// defaultAging is how long long work waits at most behind short work.
+	defaultAging = time.Second
+	// defaultCapacity bounds the number of waiting requests.
+	defaultCapacity = 100_000
+)
+
+// Queue is the one queue of a database group, at the group's owner. Requests
+// wait in lanes by the set of members that may serve them. Work is shared
+// among services by weight; within a service short work goes first, the
+// earliest deadline first. It has no lock and no clock of its own.
+type Queue struct {
+	learn     *learn.Learn
+	servers   []*server
+	lanes     [maskCount]*lane
+	items     map[string]*item
+	deadlines deadlineHeap
+	services  map[string]*share
+	pass      float64
+	sequence  uint64
+	aging     time.Duration
+	capacity  int
+	longLimit int
+	policy    func(q *Queue, now time.Time, i int) *item
+	admit     bool
+}
+
+// New returns a queue for the named members, at most eight.
+func New(members []string, options ...func(*Queue)) *Queue {
+	q := &Queue{
+		learn:    learn.New(defaultLongAfter),
+		items:    map[string]*item{},
+		services: map[string]*share{},
+		aging:    defaultAging,
+		capacity: defaultCapacity,
+		policy:   (*Queue).shortFirst,
+		admit:    true,
+	}
+	for _, m := range members {
+		q.servers = append(q.servers, newServer(m))
+	}
+	for _, o := range options {
+		o(q)
+	}
+	return q
+}
+
+// WithLongAfter returns an option that sets the service time from which a
+// request is long.
+func WithLongAfter(d time.Duration) func(*Queue) {
+	return func(q *Queue) { q.learn = learn.New(d) }
+}
+
+// WithAging returns an option that sets how long long work waits at most
+// behind short work where its cap allows it to run.
+func WithAging(d time.Duration) func(*Queue) {
+	return func(q *Queue) { q.aging = d }
+}
+
+// WithCapacity returns an option that bounds the number of waiting requests.
+func WithCapacity(n int) func(*Queue) {
+	return func(q *Queue) { q.capacity = n }
+}
+
+// WithLongLimit returns an option that lowers the number of slots of a member
+// that long work may hold; 0 stands for all but one.
+func WithLongLimit(n int) func(*Queue) {
+	return func(q *Queue) { q.longLimit = n }
+}
+
+// WithArrivalOrder returns an option that serves in order of arrival and caps
+// nothing. It exists to be compared with.
+func WithArrivalOrder() func(*Queue) {
+	return func(q *Queue) { q.policy = (*Queue).firstCome }
+}
+
+// WithoutAdmission returns an option that refuses nothing on arrival. It
+// exists to be compared with.
+func WithoutAdmission() func(*Queue) {
+	return func(q *Queue) { q.admit = false }
+}
+
+// Offer queues a call for the members in mask: bit i stands for member i. It
+// returns the predicted wait, and false where the call is refused because it
+// would miss its deadline or the queue is full; it then does not wait.
+func (q *Queue) Offer(now time.Time, c call.Call, mask uint8) (time.Duration, bool) {
+	t := q.newItem(c, mask)
+	wait := q.predict(now, t)
+	if len(q.items) >= q.capacity {
+		return wait, false
+	}
+	if q.admit && wait+t.expected > c.Deadline.Sub(now) && wait > 0 {
+		return wait, false
+	}
+	q.insert(t)
+	return wait, true
+}
+
+// Return queues a call again that was granted and not run. It is not refused.
+func (q *Queue) Return(c call.Call, mask uint8) {
+	q.insert(q.newItem(c, mask))
+}
+
+func (q *Queue) newItem(c call.Call, mask uint8) *item {
+	q.sequence++
+	label := c.Label()
+	return &item{
+		call:     c,
+		mask:     mask,
+		label:    label,
+		expected: q.learn.Mean(label),
+		long:     c.Class.Long || q.learn.Long(label),
+		sequence: q.sequence,
+	}
+}
+
+func (q *Queue) insert(t *item) {
+	s := q.shareOf(t)
+	if s.waiting == 0 {
+		s.pass = max(s.pass, q.pass)
+	}
+	s.waiting++
+	s.expected += t.expected
+	q.items[t.call.ID] = t
+	heap.Push(&q.deadlines, t)
+	q.laneOf(t.mask).push(t)
+}
+
+// Remove takes a waiting call out, for example because it was canceled. It
+// reports false where the call does not wait.
+func (q *Queue) Remove(id string) (call.Call, bool) {
+	t, ok := q.items[id]
+	if !ok {
+		return call.Call{}, false
+	}
+	q.take(t)
+	return t.call, true
+}
+
+func (q *Queue) take(t *item) {
+	s := q.shareOf(t)
+	s.waiting--
+	s.expected -= t.expected
+	delete(q.items, t.call.ID)
+	heap.Remove(&q.deadlines, t.byDeadline)
+	q.lanes[t.mask].remove(t)
+}
+
+// Expire removes and returns the calls whose deadline has come.
+func (q *Queue) Expire(now time.Time) []call.Call {
+	var expired []call.Call
+	for len(q.deadlines) > 0 && !now.Before(q.deadlines[0].call.Deadline) {
+		t := q.deadlines[0]
+		q.take(t)
+		expired = append(expired, t.call)
+	}
+	return expired
+}
+
+// Remask recomputes the permitted members of each waiting call. It costs time
+// in proportion to what waits and belongs to changes of the group only.
+func (q *Queue) Remask(permitted func(call.Call) uint8) {
+	for _, t := range q.items {
+		mask := permitted(t.call)
+		if mask == t.mask {
+			continue
+		}
+		q.lanes[t.mask].remove(t)
+		t.mask = mask
+		q.laneOf(mask).push(t)
+	}
+}
+
+// Move gives one waiting call another set of permitted members.
+func (q *Queue) Move(id string, mask uint8) {
+	t, ok := q.items[id]
+	if !ok || t.mask == mask {
+		return
+	}
+	q.lanes[t.mask].remove(t)
+	t.mask = mask
+	q.laneOf(mask).push(t)
+}
+
+// Waiting returns the number of waiting calls.
+func (q *Queue) Waiting() int {
+	return len(q.items)
+}
+
+// NextDeadline returns the earliest deadline among the waiting calls.
+func (q *Queue) NextDeadline() (time.Time, bool) {
+	if len(q.deadlines) == 0 {
+		return time.Time{}, false
+	}
+	return q.deadlines[0].call.Deadline, true
+}
+
+// Drain removes and returns every waiting call.
+func (q *Queue) Drain() []call.Call {
+	calls := make([]call.Call, 0, len(q.items))
+	for len(q.deadlines) > 0 {
+		t := q.deadlines[0]
+		q.take(t)
+		calls = append(calls, t.call)
+	}
+	return calls
+}
+
+func (q *Queue) laneOf(mask uint8) *lane {
+	if q.lanes[mask] == nil {
+		q.lanes[mask] = &lane{}
+	}
+	return q.lanes[mask]
+}
+
+func (q *Queue) shareOf(t *item) *share {
+	name := t.call.Class.Service
+	s, ok := q.services[name]
+	if !ok {
+		s = &share{weight: max(t.call.Class.Weight, 1)}
+		q.services[name] = s
+	}
+	s.weight = max(t.call.Class.Weight, 1)
+	return s
+}
--- /dev/null
+++ b/process/queue/server.go
@@ -0,0 +1,152 @@
+package queue
+
+import (
+	"slices"
+	"time"
+)
+
+// slot is one connection to a member.
+type slot struct {
+	busy    bool
+	long    bool
+	label   string
+	service string
+	id      string
+	since   time.Time
+	charged time.Duration
+}
+
+// server is one member as the queue sees it.
+type server struct {
+	name   string
+	usable bool
+	limit  int
+	slots  map[uint64]*slot
+	free   []uint64
+	long   int
+}
+
+func newServer(name string) *server {
+	return &server{name: name, slots: map[uint64]*slot{}}
+}
+
+// SetMember says whether member i takes new work and how many slots it grants.
+func (q *Queue) SetMember(i int, usable bool, limit int) {
+	q.servers[i].usable = usable
+	q.servers[i].limit = limit
+}
+
+// AddSlot adds an open, free slot of member i.
+func (q *Queue) AddSlot(i int, id uint64) {
+	s := q.servers[i]
+	s.slots[id] = &slot{}
+	s.free = append(s.free, id)
+}
+
+// RemoveSlot forgets a slot that was closed, whatever ran in it.
+func (q *Queue) RemoveSlot(i int, id uint64) {
+	s := q.servers[i]
+	k, ok := s.slots[id]
+	if !ok {
+		return
+	}
+	if k.long && k.busy {
+		s.long--
+	}
+	delete(s.slots, id)
+	s.free = slices.DeleteFunc(s.free, func(f uint64) bool { return f == id })
+}
+
+// Slots returns the ids of member i's slots, in no order.
+func (q *Queue) Slots(i int) []uint64 {
+	ids := make([]uint64, 0, len(q.servers[i].slots))
+	for id := range q.servers[i].slots {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Open returns how many slots member i has, and how many of them are free.
+func (q *Queue) Open(i int) (open, free int) {
+	return len(q.servers[i].slots), len(q.servers[i].free)
+}
+
+// Holder returns the id of the call that slot id of member i was granted to.
+func (q *Queue) Holder(i int, id uint64) string {
+	if k, ok := q.servers[i].slots[id]; ok && k.busy {
+		return k.id
+	}
+	return ""
+}
+
+// Release frees a slot. Where the call was answered, its service time is
+// learned.
+func (q *Queue) Release(now time.Time, i int, id uint64, answered bool) {
+	s := q.servers[i]
+	k, ok := s.slots[id]
+	if !ok || !k.busy {
+		return
+	}
+	if k.long {
+		s.long--
+	}
+	q.settle(now, k, answered)
+	*k = slot{}
+	s.free = append(s.free, id)
+}
+
+func (q *Queue) settle(now time.Time, k *slot, answered bool) {
+	took := now.Sub(k.since)
+	if answered {
+		q.learn.Add(k.label, took)
+	}
+	if sh, ok := q.services[k.service]; ok {
+		sh.pass += float64(took-k.charged) / float64(sh.weight)
+	}
+}
+
+// Watch counts every call that has run for too long as a long one, so that
+// the cap on long work sees it at once.
+func (q *Queue) Watch(now time.Time) {
+	for _, s := range q.servers {
+		for _, k := range s.slots {
+			if k.busy && !k.long && now.Sub(k.since) > q.learn.LongAfter() {
+				k.long = true
+				s.long++
+			}
+		}
+	}
+}
+
+// grant gives a free slot of member i to an item.
+func (q *Queue) grant(now time.Time, i int, t *item) uint64 {
+	s := q.servers[i]
+	n := len(s.free) - 1
+	id := s.free[n]
+	s.free = s.free[:n]
+	*s.slots[id] = slot{
+		busy: true, long: t.long, label: t.label, service: t.call.Class.Service,
+		id: t.call.ID, since: now, charged: t.expected,
+	}
+	if t.long {
+		s.long++
+	}
+	q.take(t)
+	q.charge(t)
+	return id
+}
+
+func (q *Queue) charge(t *item) {
+	sh := q.shareOf(t)
+	q.pass = max(q.pass, sh.pass)
+	sh.pass += float64(t.expected) / float64(sh.weight)
+}
+
+// longRoom tells whether member i may take more long work.
+func (q *Queue) longRoom(s *server) bool {
+	room := max(max(s.limit, len(s.slots))-1, 1)
+	if q.longLimit > 0 {
+		room = min(room, q.longLimit)
+	}
+	return s.long < room
+}
--- /dev/null
+++ b/process/swim/swim.go
@@ -0,0 +1,266 @@
+// Package swim decides which hosts are believed live, by random probes with
+// piggybacked news, as in the SWIM protocol (Das, Gupta, Motivala, 2002).
+package swim
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/news"
+)
+
+const (
+	// helpersAsked is how many other hosts probe a host that did not answer.
+	helpersAsked = 3
+	// newsPerMessage bounds the news on one probe or answer.
+	newsPerMessage = 6
+	// retellFactor times the logarithm of the fleet's size is how often one
+	// piece of news is told.
+	retellFactor = 3
+	// defaultSuspicion is how long a suspected host may refute it.
+	defaultSuspicion = 2 * time.Second
+	// deadKept is how long a dead host is remembered, so that old news of it
+	// does not bring it back.
+	deadKept = 10 * time.Minute
+)
+
+// peer is what is known of one other host.
+type peer struct {
+	news  news.News
+	since time.Time
+}
+
+// told is one piece of news and how often it was told.
+type told struct {
+	host  string
+	times int
+}
+
+// Swim is one host's view of the fleet. It has no lock and no clock of its own.
+type Swim struct {
+	self      news.News
+	peers     map[string]*peer
+	order     []string
+	next      int
+	telling   []told
+	random    *rand.Rand
+	suspicion time.Duration
+	alarms    int
+}
+
+// New returns the view of a host that knows only itself.
+func New(self news.News, random *rand.Rand, options ...func(*Swim)) *Swim {
+	s := &Swim{self: self, peers: map[string]*peer{}, random: random, suspicion: defaultSuspicion}
+	for _, o := range options {
+		o(s)
+	}
+	s.tell(self.Host)
+	return s
+}
+
+// WithSuspicion returns an option that sets how long a suspected host may
+// refute it.
+func WithSuspicion(d time.Duration) func(*Swim) {
+	return func(s *Swim) { s.suspicion = d }
+}
+
+// Candidates takes hosts that the platform lists. They count as live until a
+// probe says otherwise; hosts that are known keep what is known of them.
+func (s *Swim) Candidates(now time.Time, listed []news.News) {
+	for _, n := range listed {
+		if n.Host == s.self.Host {
+			continue
+		}
+		p, known := s.peers[n.Host]
+		if known && (p.news.Address == n.Address || n.Incarnation <= p.news.Incarnation) {
+			continue
+		}
+		s.set(now, n)
+	}
+}
+
+func (s *Swim) set(now time.Time, n news.News) {
+	p, known := s.peers[n.Host]
+	if !known {
+		s.peers[n.Host] = &peer{news: n, since: now}
+		at := s.random.IntN(len(s.order) + 1)
+		s.order = slices.Insert(s.order, at, n.Host)
+	} else {
+		if p.news.State != n.State {
+			p.since = now
+		}
+		p.news = n
+	}
+	s.tell(n.Host)
+}
+
+func (s *Swim) tell(host string) {
+	s.telling = slices.DeleteFunc(s.telling, func(t told) bool { return t.host == host })
+	s.telling = append(s.telling, told{host: host})
+}
+
+// Next returns the host to probe in this interval, and false where there is
+// none. Every host's turn comes once in a round, in random order.
+func (s *Swim) Next() (news.News, bool) {
+	for range len(s.order) {
+		if s.next >= len(s.order) {
+			s.next = 0
+			s.random.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+		}
+		n := s.peers[s.order[s.next]].news
+		s.next++
+		if n.State == news.Alive || n.State == news.Suspect {
+			return n, true
+		}
+	}
+	return news.News{}, false
+}
+
+// Helpers returns other live hosts that are to probe the host in turn.
+func (s *Swim) Helpers(host string) []news.News {
+	var live []news.News
+	for _, name := range s.order {
+		if n := s.peers[name].news; name != host && n.State == news.Alive {
+			live = append(live, n)
+		}
+	}
+	s.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(len(live), helpersAsked)]
+}
+
+// Answered takes a sign of life of a host.
+func (s *Swim) Answered(now time.Time, host string) {
+	p, ok := s.peers[host]
+	if !ok || p.news.State != news.Suspect {
+		return
+	}
+	s.set(now, p.news.WithState(news.Alive).WithIncarnation(p.news.Incarnation))
+}
+
+// Silent takes a host that answered neither this host nor its helpers.
+func (s *Swim) Silent(now time.Time, host string) {
+	p, ok := s.peers[host]
+	if !ok || p.news.State != news.Alive {
+		return
+	}
+	s.alarms++
+	s.set(now, p.news.WithState(news.Suspect))
+}
+
+// Take takes news that came with a probe or an answer. News of this host's
+// own death is refuted with a higher incarnation.
+func (s *Swim) Take(now time.Time, all []news.News) {
+	for _, n := range all {
+		if n.Host == s.self.Host {
+			s.refute(n)
+			continue
+		}
+		p, known := s.peers[n.Host]
+		if !known && n.State >= news.Dead {
+			continue
+		}
+		if !known || n.Prevails(p.news) {
+			s.set(now, n)
+		}
+	}
+}
+
+func (s *Swim) refute(n news.News) {
+	if s.self.State == news.Left || n.State == news.Alive || n.Incarnation < s.self.Incarnation {
+		return
+	}
+	s.self = s.self.WithIncarnation(n.Incarnation + 1)
+	s.tell(s.self.Host)
+}
+
+// Give returns the news to send along, the least told first.
+func (s *Swim) Give() []news.News {
+	limit := int(retellFactor * math.Ceil(math.Log2(float64(len(s.peers)+2))))
+	slices.SortStableFunc(s.telling, func(a, b told) int { return a.times - b.times })
+	n := min(len(s.telling), newsPerMessage)
+	given := make([]news.News, 0, n+1)
+	for i := range n {
+		s.telling[i].times++
+		given = append(given, s.of(s.telling[i].host))
+	}
+	s.telling = slices.DeleteFunc(s.telling, func(t told) bool { return t.times >= limit })
+	return given
+}
+
+func (s *Swim) of(host string) news.News {
+	if host == s.self.Host {
+		return s.self
+	}
+	return s.peers[host].news
+}
+
+// Tick ends suspicions that were not refuted and forgets the long dead.
+func (s *Swim) Tick(now time.Time) {
+	for name, p := range s.peers {
+		switch {
+		case p.news.State == news.Suspect && now.Sub(p.since) >= s.suspicion:
+			s.set(now, p.news.WithState(news.Dead))
+		case p.news.State >= news.Dead && now.Sub(p.since) >= deadKept:
+			s.forget(name)
+		}
+	}
+}
+
+func (s *Swim) forget(name string) {
+	delete(s.peers, name)
+	s.order = slices.DeleteFunc(s.order, func(o string) bool { return o == name })
+	s.telling = slices.DeleteFunc(s.telling, func(t told) bool { return t.host == name })
+}
+
+// Leave makes this host tell that it leaves.
+func (s *Swim) Leave() {
+	s.self = s.self.WithState(news.Left)
+	s.tell(s.self.Host)
+}
+
+// Live returns the hosts that own groups: this one, unless it leaves, and
+// those that are alive and not suspected, sorted by name.
+func (s *Swim) Live() []string {
+	var live []string
+	if s.self.State != news.Left {
+		live = append(live, s.self.Host)
+	}
+	for name, p := range s.peers {
+		if p.news.State == news.Alive {
+			live = append(live, name)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// Known returns the news of all hosts, this one first, then by name.
+func (s *Swim) Known() []news.News {
+	all := []news.News{s.self}
+	for _, p := range s.peers {
+		all = append(all, p.news)
+	}
+	slices.SortFunc(all[1:], func(a, b news.News) int {
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Peer returns the news of one other host.
+func (s *Swim) Peer(host string) (news.News, bool) {
+	p, ok := s.peers[host]
+	if !ok {
+		return news.News{}, false
+	}
+	return p.news, true
+}
+
+// Alarms returns how often this host suspected another.
+func (s *Swim) Alarms() int {
+	return s.alarms
+}
--- /dev/null
+++ b/request/code/code.go
@@ -0,0 +1,159 @@
+// Package code holds the numbered result codes that callers and operators see.
+package code
+
+import "fmt"
+
+// Code is a numbered result of a request. Codes from 100 say that the request
+// was not run, codes from 200 that it may have run or did run, codes from 300
+// that it was not accepted as it stands. The table is docs/RESULTS.md.
+type Code int
+
+// The result codes.
+const (
+	// Done is the result of a request that was answered by its target.
+	Done Code = 0
+
+	// NotRunOverload refuses a request that would miss its deadline in the queue.
+	NotRunOverload Code = 100
+	// NotRunDeadline ends a request whose deadline passed before it was sent.
+	NotRunDeadline Code = 101
+	// NotRunNoPrimary ends a request for which no primary could be reached in time.
+	NotRunNoPrimary Code = 102
+	// NotRunNoMajority refuses a write that a majority of members could not confirm.
+	NotRunNoMajority Code = 103
+	// NotRunLimit refuses a request over the limit of its caller, service or host.
+	NotRunLimit Code = 104
+	// NotRunStopping refuses a request at a host that is stopping.
+	NotRunStopping Code = 105
+	// NotRunSettled ends a request whose idempotency key was withdrawn before it ran.
+	NotRunSettled Code = 106
+	// NotRunMoved ends a request that waited at a host which no longer owns the group.
+	NotRunMoved Code = 107
+	// NotRunCanceled ends a waiting request that its caller canceled.
+	NotRunCanceled Code = 108
+	// NotRunNoFresh ends a read for which no member was fresh enough in time.
+	NotRunNoFresh Code = 109
+
+	// OutcomeUnknown ends a request that was sent and whose result is not known.
+	OutcomeUnknown Code = 200
+	// RanAnswerLost ends a request that ran once and whose answer was lost.
+	RanAnswerLost Code = 201
+	// AlreadyRan refuses a request whose idempotency key is known: it ran before.
+	AlreadyRan Code = 202
+	// TransactionLost ends a statement of a transaction that its target rolled back.
+	TransactionLost Code = 203
+
+	// BadMessage closes a connection that sent a malformed or unexpected message.
+	BadMessage Code = 300
+	// MessageTooLarge closes a connection that sent a message over the limit.
+	MessageTooLarge Code = 301
+	// BadPassword refuses a caller whose name or password is wrong.
+	BadPassword Code = 302
+	// BadToken refuses a session token that is forged, foreign or of an unknown key.
+	BadToken Code = 303
+	// UnknownDatabase refuses a caller that names no database group.
+	UnknownDatabase Code = 304
+	// NotSupported refuses a feature that cannot be pooled.
+	NotSupported Code = 305
+	// SlowCaller closes a caller that does not read its answer.
+	SlowCaller Code = 306
+	// TooManyCallers refuses a connection over the host's limit.
+	TooManyCallers Code = 307
+)
+
+type entry struct {
+	name     string
+	sqlState string
+	meaning  string
+	advice   string
+}
+
+// SQLSTATE values, from the PostgreSQL documentation, appendix A.
+const (
+	stateDone         = "00000"
+	stateRetry        = "53000"
+	stateTimeout      = "57014"
+	stateUnavailable  = "57P03"
+	stateShutdown     = "57P01"
+	stateLimit        = "53400"
+	stateUnknown      = "08007"
+	stateDuplicate    = "23505"
+	stateRolledBack   = "40000"
+	stateProtocol     = "08P01"
+	statePassword     = "28P01"
+	stateToken        = "28000"
+	stateDatabase     = "3D000"
+	stateNotSupported = "0A000"
+	stateConnections  = "53300"
+)
+
+var entries = map[Code]entry{
+	Done:             {"Done", stateDone, "the target answered", "nothing"},
+	NotRunOverload:   {"NotRunOverload", stateRetry, "not run: the queue is too long for the deadline", "retry after the hint"},
+	NotRunDeadline:   {"NotRunDeadline", stateTimeout, "not run: the deadline passed while the request waited", "retry"},
+	NotRunNoPrimary:  {"NotRunNoPrimary", stateUnavailable, "not run: no primary could be reached before the deadline", "retry"},
+	NotRunNoMajority: {"NotRunNoMajority", stateUnavailable, "not run: a majority of the group's members is unreachable", "retry later"},
+	NotRunLimit:      {"NotRunLimit", stateLimit, "not run: over the limit of the caller, service or host", "retry after the hint"},
+	NotRunStopping:   {"NotRunStopping", stateShutdown, "not run: the host is stopping", "connect again and retry"},
+	NotRunSettled:    {"NotRunSettled", stateRetry, "not run: the answer was lost, and the idempotency key was withdrawn before the request ran", "retry with a new key"},
+	NotRunMoved:      {"NotRunMoved", stateRetry, "not run: the group moved to another host while the request waited", "retry"},
+	NotRunCanceled:   {"NotRunCanceled", stateTimeout, "not run: canceled by the caller while it waited", "nothing"},
+	NotRunNoFresh:    {"NotRunNoFresh", stateUnavailable, "not run: no member held data as fresh as the read asks for before the deadline", "retry"},
+	OutcomeUnknown:   {"OutcomeUnknown", stateUnknown, "sent, and its result is not known: it may have run", "check before a retry"},
+	RanAnswerLost:    {"RanAnswerLost", stateUnknown, "ran exactly once; its answer was lost", "do not retry; read what it wrote"},
+	AlreadyRan:       {"AlreadyRan", stateDuplicate, "a request with this idempotency key ran before", "do not retry"},
+	TransactionLost:  {"TransactionLost", stateRolledBack, "the open transaction was rolled back with its connection; nothing of it remains", "run the transaction again"},
+	BadMessage:       {"BadMessage", stateProtocol, "malformed or unexpected message", "mend the client"},
+	MessageTooLarge:  {"MessageTooLarge", stateProtocol, "message over the size limit", "send less at once"},
+	BadPassword:      {"BadPassword", statePassword, "wrong name or password", "check the credentials"},
+	BadToken:         {"BadToken", stateToken, "session token forged, of another session's user, or of an unknown key", "connect without a token"},
+	UnknownDatabase:  {"UnknownDatabase", stateDatabase, "no such database group", "check the name"},
+	NotSupported:     {"NotSupported", stateNotSupported, "this feature cannot be pooled", "see docs/OPERATORS.md"},
+	SlowCaller:       {"SlowCaller", stateConnections, "the caller does not read its answer", "read answers as they come"},
+	TooManyCallers:   {"TooManyCallers", stateConnections, "over the host's limit of callers", "connect later or elsewhere"},
+}
+
+// All returns the known codes in no order.
+func All() []Code {
+	codes := make([]Code, 0, len(entries))
+	for c := range entries {
+		codes = append(codes, c)
+	}
+	return codes
+}
+
+// Name returns the code's name, or Code with its number where it is unknown.
+func (c Code) Name() string {
+	if e, ok := entries[c]; ok {
+		return e.name
+	}
+	return fmt.Sprintf("Code%d", int(c))
+}
+
+// SQLState returns the SQLSTATE that a caller is given, five characters.
+func (c Code) SQLState() string {
+	if e, ok := entries[c]; ok {
+		return e.sqlState
+	}
+	return "XX000"
+}
+
+// Meaning says in words what happened to the request.
+func (c Code) Meaning() string {
+	return entries[c].meaning
+}
+
+// Advice says in words what the caller may do.
+func (c Code) Advice() string {
+	return entries[c].advice
+}
+
+// NotRun tells whether the code promises that the request did not run.
+func (c Code) NotRun() bool {
+	return c >= 100 && c < 200
+}
+
+// Error returns the name, the number and the meaning.
+func (c Code) Error() string {
+	return fmt.Sprintf("%s (%d): %s", c.Name(), int(c), c.Meaning())
+}
--- /dev/null
+++ b/request/retry/retry.go
@@ -0,0 +1,108 @@
+// Package retry decides what becomes of a request whose owner failed it.
+package retry
+
+import (
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+)
+
+const (
+	// pauseLeast and pauseMost bound the pause before a request is sent to an
+	// owner again.
+	pauseLeast = 5 * time.Millisecond
+	pauseMost  = 100 * time.Millisecond
+)
+
+// Retry is the state of one request's tries at its entry host. It is
+// immutable.
+type Retry struct {
+	call  call.Call
+	tries int
+	begun bool
+}
+
+// New returns the state before the first try.
+func New(c call.Call) Retry {
+	return Retry{call: c}
+}
+
+// WithBegun returns the state after a part of the answer reached the caller.
+func (r Retry) WithBegun(begun bool) Retry {
+	r.begun = begun
+	return r
+}
+
+// Call returns the request as it is to be sent next.
+func (r Retry) Call() call.Call {
+	return r.call
+}
+
+// Refused decides about an owner's word that the request was not run. It
+// returns the next state and pause, or false where the caller is to be told.
+func (r Retry) Refused(now time.Time, f *fault.Fault) (Retry, time.Duration, bool) {
+	if f.Code != code.NotRunMoved && f.Code != code.NotRunStopping {
+		return r, 0, false
+	}
+	return r.again(now)
+}
+
+// Unsent decides about a request that could not be sent to its owner.
+func (r Retry) Unsent(now time.Time) (Retry, time.Duration, bool) {
+	if r.call.Follows {
+		return r, 0, false
+	}
+	return r.again(now)
+}
+
+// Lost decides about a request that was sent to an owner that is gone. It is
+// sent again only where that can't make it run twice.
+func (r Retry) Lost(now time.Time) (Retry, time.Duration, bool) {
+	safe := r.call.Class.Read || r.call.Class.Repeatable || r.call.Key != ""
+	if r.begun || r.call.Follows || !safe {
+		return r, 0, false
+	}
+	r.call = r.call.WithSent(true)
+	return r.again(now)
+}
+
+func (r Retry) again(now time.Time) (Retry, time.Duration, bool) {
+	pause := min(pauseLeast<<min(r.tries, 10), pauseMost)
+	r.tries++
+	if r.begun || !now.Add(pause).Before(r.call.Deadline) {
+		return r, 0, false
+	}
+	return r, pause, true
+}
+
+// Final returns what a caller is told where an owner refused the request and
+// it is not sent again. A request that was sent to an owner that is gone may
+// have run there, whatever the later owner says.
+func (r Retry) Final(f *fault.Fault) *fault.Fault {
+	if f.Code.NotRun() && f.Code != code.NotRunSettled && r.call.Sent && !r.call.Class.Read {
+		return fault.New(code.OutcomeUnknown, f.Detail)
+	}
+	return f
+}
+
+// LostFault returns what a caller is told of a request that was sent to an
+// owner that is gone, where it is not sent again.
+func (r Retry) LostFault() *fault.Fault {
+	switch {
+	case r.call.Follows && !r.call.Ends:
+		return fault.New(code.TransactionLost, "the owner of the group was lost")
+	case r.call.Class.Read && !r.call.Follows:
+		return fault.New(code.NotRunNoPrimary, "the owner of the group was lost while the read ran")
+	}
+	return fault.New(code.OutcomeUnknown, "the owner of the group was lost while the request ran")
+}
+
+// UnsentFault returns what a caller is told of a request that was never sent.
+func (r Retry) UnsentFault() *fault.Fault {
+	if r.call.Follows {
+		return fault.New(code.TransactionLost, "the owner of the group is not reachable")
+	}
+	return fault.New(code.NotRunNoPrimary, "no owner of the group was reachable before the deadline")
+}
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,190 @@
+// Package site puts a platform, database groups and hosts into one process.
+package site
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/conf"
+	"github.com/pistachiotray/pistachiotray/process/host"
+	"github.com/pistachiotray/pistachiotray/standin/plat"
+	"github.com/pistachiotray/pistachiotray/standin/stage"
+	"github.com/pistachiotray/pistachiotray/standin/trio"
+)
+
+// loopback is where everything listens.
+const loopback = "127.0.0.1"
+
+// Site is a small deployment in this process. It is used by one goroutine.
+type Site struct {
+	log       *zap.Logger
+	stage     *stage.Stage
+	hosts     []*host.Host
+	settings  []conf.Settings
+	slots     int
+	delay     time.Duration
+	adapt     func(i int, s conf.Settings) conf.Settings
+	databases []string
+	hostCount int
+}
+
+// WithDatabases returns an option that names the database groups.
+func WithDatabases(names ...string) func(*Site) {
+	return func(s *Site) { s.databases = names }
+}
+
+// WithHosts returns an option that sets the number of hosts.
+func WithHosts(n int) func(*Site) {
+	return func(s *Site) { s.hostCount = n }
+}
+
+// WithSlots returns an option that sets the slots of each member and how long
+// one takes to open.
+func WithSlots(n int, delay time.Duration) func(*Site) {
+	return func(s *Site) { s.slots, s.delay = n, delay }
+}
+
+// WithSettings returns an option that changes the settings of host i.
+func WithSettings(f func(i int, s conf.Settings) conf.Settings) func(*Site) {
+	return func(s *Site) { s.adapt = f }
+}
+
+// WithLog returns an option that sets the hosts' log.
+func WithLog(log *zap.Logger) func(*Site) {
+	return func(s *Site) { s.log = log }
+}
+
+// New starts a site: by default three hosts before one group of three members
+// with five slots each.
+func New(ctx context.Context, options ...func(*Site)) (*Site, error) {
+	s := &Site{
+		log: zap.NewNop(), slots: 5,
+		databases: []string{"fittings"}, hostCount: 3,
+		adapt: func(_ int, s conf.Settings) conf.Settings { return s },
+	}
+	for _, o := range options {
+		o(s)
+	}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	var err error
+	s.stage, err = stage.New(ctx, loopback+":0", s.databases, nil, s.slots, s.delay)
+	if err != nil {
+		return err
+	}
+	for i := range s.hostCount {
+		if err := s.makeHost(i); err != nil {
+			return err
+		}
+	}
+	for _, h := range s.hosts {
+		h.Start(ctx)
+	}
+	return nil
+}
+
+// makeHost makes host i and lists it, before any host starts. Its addresses
+// are kept for later starts.
+func (s *Site) makeHost(i int) error {
+	c := conf.Defaults()
+	c.Host = fmt.Sprintf("host-%d", i)
+	c.Zone = fmt.Sprintf("zone-%d", i%3)
+	c.Platform = s.stage.URL()
+	c.Listen, c.PeerListen, c.OperatorListen = loopback+":0", loopback+":0", loopback+":0"
+	c = s.adapt(i, c)
+	h, err := host.New(c, s.log.Named(c.Host))
+	if err != nil {
+		return err
+	}
+	c.Listen, c.PeerListen, c.OperatorListen = h.Addresses()
+	s.settings = append(s.settings, c)
+	s.hosts = append(s.hosts, h)
+	s.stage.Platform().SetHost(c.Host, "http://"+c.PeerListen, c.Zone, false)
+	return nil
+}
+
+// Platform returns the platform's stand-in.
+func (s *Site) Platform() *plat.Plat {
+	return s.stage.Platform()
+}
+
+// PlatformURL returns where the platform is reached.
+func (s *Site) PlatformURL() string {
+	return s.stage.URL()
+}
+
+// Group returns a database group's stand-in.
+func (s *Site) Group(name string) *trio.Trio {
+	return s.stage.Group(name)
+}
+
+// Hosts returns the number of hosts, stopped ones included.
+func (s *Site) Hosts() int {
+	return len(s.hosts)
+}
+
+// Host returns host i, or nil where it is stopped.
+func (s *Site) Host(i int) *host.Host {
+	return s.hosts[i]
+}
+
+// Settings returns the settings of host i.
+func (s *Site) Settings(i int) conf.Settings {
+	return s.settings[i]
+}
+
+// DSN returns the connection string of a database by way of host i.
+func (s *Site) DSN(i int, database string) string {
+	return fmt.Sprintf("postgres://clerk@%s/%s?sslmode=disable", s.settings[i].Listen, database)
+}
+
+// Kill ends host i as a crash would.
+func (s *Site) Kill(i int) {
+	if h := s.hosts[i]; h != nil {
+		s.hosts[i] = nil
+		h.Kill()
+	}
+}
+
+// Stop ends host i in order. It returns how much remained.
+func (s *Site) Stop(ctx context.Context, i int) int {
+	h := s.hosts[i]
+	if h == nil {
+		return 0
+	}
+	s.hosts[i] = nil
+	n := h.Drain(ctx)
+	h.Close()
+	return n
+}
+
+// Restart starts host i again.
+func (s *Site) Restart(ctx context.Context, i int) error {
+	s.Kill(i)
+	h, err := host.New(s.settings[i], s.log.Named(s.settings[i].Host))
+	if err != nil {
+		return err
+	}
+	s.hosts[i] = h
+	h.Start(ctx)
+	return nil
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	for i := range s.hosts {
+		s.Kill(i)
+	}
+	if s.stage != nil {
+		s.stage.Close()
+	}
+}
--- /dev/null
+++ b/standin/target/serve.go
@@ -0,0 +1,164 @@
+package target
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// controlUser takes no slot.
+const controlUser = "pistachiotray_control"
+
+// conn is one connection to the member.
+type conn struct {
+	target  *Target
+	net     net.Conn
+	backend *pgproto3.Backend
+	pid     uint32
+	secret  []byte
+	control bool
+	slot    bool
+	session *session
+	stmts   map[string]*prepared
+	portals map[string]*portal
+	failed  bool
+}
+
+func (t *Target) accept() {
+	for {
+		n, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.done.Go(func() { t.serve(n) })
+	}
+}
+
+func (t *Target) serve(n net.Conn) {
+	defer func() { _ = n.Close() }()
+	g := gated{n, t.gate}
+	c := &conn{
+		target: t, net: n, backend: pgproto3.NewBackend(g, g),
+		stmts: map[string]*prepared{}, portals: map[string]*portal{},
+	}
+	c.secret = make([]byte, 4)
+	_, _ = rand.Read(c.secret)
+	if !t.register(c) {
+		return
+	}
+	defer t.unregister(c)
+	if !c.startup() {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	s, err := newSession(ctx, t)
+	if err != nil {
+		return
+	}
+	c.session = s
+	defer s.close()
+	c.loop()
+}
+
+func (t *Target) register(c *conn) bool {
+	t.connMu.Lock()
+	defer t.connMu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.nextPID++
+	c.pid = t.nextPID
+	t.conns[c.pid] = c
+	return true
+}
+
+func (t *Target) unregister(c *conn) {
+	t.connMu.Lock()
+	defer t.connMu.Unlock()
+	delete(t.conns, c.pid)
+	if c.slot {
+		t.used--
+	}
+}
+
+// takeSlot counts a connection against the member's limit.
+func (t *Target) takeSlot(c *conn) bool {
+	t.connMu.Lock()
+	defer t.connMu.Unlock()
+	if t.used >= t.slots {
+		return false
+	}
+	t.used++
+	c.slot = true
+	return true
+}
+
+// Used returns how many slots are taken.
+func (t *Target) Used() int {
+	t.connMu.Lock()
+	defer t.connMu.Unlock()
+	return t.used
+}
+
+func (c *conn) startup() bool {
+	m, err := c.backend.ReceiveStartupMessage()
+	if err != nil {
+		return false
+	}
+	switch m := m.(type) {
+	case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+		_, _ = c.net.Write([]byte("N"))
+		return c.startup()
+	case *pgproto3.CancelRequest:
+		c.target.cancel(m.ProcessID, m.SecretKey)
+		return false
+	case *pgproto3.StartupMessage:
+		return c.welcome(m)
+	}
+	return false
+}
+
+func (c *conn) welcome(m *pgproto3.StartupMessage) bool {
+	c.control = m.Parameters["user"] == controlUser
+	if !c.control {
+		if !c.target.takeSlot(c) {
+			c.backend.Send(fatal("53300", "too many connections"))
+			_ = c.backend.Flush()
+			return false
+		}
+		time.Sleep(time.Duration(c.target.connectDelay.Load()))
+	}
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	for name, value := range map[string]string{
+		"server_version": "15.0", "client_encoding": "UTF8", "server_encoding": "UTF8",
+		"DateStyle": "ISO, MDY", "TimeZone": "UTC", "integer_datetimes": "on", "standard_conforming_strings": "on",
+	} {
+		c.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
+	}
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return c.backend.Flush() == nil
+}
+
+// cancel ends what a connection runs.
+func (t *Target) cancel(pid uint32, secret []byte) {
+	t.connMu.Lock()
+	c := t.conns[pid]
+	t.connMu.Unlock()
+	if c == nil || c.session == nil || len(secret) != len(c.secret) {
+		return
+	}
+	if binary.BigEndian.Uint32(secret) != binary.BigEndian.Uint32(c.secret) {
+		return
+	}
+	c.session.interrupt()
+}
+
+func fatal(state, text string) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: state, Message: text}
+}
