--- /dev/null
+++ b/cmd/pistachiotray/replay.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/pistachiotray/pistachiotray/standin/replay"
+)
+
+const replayUsage = `Replay feeds recorded traces to the decisions on a virtual clock. It prints each
+stated outcome beside what was found and ends with exit code 1 where any was
+missed. docs/TRACES.md describes the format.`
+
+func replayCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "replay FILE…", Short: "Play recorded traces against their stated outcomes",
+		Long: replayUsage, Example: "  pistachiotray replay testdata/traces/*.jsonl",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			missed := 0
+			for _, name := range files {
+				n, err := replayFile(c, name)
+				if err != nil {
+					return err
+				}
+				missed += n
+			}
+			if missed > 0 {
+				return errors.Errorf("%d stated outcomes were missed", missed)
+			}
+			return nil
+		},
+	}
+}
+
+// replayFile plays one trace and returns how many outcomes were missed.
+func replayFile(c *cobra.Command, name string) (int, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return 0, errors.Wrap(err, "replay")
+	}
+	r, err := replay.New(name, text)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", r.Name(), r.About()); err != nil {
+		return 0, err
+	}
+	missed := 0
+	for _, f := range r.Run() {
+		if !f.Met {
+			missed++
+		}
+		if _, err := fmt.Fprintln(c.OutOrStdout(), "  "+f.String()); err != nil {
+			return 0, err
+		}
+	}
+	return missed, nil
+}
--- a/cmd/pistachiotray/root.go
+++ b/cmd/pistachiotray/root.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), versionCommand())
+	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), replayCommand(), versionCommand())
 	return c
 }
 
--- a/process/group/change.go
+++ b/process/group/change.go
@@ -128,6 +128,7 @@
 func (g *Group) decide(now time.Time) {
 	held, gone, doubtful := g.quorum.Decided()
 	for _, id := range held {
+		g.learnMargin(now, id)
 		g.held(id)
 	}
 	for _, id := range gone {
@@ -143,6 +144,24 @@
 	g.advanceSwitch(now)
 }
 
+const (
+	// marginWeight is the share of a new measurement in the moving mean of the
+	// time that a confirmation takes.
+	marginWeight = 0.05
+	// marginFactor times that mean is left between a slot and a deadline.
+	marginFactor = 3
+)
+
+// learnMargin keeps how long confirmations take.
+func (g *Group) learnMargin(now time.Time, id string) {
+	w, ok := g.pending[id]
+	if !ok || w.since.IsZero() {
+		return
+	}
+	g.confirming += marginWeight * (float64(now.Sub(w.since)) - g.confirming)
+	g.queue.SetMargin(time.Duration(marginFactor * g.confirming))
+}
+
 func (g *Group) held(id string) {
 	w, ok := g.pending[id]
 	if !ok {
--- a/process/group/group.go
+++ b/process/group/group.go
@@ -92,6 +92,7 @@
 	shifting   *shift
 	wanted     time.Time
 	counters   map[string]int64
+	confirming float64
 	ticked     time.Time
 	wrong      string
 	wrongSince time.Time
--- a/process/group/ran.go
+++ b/process/group/ran.go
@@ -24,6 +24,7 @@
 	}
 	g.dial(now)
 	g.dispatch(now)
+	g.advanceSwitch(now)
 }
 
 func (g *Group) failed(now time.Time, w *work, r result.Result) {
@@ -137,6 +138,7 @@
 		return
 	}
 	w.complete = true
+	g.quorum.Wrote(g.members[w.member].name, r.Mark)
 	if g.recentlyHeard(now) && g.quorum.Await(w.call.ID, r.Mark) {
 		g.reply(w, false)
 		return
@@ -154,6 +156,7 @@
 
 func (g *Group) confirmLater(now time.Time, w *work, p purpose) {
 	w.purpose = p
+	w.since = now
 	w.deadline = w.call.Deadline
 	g.pending[w.call.ID] = w
 	g.pollForQuorum(now)
@@ -195,6 +198,7 @@
 // confirmed by a majority.
 func (g *Group) settled(now time.Time, w *work, r result.Result) {
 	w.ran = r.Conflict && !r.Withdrawn
+	g.quorum.Wrote(g.members[w.member].name, r.Mark)
 	if r.Term != w.term || !r.Primary || r.Mark.IsZero() {
 		g.lost(now, w, "the member stopped leading while the key was settled")
 		return
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -41,6 +41,7 @@
 	mark     mark.Mark
 	status   byte
 	hung     bool
+	since    time.Time
 	deadline time.Time
 }
 
@@ -79,6 +80,7 @@
 
 func (g *Group) awaitFloor(now time.Time, w *work) {
 	w.purpose = forFloor
+	w.deadline = w.call.Deadline
 	g.pending[w.call.ID] = w
 	g.quorum.AwaitIndex(w.call.ID, now)
 	g.pollAll(0)
@@ -220,6 +222,7 @@
 	order := g.order()
 	for {
 		c, i, slot, ok := g.queue.Pick(now, order)
+		g.dropDoomed()
 		if !ok {
 			return
 		}
@@ -227,6 +230,13 @@
 	}
 }
 
+func (g *Group) dropDoomed() {
+	for _, c := range g.queue.Doomed() {
+		w := g.waiting[c.ID]
+		g.refuse(w, g.notRunCode(w), "it could not have ended before its deadline")
+	}
+}
+
 func (g *Group) start(now time.Time, w *work, i int, slot uint64) {
 	mask := g.permitted(now, w.call)
 	if mask&(1<<i) == 0 {
--- a/process/learn/learn.go
+++ b/process/learn/learn.go
@@ -27,6 +27,7 @@
 type label struct {
 	times *hdrhistogram.Histogram
 	mean  float64
+	over  bool
 }
 
 // Learn keeps a histogram and a moving mean of service times for each label.
@@ -68,9 +69,15 @@
 	return k
 }
 
+// Over takes news of a run that is still going on after longAfter. A label
+// with few measurements counts as long from then on.
+func (l *Learn) Over(name string) {
+	l.entry(name).over = true
+}
+
 // Mean returns the expected service time of a label.
 func (l *Learn) Mean(name string) time.Duration {
-	if k, ok := l.labels[name]; ok {
+	if k, ok := l.labels[name]; ok && k.mean > 0 {
 		return time.Duration(k.mean)
 	}
 	return firstGuess
@@ -79,9 +86,12 @@
 // Long tells whether the measured times make the label a long one.
 func (l *Learn) Long(name string) bool {
 	k, ok := l.labels[name]
-	if !ok || k.times.TotalCount() < enough {
+	if !ok {
 		return false
 	}
+	if k.times.TotalCount() < enough {
+		return k.over
+	}
 	return time.Duration(k.times.ValueAtQuantile(50))*time.Microsecond > l.longAfter
 }
 
--- a/process/queue/pick.go
+++ b/process/queue/pick.go
@@ -15,15 +15,37 @@
 		if !s.usable || len(s.free) == 0 {
 			continue
 		}
-		t := q.policy(q, now, i)
-		if t == nil {
-			continue
+		if t := q.choose(now, i); t != nil {
+			return t.call, i, q.grant(now, i, t), true
 		}
-		return t.call, i, q.grant(now, i, t), true
 	}
 	return call.Call{}, 0, 0, false
 }
 
+// choose returns what member i serves next, and takes out what would not end
+// in time.
+func (q *Queue) choose(now time.Time, i int) *item {
+	for {
+		t := q.policy(q, now, i)
+		if t == nil || !q.admit || !q.tooLate(now, t) {
+			return t
+		}
+		q.take(t)
+		q.doomed = append(q.doomed, t.call)
+	}
+}
+
+// tooLate tells whether a call that has waited would miss its deadline. One
+// whose deadline was short for its expected time from the first is tried all
+// the same: the expectation may be wrong.
+func (q *Queue) tooLate(now time.Time, t *item) bool {
+	need := t.expected + q.margin
+	if t.call.Deadline.Sub(t.call.Arrived) < 2*need {
+		return false
+	}
+	return now.Add(need).After(t.call.Deadline)
+}
+
 // shortFirst chooses short work before long work, except for long work that
 // has waited for the aging time. Among services the one that has had least
 // for its weight comes first.
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -34,6 +34,8 @@
 	aging     time.Duration
 	capacity  int
 	longLimit int
+	margin    time.Duration
+	doomed    []call.Call
 	policy    func(q *Queue, now time.Time, i int) *item
 	admit     bool
 }
@@ -102,13 +104,27 @@
 	if len(q.items) >= q.capacity {
 		return wait, false
 	}
-	if q.admit && wait+t.expected > c.Deadline.Sub(now) && wait > 0 {
+	if q.admit && wait > 0 && wait+t.expected+q.margin > c.Deadline.Sub(now) {
 		return wait, false
 	}
 	q.insert(t)
 	return wait, true
 }
 
+// SetMargin sets how long before its deadline a call must leave its slot, so
+// that its answer can be confirmed in time.
+func (q *Queue) SetMargin(d time.Duration) {
+	q.margin = d
+}
+
+// Doomed removes and returns the calls that were passed over since they could
+// not have ended in time.
+func (q *Queue) Doomed() []call.Call {
+	doomed := q.doomed
+	q.doomed = nil
+	return doomed
+}
+
 // Return queues a call again that was granted and not run. It is not refused.
 func (q *Queue) Return(c call.Call, mask uint8) {
 	q.insert(q.newItem(c, mask))
--- a/process/queue/server.go
+++ b/process/queue/server.go
@@ -113,11 +113,29 @@
 			if k.busy && !k.long && now.Sub(k.since) > q.learn.LongAfter() {
 				k.long = true
 				s.long++
+				q.learn.Over(k.label)
+				q.reclass(k.label)
 			}
 		}
 	}
 }
 
+// reclass moves the waiting calls of a label that was found to be long. It
+// happens once for a label, and costs time in proportion to what waits.
+func (q *Queue) reclass(label string) {
+	if !q.learn.Long(label) {
+		return
+	}
+	for _, t := range q.items {
+		if t.label != label || t.long {
+			continue
+		}
+		q.lanes[t.mask].remove(t)
+		t.long = true
+		q.laneOf(t.mask).push(t)
+	}
+}
+
 // grant gives a free slot of member i to an item.
 func (q *Queue) grant(now time.Time, i int, t *item) uint64 {
 	s := q.servers[i]
--- a/process/quorum/quorum.go
+++ b/process/quorum/quorum.go
@@ -80,6 +80,18 @@
 	q.refresh()
 }
 
+// Wrote takes the mark that the primary gave with an answer: it holds its log
+// up to there. This saves asking the primary once more for each write.
+func (q *Quorum) Wrote(member string, m mark.Mark) {
+	o, ok := q.seen[member]
+	if !ok || member != q.primary || m.Term != q.term || o.report.Received.AtLeast(m) {
+		return
+	}
+	o.report.Received = m
+	q.seen[member] = o
+	q.confirm()
+}
+
 // follow adopts the primary of the highest term that was promoted.
 func (q *Quorum) follow(r report.Report) {
 	if !r.Primary || r.Term <= q.term {
--- /dev/null
+++ b/standin/tally/tally.go
@@ -0,0 +1,92 @@
+// Package tally counts what became of the requests of a world.
+package tally
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pistachiotray/pistachiotray/request/code"
+)
+
+// longest is the longest time that is told apart.
+const longest = 10 * time.Minute
+
+// Tally holds the requests of one label. Its fields are read freely once the
+// world has ended.
+type Tally struct {
+	// Asked counts the requests, Codes their results.
+	Asked int
+	Codes map[code.Code]int
+	// AtReplica counts the reads that a replica served.
+	AtReplica int
+	// Served sums the time in slots of what was answered.
+	Served time.Duration
+	// Latency holds the time to an answer in microseconds, of what was answered.
+	Latency *hdrhistogram.Histogram
+	// SlowestRefusal is the longest time to say NotRunOverload.
+	SlowestRefusal time.Duration
+	// Waits holds the offset of each answer from the beginning and its latency.
+	Waits [][2]time.Duration
+}
+
+// New returns an empty tally.
+func New() *Tally {
+	return &Tally{
+		Codes:   map[code.Code]int{},
+		Latency: hdrhistogram.New(1, int64(longest/time.Microsecond), 3),
+	}
+}
+
+// Add takes the result of one request.
+func (t *Tally) Add(c code.Code, submit, answer, takes time.Duration, replica bool) {
+	t.Asked++
+	t.Codes[c]++
+	took := answer - submit
+	if c == code.NotRunOverload {
+		t.SlowestRefusal = max(t.SlowestRefusal, took)
+	}
+	if c != code.Done {
+		return
+	}
+	if replica {
+		t.AtReplica++
+	}
+	t.Served += takes
+	_ = t.Latency.RecordValue(int64(took / time.Microsecond))
+	t.Waits = append(t.Waits, [2]time.Duration{submit, took})
+}
+
+// Merge adds another tally.
+func (t *Tally) Merge(o *Tally) {
+	t.Asked += o.Asked
+	for c, n := range o.Codes {
+		t.Codes[c] += n
+	}
+	t.AtReplica += o.AtReplica
+	t.Served += o.Served
+	t.Latency.Merge(o.Latency)
+	t.SlowestRefusal = max(t.SlowestRefusal, o.SlowestRefusal)
+	t.Waits = append(t.Waits, o.Waits...)
+}
+
+// Quantile returns the latency at a quantile in percent.
+func (t *Tally) Quantile(q float64) time.Duration {
+	return time.Duration(t.Latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Errors returns how many requests did not end as Done.
+func (t *Tally) Errors() int {
+	return t.Asked - t.Codes[code.Done]
+}
+
+// Names returns the names of the results that came up, sorted.
+func (t *Tally) Names() []string {
+	var names []string
+	for c := range t.Codes {
+		names = append(names, c.Name())
+	}
+	slices.Sort(names)
+	return names
+}
