Give long work a share of the time and stale reads a moment to find a replica

A planned change took whichever members promised first, not the one asked for. An answer lost with its primary was told as RanAnswerLost. Change: long work has a budget of time in slots that fills at 0.4 of its cap while short work comes in; reads that may be stale wait up to 300 ms for a replica; a planned change waits for its member's promise; a key keeps the answer of its request.

--- a/process/elect/elect.go
+++ b/process/elect/elect.go
@@ -180,7 +180,7 @@
 		return
 	}
 	e.granted[member] = received
-	if len(e.granted) <= len(e.members)/2 {
+	if len(e.granted) <= len(e.members)/2 || e.awaitsPreferred() {
 		return
 	}
 	e.chosen = e.choose()
@@ -189,6 +189,16 @@
 	e.out.Promote(e.chosen, e.ballot)
 }
 
+// awaitsPreferred tells whether a planned change still lacks the promise of
+// the member that it is to.
+func (e *Elect) awaitsPreferred() bool {
+	if e.prefer == "" {
+		return false
+	}
+	_, granted := e.granted[e.prefer]
+	return !granted && len(e.granted) < len(e.members)
+}
+
 // choose returns the member with the highest mark; among equals the preferred
 // one, then one that is not leaving, then the first by name.
 func (e *Elect) choose() string {
@@ -262,6 +272,7 @@
 // retry pauses before the next ballot, so that two hosts do not hinder each
 // other for ever.
 func (e *Elect) retry(now time.Time) {
+	e.prefer = ""
 	e.phase = idle
 	e.deadline = now.Add(retryDelay + e.jitter)
 }
--- a/process/group/change.go
+++ b/process/group/change.go
@@ -277,7 +277,7 @@
 func (g *Group) loseRun(now time.Time, slot uint64, id string) {
 	w, ok := g.running[id]
 	if !ok {
-		g.closeSlot(slot)
+		g.closeSlot(now, slot)
 		return
 	}
 	delete(g.running, id)
--- a/process/group/group.go
+++ b/process/group/group.go
@@ -77,6 +77,7 @@
 	pending    map[string]*work
 	running    map[string]*work
 	waiting    map[string]*work
+	parked     map[string]*work
 	open       map[string]*transaction
 	seats      map[uint64]*seat
 	nextSlot   uint64
@@ -110,6 +111,7 @@
 		pending:   map[string]*work{},
 		running:   map[string]*work{},
 		waiting:   map[string]*work{},
+		parked:    map[string]*work{},
 		open:      map[string]*transaction{},
 		seats:     map[uint64]*seat{},
 		slots:     defaultSlots,
@@ -247,7 +249,7 @@
 	g.refuseWaiting(now)
 	for id, s := range g.seats {
 		if s.call == "" && s.session == "" {
-			g.closeSlot(id)
+			g.closeSlot(now, id)
 		}
 	}
 }
--- a/process/group/member.go
+++ b/process/group/member.go
@@ -61,16 +61,59 @@
 	}
 	var mask uint8
 	for i := range g.members {
-		if i == p || g.fresh(now, i, c) {
+		if i != p && g.fresh(now, i, c) {
 			mask |= 1 << i
 		}
 	}
-	if p >= 0 && (g.members[p].misses >= missesToAvoid || g.blocked()) {
-		mask &^= 1 << p
+	if p >= 0 && g.members[p].misses < missesToAvoid && !g.blocked() && g.spills(now, c, mask) {
+		mask |= 1 << p
 	}
 	return mask
 }
 
+const (
+	// spillShare of a stale read's time is how long it waits for a replica to
+	// catch up with its session before it goes to the primary, spillMost at
+	// most. Data read at the primary is the newest there is, so that a session
+	// that reads there once would find no replica new enough again for a while.
+	spillShare = 10
+	spillMost  = 300 * time.Millisecond
+	// spillWait is the predicted wait at the replicas from which reads use the
+	// primary's slots too.
+	spillWait = 20 * time.Millisecond
+)
+
+// spills tells whether a read may run at the primary beside the replicas in
+// mask.
+func (g *Group) spills(now time.Time, c call.Call, mask uint8) bool {
+	if mask != 0 {
+		return g.queue.Predict(now, c, mask) > spillWait
+	}
+	if c.Class.MaxAge == 0 {
+		return true
+	}
+	return now.Sub(c.Arrived) >= spillAfter(c)
+}
+
+func spillAfter(c call.Call) time.Duration {
+	return min(c.Deadline.Sub(c.Arrived)/spillShare, spillMost)
+}
+
+// movePermitted gives the reads that wait for a replica what the members'
+// newest reports permit.
+func (g *Group) movePermitted(now time.Time) {
+	for id, w := range g.parked {
+		if _, waits := g.waiting[id]; !waits {
+			delete(g.parked, id)
+			continue
+		}
+		if mask := g.permitted(now, w.call); mask != 0 {
+			g.queue.Move(id, mask)
+			delete(g.parked, id)
+		}
+	}
+}
+
 // fresh tells whether replica i may serve a read.
 func (g *Group) fresh(now time.Time, i int, c call.Call) bool {
 	m := g.members[i]
@@ -187,6 +230,7 @@
 	g.elect.Seen(now, r)
 	g.changed(now)
 	g.decide(now)
+	g.movePermitted(now)
 	g.pollOn(i, r, before)
 	g.dial(now)
 	g.dispatch(now)
@@ -211,9 +255,9 @@
 	case i != g.primaryIndex() && !highest.IsZero() && !r.Received.AtLeast(highest):
 		g.poll(i, m.step)
 		m.step = min(m.step*2, pollStepMost)
-	case i != g.primaryIndex() && !r.Applied.AtLeast(g.quorum.Confirmed()) && m.catchUp <= catchUpMost:
+	case i != g.primaryIndex() && !r.Applied.AtLeast(g.quorum.Confirmed()) && (m.catchUp <= catchUpMost || len(g.parked) > 0):
 		g.poll(i, m.catchUp)
-		m.catchUp *= 2
+		m.catchUp = min(m.catchUp*2, catchUpMost+1)
 	}
 }
 
@@ -301,7 +345,7 @@
 		}
 		if s.session != "" {
 			g.endTransaction(s.session)
-			g.closeSlot(id)
+			g.closeSlot(now, id)
 		}
 	}
 }
@@ -325,7 +369,7 @@
 	m.dialPause = 0
 	s.ready = true
 	if !g.active {
-		g.closeSlot(slot)
+		g.closeSlot(now, slot)
 		return
 	}
 	g.queue.AddSlot(s.member, slot)
@@ -341,7 +385,7 @@
 	if s.session != "" {
 		g.endTransaction(s.session)
 	}
-	g.closeSlot(slot)
+	g.closeSlot(now, slot)
 	g.dial(now)
 }
 
--- a/process/group/ran.go
+++ b/process/group/ran.go
@@ -11,7 +11,7 @@
 func (g *Group) Ran(now time.Time, slot uint64, id string, r result.Result) {
 	w, ok := g.running[id]
 	if !ok || w.slot != slot {
-		g.closeSlot(slot)
+		g.closeSlot(now, slot)
 		g.dial(now)
 		return
 	}
@@ -30,7 +30,7 @@
 func (g *Group) failed(now time.Time, w *work, r result.Result) {
 	inTx := w.inTx
 	g.endTransaction(w.call.Session)
-	g.closeSlot(w.slot)
+	g.closeSlot(now, w.slot)
 	switch {
 	case r.Failure == result.Overflow:
 		g.refuse(w, code.SlowCaller, "the caller did not read its answer")
@@ -169,15 +169,15 @@
 		return
 	}
 	if w.inTx || !idleStatus(r) {
-		g.loseTransaction(w, r)
+		g.loseTransaction(now, w, r)
 		return
 	}
 	g.lost(now, w, "the member stopped leading while the request ran")
 }
 
-func (g *Group) loseTransaction(w *work, r result.Result) {
+func (g *Group) loseTransaction(now time.Time, w *work, r result.Result) {
 	if t, ok := g.open[w.call.Session]; ok {
-		g.closeSlot(t.slot)
+		g.closeSlot(now, t.slot)
 		g.endTransaction(w.call.Session)
 	}
 	if w.call.Ends && !r.Refused {
@@ -198,6 +198,8 @@
 // confirmed by a majority.
 func (g *Group) settled(now time.Time, w *work, r result.Result) {
 	w.ran = r.Conflict && !r.Withdrawn
+	w.restored = r.Restored
+	w.status = result.Idle
 	g.quorum.Wrote(g.members[w.member].name, r.Mark)
 	if r.Term != w.term || !r.Primary || r.Mark.IsZero() {
 		g.lost(now, w, "the member stopped leading while the key was settled")
@@ -214,6 +216,8 @@
 	switch {
 	case w.ran && w.complete:
 		g.reply(w, true)
+	case w.ran && w.sent && w.restored:
+		g.reply(w, false)
 	case w.ran && w.sent:
 		g.refuse(w, code.RanAnswerLost, "key "+w.call.Key)
 	case w.ran:
--- a/process/group/tick.go
+++ b/process/group/tick.go
@@ -17,6 +17,7 @@
 	g.expireRunning(now)
 	g.checkTransactions(now)
 	g.queue.Watch(now)
+	g.movePermitted(now)
 	if g.active {
 		g.beat(now)
 		g.elect.Tick(now)
--- a/process/group/tx.go
+++ b/process/group/tx.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if t.busy || s.call != "" {
-		g.closeSlot(t.slot)
+		g.closeSlot(now, t.slot)
 		g.dial(now)
 		return
 	}
@@ -106,7 +106,7 @@
 		return
 	}
 	if !ok {
-		g.closeSlot(slot)
+		g.closeSlot(now, slot)
 		g.dial(now)
 		return
 	}
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -37,6 +37,7 @@
 	inTx     bool
 	ran      bool
 	complete bool
+	restored bool
 	partly   bool
 	mark     mark.Mark
 	status   byte
@@ -101,9 +102,17 @@
 		return
 	}
 	g.waiting[w.call.ID] = w
+	g.park(w, mask)
 	g.refreshFor(now, w.call)
 }
 
+// park remembers a read that no member may serve yet.
+func (g *Group) park(w *work, mask uint8) {
+	if mask == 0 && w.call.Class.Read {
+		g.parked[w.call.ID] = w
+	}
+}
+
 // requeue lets a call that truly did not run wait again.
 func (g *Group) requeue(now time.Time, w *work, why string) {
 	if w.partly {
@@ -121,7 +130,9 @@
 	g.count("Retries")
 	g.out.Note(w.call.ID, w.call.Session, "retry: "+why)
 	g.waiting[w.call.ID] = w
-	g.queue.Return(w.call, g.permitted(now, w.call))
+	mask := g.permitted(now, w.call)
+	g.queue.Return(w.call, mask)
+	g.park(w, mask)
 }
 
 // notRunCode tells why a call could not run. A call that was sent before may
@@ -242,6 +253,7 @@
 	if mask&(1<<i) == 0 {
 		g.queue.Release(now, i, slot, false)
 		g.queue.Return(w.call, mask)
+		g.park(w, mask)
 		return
 	}
 	delete(g.waiting, w.call.ID)
@@ -278,21 +290,21 @@
 	s.session = ""
 	s.write = false
 	if !g.active {
-		g.closeSlot(slot)
+		g.closeSlot(now, slot)
 		return
 	}
 	g.queue.Release(now, s.member, slot, answered)
 }
 
 // closeSlot gives a slot up; nothing more comes from it.
-func (g *Group) closeSlot(slot uint64) {
+func (g *Group) closeSlot(now time.Time, slot uint64) {
 	s, ok := g.seats[slot]
 	if !ok {
 		return
 	}
 	delete(g.seats, slot)
 	if s.ready {
-		g.queue.RemoveSlot(s.member, slot)
+		g.queue.RemoveSlot(now, s.member, slot)
 	}
 	g.out.Hang(slot)
 }
--- a/process/queue/pick.go
+++ b/process/queue/pick.go
@@ -50,7 +50,7 @@
 // has waited for the aging time. Among services the one that has had least
 // for its weight comes first.
 func (q *Queue) shortFirst(now time.Time, i int) *item {
-	room := q.longRoom(q.servers[i])
+	room := q.longRoom(now, q.servers[i])
 	var short, long *item
 	for mask, l := range q.lanes {
 		if l == nil || mask&(1<<i) == 0 {
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -14,6 +14,12 @@
 	defaultLongAfter = 100 * time.Millisecond
 	// defaultAging is how long long work waits at most behind short work.
 	defaultAging = time.Second
+	// defaultLongDuty is the share of the time in which long work may hold the
+	// slots that its cap grants, while short work comes in.
+	defaultLongDuty = 0.4
+	// shortPresence is how long after the last short request short work counts
+	// as coming in.
+	shortPresence = time.Second
 	// defaultCapacity bounds the number of waiting requests.
 	defaultCapacity = 100_000
 )
@@ -34,6 +40,8 @@
 	aging     time.Duration
 	capacity  int
 	longLimit int
+	longDuty  float64
+	lastShort time.Time
 	margin    time.Duration
 	doomed    []call.Call
 	policy    func(q *Queue, now time.Time, i int) *item
@@ -48,6 +56,7 @@
 		services: map[string]*share{},
 		aging:    defaultAging,
 		capacity: defaultCapacity,
+		longDuty: defaultLongDuty,
 		policy:   (*Queue).shortFirst,
 		admit:    true,
 	}
@@ -83,6 +92,13 @@
 	return func(q *Queue) { q.longLimit = n }
 }
 
+// WithLongDuty returns an option that sets the share of the time in which
+// long work may hold the slots that its cap grants, from 0 to 1, while short
+// work comes in.
+func WithLongDuty(share float64) func(*Queue) {
+	return func(q *Queue) { q.longDuty = share }
+}
+
 // WithArrivalOrder returns an option that serves in order of arrival and caps
 // nothing. It exists to be compared with.
 func WithArrivalOrder() func(*Queue) {
@@ -100,6 +116,9 @@
 // would miss its deadline or the queue is full; it then does not wait.
 func (q *Queue) Offer(now time.Time, c call.Call, mask uint8) (time.Duration, bool) {
 	t := q.newItem(c, mask)
+	if !t.long {
+		q.lastShort = now
+	}
 	wait := q.predict(now, t)
 	if len(q.items) >= q.capacity {
 		return wait, false
@@ -125,6 +144,14 @@
 	return doomed
 }
 
+// Predict returns how long a call would wait for the members in mask.
+func (q *Queue) Predict(now time.Time, c call.Call, mask uint8) time.Duration {
+	label := c.Label()
+	return q.predict(now, &item{
+		call: c, mask: mask, label: label, expected: q.learn.Mean(label), long: c.Class.Long || q.learn.Long(label),
+	})
+}
+
 // Return queues a call again that was granted and not run. It is not refused.
 func (q *Queue) Return(c call.Call, mask uint8) {
 	q.insert(q.newItem(c, mask))
--- a/process/queue/server.go
+++ b/process/queue/server.go
@@ -24,6 +24,10 @@
 	slots  map[uint64]*slot
 	free   []uint64
 	long   int
+	// budget is the time in slots that long work may still take, and paid the
+	// time up to which it was reckoned.
+	budget time.Duration
+	paid   time.Time
 }
 
 func newServer(name string) *server {
@@ -44,14 +48,14 @@
 }
 
 // RemoveSlot forgets a slot that was closed, whatever ran in it.
-func (q *Queue) RemoveSlot(i int, id uint64) {
+func (q *Queue) RemoveSlot(now time.Time, i int, id uint64) {
 	s := q.servers[i]
 	k, ok := s.slots[id]
 	if !ok {
 		return
 	}
 	if k.long && k.busy {
-		s.long--
+		q.setLong(now, s, -1)
 	}
 	delete(s.slots, id)
 	s.free = slices.DeleteFunc(s.free, func(f uint64) bool { return f == id })
@@ -88,7 +92,7 @@
 		return
 	}
 	if k.long {
-		s.long--
+		q.setLong(now, s, -1)
 	}
 	q.settle(now, k, answered)
 	*k = slot{}
@@ -112,7 +116,7 @@
 		for _, k := range s.slots {
 			if k.busy && !k.long && now.Sub(k.since) > q.learn.LongAfter() {
 				k.long = true
-				s.long++
+				q.setLong(now, s, 1)
 				q.learn.Over(k.label)
 				q.reclass(k.label)
 			}
@@ -147,7 +151,7 @@
 		id: t.call.ID, since: now, charged: t.expected,
 	}
 	if t.long {
-		s.long++
+		q.setLong(now, s, 1)
 	}
 	q.take(t)
 	q.charge(t)
@@ -160,11 +164,36 @@
 	sh.pass += float64(t.expected) / float64(sh.weight)
 }
 
-// longRoom tells whether member i may take more long work.
-func (q *Queue) longRoom(s *server) bool {
+// pay reckons the budget of long work up to now. It fills at the duty times
+// the cap and empties with the long work that runs; without short work there
+// is nothing to reckon.
+func (q *Queue) pay(now time.Time, s *server) {
+	passed := now.Sub(s.paid)
+	s.paid = now
+	if now.Sub(q.lastShort) > shortPresence || passed < 0 {
+		s.budget = 0
+		return
+	}
+	gain := q.longDuty*float64(q.longCap(s)) - float64(s.long)
+	s.budget = min(s.budget+time.Duration(gain*float64(passed)), 0)
+}
+
+// setLong changes how much long work runs at a member.
+func (q *Queue) setLong(now time.Time, s *server, change int) {
+	q.pay(now, s)
+	s.long += change
+}
+
+// longRoom tells whether a member may take more long work.
+func (q *Queue) longRoom(now time.Time, s *server) bool {
+	q.pay(now, s)
+	return s.long < q.longCap(s) && s.budget >= 0
+}
+
+func (q *Queue) longCap(s *server) int {
 	room := max(max(s.limit, len(s.slots))-1, 1)
 	if q.longLimit > 0 {
 		room = min(room, q.longLimit)
 	}
-	return s.long < room
+	return room
 }
--- a/request/result/result.go
+++ b/request/result/result.go
@@ -41,6 +41,9 @@
 	Conflict bool
 	// Withdrawn tells that the key found was withdrawn: its request never ran.
 	Withdrawn bool
+	// Restored tells that the answer of the run that came first was found with
+	// its key and passed on.
+	Restored bool
 	// Refused tells that the target answered with an error.
 	Refused bool
 }
@@ -75,6 +78,12 @@
 	return r
 }
 
+// WithRestored returns the result marked as passing on an earlier answer.
+func (r Result) WithRestored(restored bool) Result {
+	r.Restored = restored
+	return r
+}
+
 // WithRefused returns the result marked as an error of the target.
 func (r Result) WithRefused(refused bool) Result {
 	r.Refused = refused
--- a/standin/world/fake.go
+++ b/standin/world/fake.go
@@ -155,12 +155,12 @@
 }
 
 func (m *fake) copyFrom(p *fake) {
-	if p.term > m.term {
-		m.term, m.by = p.term, ""
-	}
 	if m.primary && p.term == m.term {
 		return
 	}
+	if p.term > m.term {
+		m.term, m.by = p.term, ""
+	}
 	m.primary = false
 	common := min(len(p.log), len(m.log))
 	for common > 0 && p.log[common-1].term != m.log[common-1].term {
@@ -229,9 +229,7 @@
 
 func (m *fake) write(s *fakeSlot, c call.Call) outcome {
 	if c.Key != "" && !c.Follows && m.holds(c.Key) != "" {
-		out := m.answer(s, true, true)
-		out.result = out.result.WithWithdrawn(m.holds(c.Key) == "withdrawn")
-		return out
+		return m.found(s, m.holds(c.Key))
 	}
 	switch {
 	case c.Begins:
@@ -286,7 +284,12 @@
 		kind = "withdrawn"
 		m.append(entry{term: m.term, key: c.Key, kind: kind})
 	}
+	return m.found(s, kind)
+}
+
+// found answers that a key was in the log, with the answer kept beside it.
+func (m *fake) found(s *fakeSlot, kind string) outcome {
 	out := m.answer(s, false, true)
-	out.result = out.result.WithWithdrawn(kind == "withdrawn")
+	out.result = out.result.WithWithdrawn(kind == "withdrawn").WithRestored(kind == "ran")
 	return out
 }
