--- a/process/group/change.go
+++ b/process/group/change.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"math"
 	"time"
 
 	"github.com/pistachiotray/pistachiotray/request/code"
@@ -148,8 +149,9 @@
 	// marginWeight is the share of a new measurement in the moving mean of the
 	// time that a confirmation takes.
 	marginWeight = 0.05
-	// marginFactor times that mean is left between a slot and a deadline.
-	marginFactor = 3
+	// marginFactor times the mean deviation is left beside that mean between a
+	// slot and a deadline.
+	marginFactor = 4
 )
 
 // learnMargin keeps how long confirmations take.
@@ -158,8 +160,10 @@
 	if !ok || w.since.IsZero() {
 		return
 	}
-	g.confirming += marginWeight * (float64(now.Sub(w.since)) - g.confirming)
-	g.queue.SetMargin(time.Duration(marginFactor * g.confirming))
+	off := float64(now.Sub(w.since)) - g.confirming
+	g.confirming += marginWeight * off
+	g.deviation += marginWeight * (math.Abs(off) - g.deviation)
+	g.queue.SetMargin(time.Duration(g.confirming + marginFactor*g.deviation))
 }
 
 func (g *Group) held(id string) {
--- a/process/group/group.go
+++ b/process/group/group.go
@@ -94,9 +94,11 @@
 	wanted     time.Time
 	counters   map[string]int64
 	confirming float64
+	deviation  float64
 	ticked     time.Time
 	wrong      string
 	wrongSince time.Time
+	broken     breakage
 	quorumOpt  []func(*quorum.Quorum)
 	queueOpt   []func(*queue.Queue)
 	electOpt   []func(*elect.Elect)
--- a/process/group/ran.go
+++ b/process/group/ran.go
@@ -109,7 +109,7 @@
 }
 
 func (g *Group) replicaAnswer(now time.Time, w *work, r result.Result) {
-	if !r.Mark.IsZero() && !r.Mark.AtLeast(w.call.Floor) && !w.inTx {
+	if !r.Mark.IsZero() && !r.Mark.AtLeast(w.call.Floor) && !w.inTx && !g.broken.floors {
 		g.count("ReadsRepeated")
 		g.requeue(now, w, "the replica's data was older than the session's floor")
 		return
@@ -139,6 +139,10 @@
 	}
 	w.complete = true
 	g.quorum.Wrote(g.members[w.member].name, r.Mark)
+	if g.broken.confirmation {
+		g.reply(w, false)
+		return
+	}
 	if g.recentlyHeard(now) && g.quorum.Await(w.call.ID, r.Mark) {
 		g.reply(w, false)
 		return
@@ -154,10 +158,14 @@
 	g.confirmLater(now, w, forMark)
 }
 
+// confirmGrace is how long after its deadline a write that ran still awaits
+// its confirmation: a late answer is better than an unknown outcome.
+const confirmGrace = 250 * time.Millisecond
+
 func (g *Group) confirmLater(now time.Time, w *work, p purpose) {
 	w.purpose = p
 	w.since = now
-	w.deadline = w.call.Deadline
+	w.deadline = w.call.Deadline.Add(confirmGrace)
 	g.pending[w.call.ID] = w
 	g.pollForQuorum(now)
 }
--- a/process/queue/pick.go
+++ b/process/queue/pick.go
@@ -52,10 +52,11 @@
 func (q *Queue) shortFirst(now time.Time, i int) *item {
 	room := q.longRoom(now, q.servers[i])
 	var short, long *item
-	for mask, l := range q.lanes {
-		if l == nil || mask&(1<<i) == 0 {
+	for _, mask := range q.masks {
+		if mask&(1<<i) == 0 {
 			continue
 		}
+		l := q.lanes[mask]
 		for _, s := range l.stands {
 			short = q.better(short, first(s.short))
 			long = q.better(long, first(s.long))
@@ -154,11 +155,12 @@
 // ahead sums the expected time of the waiting work that goes before an item.
 func (q *Queue) ahead(t *item) time.Duration {
 	var sum time.Duration
-	for mask, l := range q.lanes {
-		if l == nil || uint8(mask)&t.mask == 0 {
+	for _, mask := range q.masks {
+		if mask&t.mask == 0 {
 			continue
 		}
-		share := q.overlap(uint8(mask), t.mask)
+		l := q.lanes[mask]
+		share := q.overlap(mask, t.mask)
 		sum += time.Duration(float64(l.short) * share)
 		if t.long {
 			sum += time.Duration(float64(l.long) * share)
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -32,6 +32,7 @@
 	learn     *learn.Learn
 	servers   []*server
 	lanes     [maskCount]*lane
+	masks     []uint8
 	items     map[string]*item
 	deadlines deadlineHeap
 	services  map[string]*share
@@ -265,6 +266,7 @@
 func (q *Queue) laneOf(mask uint8) *lane {
 	if q.lanes[mask] == nil {
 		q.lanes[mask] = &lane{}
+		q.masks = append(q.masks, mask)
 	}
 	return q.lanes[mask]
 }
--- a/standin/replay/run.go
+++ b/standin/replay/run.go
@@ -146,9 +146,9 @@
 func enter(w *world.World, l line) {
 	switch l.Do {
 	case "Write", "Begin", "Statement", "Commit", "Rollback", "Read":
-		w.At(l.At.d(), func() { w.Submit(l.Session, l.ID, callOf(l), l.Takes.d()) })
+		w.At(l.At.d(), func() { w.Submit(l.Session, l.ID, callOf(l), l.Takes.d(), l.Via) })
 	case "WriteLoad", "ReadLoad":
-		w.Load(l.ID, callOf(l), l.Rate, l.At.d(), l.At.d()+l.For.d(), l.Takes.d())
+		w.Load(l.ID, callOf(l), l.Rate, l.At.d(), l.At.d()+l.For.d(), l.Takes.d(), l.Via)
 	default:
 		w.At(l.At.d(), func() { order(w, l) })
 	}
--- a/standin/replay/trace.go
+++ b/standin/replay/trace.go
@@ -56,6 +56,7 @@
 	Body    string
 	Node    string
 	Owner   int
+	Via     int
 	Takes   span
 	For     span
 	Rate    float64
@@ -201,3 +202,10 @@
 func (r *Replay) About() string {
 	return r.header.About
 }
+
+// WithSeeds returns the trace with at most n seeds.
+func (r *Replay) WithSeeds(n int) *Replay {
+	c := *r
+	c.header.Seeds = min(c.header.Seeds, n)
+	return &c
+}
--- a/standin/tally/tally.go
+++ b/standin/tally/tally.go
@@ -21,7 +21,7 @@
 	Codes map[code.Code]int
 	// AtReplica counts the reads that a replica served.
 	AtReplica int
-	// Served sums the time in slots of what was answered.
+	// Served sums the time in slots of what was answered before its deadline.
 	Served time.Duration
 	// Latency holds the time to an answer in microseconds, of what was answered.
 	Latency *hdrhistogram.Histogram
@@ -40,7 +40,7 @@
 }
 
 // Add takes the result of one request.
-func (t *Tally) Add(c code.Code, submit, answer, takes time.Duration, replica bool) {
+func (t *Tally) Add(c code.Code, submit, answer, takes time.Duration, replica, inTime bool) {
 	t.Asked++
 	t.Codes[c]++
 	took := answer - submit
@@ -53,7 +53,9 @@
 	if replica {
 		t.AtReplica++
 	}
-	t.Served += takes
+	if inTime {
+		t.Served += takes
+	}
 	_ = t.Latency.RecordValue(int64(took / time.Microsecond))
 	t.Waits = append(t.Waits, [2]time.Duration{submit, took})
 }
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -138,7 +138,7 @@
 	first.fence(1, "first")
 	first.promote(1, "first")
 	for _, m := range w.members[1:] {
-		m.copyFrom(first)
+		m.copyFrom(first, len(first.log))
 		m.applied = len(m.log)
 	}
 }
@@ -313,9 +313,11 @@
 	return best
 }
 
-// Submit lets a session send a request that takes a while in its slot.
-func (w *World) Submit(name, id string, c call.Call, takes time.Duration) {
-	w.submit(w.session(name), id, c, takes)
+// Submit lets a session send a request that takes a while in its slot. Via is
+// the number of the owner that its entry host believes in, from 1; 0 stands for
+// the one that acts.
+func (w *World) Submit(name, id string, c call.Call, takes time.Duration, via int) {
+	w.submit(w.session(name), id, c, takes, via)
 }
 
 // Leave ends a session on purpose.
