Test the whole path under failure with a real client

Cause: nothing held the front end, slots and links to their promises. Change: tests with pgx against three hosts: own work at every host, prepared statements and settings on one slot, a transaction that outlives its entry host, an owner lost and a primary cut off under load, keys, cancel, COPY, large answers, drain. A request with a key runs in two round trips and keeps its answer. Found and mended: settings of a rolled-back transaction stayed with the session; COPY data sent before the target asked for it was dropped, so that the COPY hung until its deadline; the stand-in kept a transaction's read-only mode and could not interrupt pg_sleep.

--- a/connection/adapt/adapter.go
+++ b/connection/adapt/adapter.go
@@ -88,7 +88,7 @@
 // CreateMarkerSQL makes the table of idempotency keys where it is missing.
 func (Adapter) CreateMarkerSQL() string {
 	return "CREATE TABLE IF NOT EXISTS " + markerTable +
-		" (request_key text PRIMARY KEY, kind text NOT NULL, made_at bigint NOT NULL)"
+		" (request_key text PRIMARY KEY, kind text NOT NULL, made_at bigint NOT NULL, answer text)"
 }
 
 // InsertMarkerSQL adds a key in the request's own transaction. The time is in
@@ -104,9 +104,15 @@
 		markerTable, quote(key), at)
 }
 
-// FindMarkerSQL asks for the kind of a key: ran or withdrawn.
+// KeepAnswerSQL adds the answer of a key's request, in hexadecimal digits, in
+// the request's own transaction.
+func (Adapter) KeepAnswerSQL(key, answer string) string {
+	return fmt.Sprintf("UPDATE %s SET answer = '%s' WHERE request_key = %s", markerTable, answer, quote(key))
+}
+
+// FindMarkerSQL asks for the kind of a key, ran or withdrawn, and its answer.
 func (Adapter) FindMarkerSQL(key string) string {
-	return fmt.Sprintf("SELECT kind FROM %s WHERE request_key = %s", markerTable, quote(key))
+	return fmt.Sprintf("SELECT kind, answer FROM %s WHERE request_key = %s", markerTable, quote(key))
 }
 
 // TrimMarkerSQL removes the keys made before the time, in seconds since 1970.
--- a/connection/front/batch.go
+++ b/connection/front/batch.go
@@ -22,6 +22,8 @@
 	flushed  bool
 	leave    bool
 	err      error
+	// ready is closed once the batch's request can take COPY data, or never will.
+	ready chan struct{}
 }
 
 // batchLimit is how long a batch may be, in bytes, as a multiple of the limit
@@ -32,7 +34,8 @@
 func (c *client) read() {
 	defer close(c.batches)
 	defer c.hangUp()
-	var b batch
+	b := newBatch()
+	ready := b.ready
 	for {
 		kind, p, err := c.reader.Append(b.frames)
 		if err != nil {
@@ -45,7 +48,7 @@
 			c.push(batch{leave: true})
 			return
 		case 'd', 'c', 'f':
-			if !c.copyInput(kind, added) {
+			if !c.copyInput(kind, added, ready) {
 				return
 			}
 			continue
@@ -64,14 +67,19 @@
 			return
 		}
 		if kind == 'Q' || kind == 'S' || kind == 'H' {
+			ready = b.ready
 			if !c.push(b) {
 				return
 			}
-			b = batch{}
+			b = newBatch()
 		}
 	}
 }
 
+func newBatch() batch {
+	return batch{ready: make(chan struct{})}
+}
+
 // hangUp tells what waits for the caller that it left.
 func (c *client) hangUp() {
 	if a := c.copying.Load(); a != nil {
@@ -90,7 +98,13 @@
 
 // copyInput passes COPY data to the request that takes it; data that comes
 // after its request ended is dropped, as PostgreSQL does.
-func (c *client) copyInput(kind byte, p []byte) bool {
+// Callers may send data before they are told that it is welcome.
+func (c *client) copyInput(kind byte, p []byte, ready chan struct{}) bool {
+	select {
+	case <-ready:
+	case <-c.ctx.Done():
+		return false
+	}
 	a := c.copying.Load()
 	if a == nil {
 		return true
--- a/connection/front/client.go
+++ b/connection/front/client.go
@@ -31,6 +31,7 @@
 	secret  []byte
 	session sess.Session
 	batches chan batch
+	ready   chan struct{}
 	current atomic.Pointer[string]
 	copying atomic.Pointer[answer.Answer]
 	ctx     context.Context
--- a/connection/front/serve.go
+++ b/connection/front/serve.go
@@ -20,6 +20,8 @@
 // serve runs one batch and gives the caller its answer. An error ends the
 // connection.
 func (c *client) serve(b batch) error {
+	c.ready = b.ready
+	defer c.announce()
 	body, prepare, s, err := c.look(b)
 	if err != nil {
 		return c.refuse(err)
@@ -40,6 +42,14 @@
 	return c.exchange(req, s, b)
 }
 
+// announce tells the reader that COPY data of the batch may be passed on.
+func (c *client) announce() {
+	if c.ready != nil {
+		close(c.ready)
+		c.ready = nil
+	}
+}
+
 var syncFrame = []byte{'S', 0, 0, 0, 4}
 
 // checkFlush lets a Flush through where it does the same as a Sync: where
@@ -160,6 +170,7 @@
 	if req.Copy {
 		c.copying.Store(a)
 	}
+	c.announce()
 	defer c.finished(req.ID, a)
 	failed := false
 	for {
@@ -194,7 +205,8 @@
 		return c.concludeFault(req, f, p)
 	}
 	before := c.session
-	c.session = c.session.WithFloor(seen).WithStatus(status, !failed)
+	good := before.Status == 'I' || !failed && before.Status != 'E' && !rolledBack(p)
+	c.session = c.session.WithFloor(seen).WithStatus(status, good)
 	if req.FreshFloor {
 		c.session = c.session.WithFloor(req.Floor)
 	}
@@ -247,12 +259,23 @@
 }
 
 func hasError(p []byte) bool {
+	return hasFrame(p, func(kind byte, _ []byte) bool { return kind == 'E' })
+}
+
+// rolledBack tells whether an answer says that a transaction was rolled back.
+func rolledBack(p []byte) bool {
+	return hasFrame(p, func(kind byte, f []byte) bool {
+		return kind == 'C' && bytes.HasPrefix(frame.Body(f), []byte("ROLLBACK"))
+	})
+}
+
+func hasFrame(p []byte, wanted func(kind byte, f []byte) bool) bool {
 	for len(p) > 0 {
-		kind, _, next, ok := frame.Split(p)
+		kind, f, next, ok := frame.Split(p)
 		if !ok {
 			return false
 		}
-		if kind == 'E' {
+		if wanted(kind, f) {
 			return true
 		}
 		p = next
--- a/connection/slot/read.go
+++ b/connection/slot/read.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -90,6 +91,9 @@
 	case 'G':
 		return r.pass(ctx, p) && r.copyIn(ctx)
 	}
+	if r.wrapped && len(r.kept) <= keptAnswer {
+		r.kept = append(r.kept, p...)
+	}
 	return r.pass(ctx, p)
 }
 
@@ -142,8 +146,6 @@
 	case 'E':
 		r.refused = true
 		r.commitNo = bytes.Clone(p)
-	case 'C':
-		r.commitOK = bytes.HasPrefix(frame.Body(p), []byte("COMMIT"))
 	}
 }
 
@@ -231,12 +233,13 @@
 		}
 		out.Status = result.Idle
 	}
-	return r.slot.find(r.call, out)
+	return r.slot.find(r.call, out, r.sink)
 }
 
 // find looks a key up and adds to the result what it is and how far the
 // member's log went then.
-func (s *Slot) find(c call.Call, out result.Result) result.Result {
+// An answer that was kept with the key is passed to the sink.
+func (s *Slot) find(c call.Call, out result.Result, to sink) result.Result {
 	r := &run{slot: s, call: c, script: script.New()}
 	r.query(s.adapter.FindMarkerSQL(c.Key), script.Marker)
 	r.position()
@@ -244,7 +247,7 @@
 		s.failed = true
 		return result.Result{Failure: result.Lost}
 	}
-	kind := ""
+	kind, answer := "", ""
 	for !r.script.Done() {
 		k, p, err := s.reader.Append(r.part[:0])
 		if err != nil {
@@ -254,18 +257,35 @@
 		r.part = p
 		part, _ := r.script.Next(k)
 		if part == script.Marker && k == 'D' {
-			kind = firstColumn(p)
+			kind, answer = column(p, 0), column(p, 1)
 		}
 		if part == script.Position {
 			r.takePosition(k, p)
 		}
 	}
-	return r.report(out).WithConflict(kind != "").WithWithdrawn(kind == "withdrawn")
+	restored := kind == "ran" && restore(c, answer, to)
+	return r.report(out).WithConflict(kind != "").WithWithdrawn(kind == "withdrawn").WithRestored(restored)
+}
+
+// restore passes an answer that was kept with a key to the sink. That of a
+// COMMIT needs none to be kept. It reports false where there is none.
+func restore(c call.Call, answer string, to sink) bool {
+	p, err := hex.DecodeString(answer)
+	switch {
+	case c.Follows && len(c.Body) > 0 && c.Body[0] == 'Q':
+		p = mustEncode(&pgproto3.CommandComplete{CommandTag: []byte("COMMIT")})
+	case err != nil || len(p) == 0 || c.Follows:
+		return false
+	}
+	to.Append(p)
+	to.Append(mustEncode(&pgproto3.ReadyForQuery{TxStatus: result.Idle}))
+	return true
 }
 
 // Settle withdraws a call's key unless it is in the marker table, and says
 // which of the two it found.
-func (s *Slot) Settle(c call.Call) result.Result {
+// The answer of a request that ran goes to the sink where it is known.
+func (s *Slot) Settle(c call.Call, to sink) result.Result {
 	if !s.createMarker() || !s.simple("SET default_transaction_read_only = off") {
 		return result.Result{Failure: result.Lost}
 	}
@@ -273,7 +293,7 @@
 	if !s.simple(s.adapter.WithdrawMarkerSQL(c.Key, s.now().Unix())) {
 		return result.Result{Failure: result.Lost}
 	}
-	return s.find(c, result.Result{Status: result.Idle})
+	return s.find(c, result.Result{Status: result.Idle}, to)
 }
 
 func (s *Slot) createMarker() bool {
@@ -317,12 +337,12 @@
 	return e.Code
 }
 
-func firstColumn(p []byte) string {
+func column(p []byte, i int) string {
 	var row pgproto3.DataRow
-	if row.Decode(frame.Body(p)) != nil || len(row.Values) == 0 {
+	if row.Decode(frame.Body(p)) != nil || len(row.Values) <= i {
 		return ""
 	}
-	return string(row.Values[0])
+	return string(row.Values[i])
 }
 
 func parseName(p []byte) string {
--- a/connection/slot/run.go
+++ b/connection/slot/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -40,15 +41,18 @@
 	conflict bool
 	noTable  bool
 	refused  bool
-	commitOK bool
 	commitNo []byte
 	part     []byte
 	got      bool
+	kept     []byte
 }
 
 // Run sends a call and passes its answer to the sink. Every failure is told
 // apart in the result: nothing sent, or sent and not fully answered.
 func (s *Slot) Run(ctx context.Context, c call.Call, out sink) result.Result {
+	if c.Key != "" && c.Begins && !s.marked {
+		s.marked = s.createMarker()
+	}
 	r := s.attempt(ctx, c, out)
 	if r.noTable && s.createMarker() {
 		r = s.attempt(ctx, c, out)
@@ -60,9 +64,32 @@
 	r := &run{slot: s, call: c, sink: out, script: script.New()}
 	r.build()
 	r.exchange(ctx)
+	if r.wrapped && !s.failed {
+		r.endWrapped(ctx)
+	}
 	return r
 }
 
+// keptAnswer is the longest answer, in bytes, that is kept with a key.
+const keptAnswer = 4 << 10
+
+// endWrapped ends the transaction that was put around a request with a key:
+// the answer is kept with the key, and both are committed with the request.
+func (r *run) endWrapped(ctx context.Context) {
+	r.out = nil
+	switch {
+	case r.status != result.Open || r.refused || r.conflict || r.noTable:
+		r.query("ROLLBACK", script.Commit)
+	default:
+		if len(r.kept) <= keptAnswer {
+			r.query(r.slot.adapter.KeepAnswerSQL(r.call.Key, hex.EncodeToString(r.kept)), script.Commit)
+		}
+		r.query("COMMIT", script.Commit)
+	}
+	r.position()
+	r.exchange(ctx)
+}
+
 func (r *run) build() {
 	s := r.slot
 	if !r.call.Follows {
@@ -77,10 +104,7 @@
 	if r.call.Key != "" && r.call.Begins && !r.call.Follows {
 		r.query(s.adapter.InsertMarkerSQL(r.call.Key, s.now().Unix()), script.Marker)
 	}
-	if r.wrapped {
-		r.query("COMMIT", script.Commit)
-	}
-	if !r.call.Copy {
+	if !r.call.Copy && !r.wrapped {
 		r.position()
 	}
 	s.dirty = s.dirty || r.call.Dirty
--- a/connection/slot/slot.go
+++ b/connection/slot/slot.go
@@ -46,6 +46,7 @@
 	readOnly   bool
 	dirty      bool
 	failed     bool
+	marked     bool
 	now        func() time.Time
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	once       sync.Once
--- a/process/engine/owned.go
+++ b/process/engine/owned.go
@@ -147,8 +147,13 @@
 
 // Settle finds out whether a call's key is in the marker table.
 func (o *owned) Settle(id uint64, c call.Call) {
+	r := o.engine.request(c.ID)
+	if r == nil {
+		return
+	}
+	run := r.answer.Begin()
 	o.command(id, func(s *slot.Slot) {
-		res := s.Settle(c)
+		res := s.Settle(c, &intake{owned: o, slot: id, id: c.ID, answer: r.answer, run: run})
 		o.submit(func(g *group.Group, now time.Time) { g.Ran(now, id, c.ID, res) })
 	})
 }
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -258,3 +258,8 @@
 		group.WithHeartbeat(s.Heartbeat), group.WithWork(s.LongAfter, s.Aging),
 	}
 }
+
+// Owner returns the host that owns a group, as far as this host knows.
+func (h *Host) Owner(name string) string {
+	return h.engine.Owner(name)
+}
--- /dev/null
+++ b/standin/site/site_test.go
@@ -0,0 +1,290 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+
+	"github.com/pistachiotray/pistachiotray/process/conf"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/standin/caller"
+	"github.com/pistachiotray/pistachiotray/standin/site"
+)
+
+// patience bounds each test; nothing in it is a measurement.
+const patience = 60 * time.Second
+
+func start(t *testing.T, options ...func(*site.Site)) (*site.Site, context.Context) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), patience)
+	s, err := site.New(ctx, options...)
+	if err != nil {
+		stop()
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close(); stop() })
+	return s, ctx
+}
+
+func connect(t *testing.T, ctx context.Context, s *site.Site, i int) *caller.Caller {
+	t.Helper()
+	c, err := caller.New(ctx, s.DSN(i, "fittings"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Drop)
+	return c
+}
+
+func exec(t *testing.T, ctx context.Context, c *caller.Caller, text string) {
+	t.Helper()
+	if _, err := c.Exec(ctx, text); err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+}
+
+func TestSessionSeesItsOwnWorkAtEveryHost(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	s.Group("fittings").SetLag(0, 30*time.Millisecond)
+	c := connect(t, ctx, s, 0)
+	exec(t, ctx, c, "CREATE TABLE fitting (id int PRIMARY KEY, note text)")
+	for i := range 12 {
+		exec(t, ctx, c, fmt.Sprintf("INSERT INTO fitting VALUES (%d, 'x')", i))
+		is.NoErr(c.Move(ctx, s.DSN(i%3, "fittings"), i%2 == 0))
+		n, err := c.Value(ctx, "BEGIN READ ONLY; SELECT count(*) FROM fitting; COMMIT")
+		is.NoErr(err)
+		is.Equal(n, fmt.Sprint(i+1))
+	}
+}
+
+func TestPreparedStatementsUnderPooling(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSlots(1, 0))
+	setup := connect(t, ctx, s, 0)
+	exec(t, ctx, setup, "CREATE TABLE fitting (id int PRIMARY KEY, note text)")
+	exec(t, ctx, setup, "INSERT INTO fitting VALUES (1, 'one'), (2, 'two')")
+	var all sync.WaitGroup
+	for i := range 4 {
+		all.Go(func() {
+			conn, err := pgx.Connect(ctx, s.DSN(i%3, "fittings"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = conn.Close(ctx) }()
+			for range 10 {
+				var note string
+				err := conn.QueryRow(ctx, "SELECT note FROM fitting WHERE note = $1", "two").Scan(&note)
+				if err != nil || note != "two" {
+					t.Errorf("%q, %v", note, err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	is.True(!t.Failed())
+}
+
+func TestSettingsStayWithTheirSession(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSlots(1, 0))
+	a, b := connect(t, ctx, s, 0), connect(t, ctx, s, 1)
+	exec(t, ctx, a, "SET search_path = 'brno'")
+	exec(t, ctx, b, "SET search_path = 'praha'")
+	for range 5 {
+		v, err := a.Value(ctx, "SHOW search_path")
+		is.NoErr(err)
+		is.Equal(v, "brno")
+		v, err = b.Value(ctx, "SHOW search_path")
+		is.NoErr(err)
+		is.Equal(v, "praha")
+	}
+	exec(t, ctx, a, "BEGIN")
+	exec(t, ctx, a, "SET search_path = 'ostrava'")
+	exec(t, ctx, a, "ROLLBACK")
+	v, err := a.Value(ctx, "SHOW search_path")
+	is.NoErr(err)
+	is.Equal(v, "brno")
+}
+
+func TestTransactionOutlivesItsEntryHost(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	setup := connect(t, ctx, s, 0)
+	exec(t, ctx, setup, "CREATE TABLE fitting (id int PRIMARY KEY)")
+	owner := ownerOf(s)
+	entry, next := (owner+1)%3, (owner+2)%3
+	c := connect(t, ctx, s, entry)
+	exec(t, ctx, c, "BEGIN")
+	exec(t, ctx, c, "INSERT INTO fitting VALUES (7)")
+	c.Token()
+	s.Kill(entry)
+	is.NoErr(c.Move(ctx, s.DSN(next, "fittings"), false))
+	is.True(c.Inside())
+	exec(t, ctx, c, "INSERT INTO fitting VALUES (8)")
+	exec(t, ctx, c, "COMMIT")
+	n, err := c.Value(ctx, "SELECT count(*) FROM fitting")
+	is.NoErr(err)
+	is.Equal(n, "2")
+}
+
+func ownerOf(s *site.Site) int {
+	for i := range s.Hosts() {
+		if h := s.Host(i); h != nil && h.Owner("fittings") == s.Settings(i).Host {
+			return i
+		}
+	}
+	return 0
+}
+
+func TestOwnerLostWhileOrdersComeIn(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	setup := connect(t, ctx, s, 0)
+	exec(t, ctx, setup, "CREATE TABLE orders (id text)")
+	owner := ownerOf(s)
+	entry := (owner + 1) % 3
+	c := connect(t, ctx, s, entry)
+	acked := 0
+	for i := range 60 {
+		if i == 20 {
+			s.Kill(owner)
+		}
+		_, err := c.Exec(ctx, fmt.Sprintf("/*RequestKey='order-%d'*/ INSERT INTO orders VALUES ('%d')", i, i))
+		is.NoErr(err)
+		acked++
+	}
+	n, err := c.Value(ctx, "SELECT count(*) FROM orders")
+	is.NoErr(err)
+	is.Equal(n, fmt.Sprint(acked))
+	n, err = c.Value(ctx, "SELECT count(DISTINCT id) FROM orders")
+	is.NoErr(err)
+	is.Equal(n, fmt.Sprint(acked))
+}
+
+func TestPrimaryCutOff(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	c := connect(t, ctx, s, 1)
+	exec(t, ctx, c, "CREATE TABLE orders (id text)")
+	old := s.Group("fittings").Primary()
+	for i := range 30 {
+		if i == 10 {
+			old.SetCut(true)
+		}
+		if i == 25 {
+			old.SetCut(false)
+		}
+		_, err := c.Exec(ctx, fmt.Sprintf("/*RequestKey='order-%d'*/ INSERT INTO orders VALUES ('%d')", i, i))
+		is.NoErr(err)
+	}
+	n, err := c.Value(ctx, "SELECT count(*) FROM orders")
+	is.NoErr(err)
+	is.Equal(n, "30")
+	is.True(s.Group("fittings").Primary() != old)
+}
+
+func TestSameKeyRunsOnce(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	a, b := connect(t, ctx, s, 0), connect(t, ctx, s, 1)
+	exec(t, ctx, a, "CREATE TABLE orders (id text)")
+	exec(t, ctx, a, "/*RequestKey='k'*/ INSERT INTO orders VALUES ('1')")
+	_, err := b.Exec(ctx, "/*RequestKey='k'*/ INSERT INTO orders VALUES ('1')")
+	got, ok := caller.Code(err)
+	is.True(ok)
+	is.Equal(got, code.AlreadyRan)
+	exec(t, ctx, b, "/*RequestKey='tx'*/ BEGIN")
+	exec(t, ctx, b, "INSERT INTO orders VALUES ('2')")
+	exec(t, ctx, b, "COMMIT")
+	_, err = a.Exec(ctx, "/*RequestKey='tx'*/ BEGIN")
+	got, _ = caller.Code(err)
+	is.Equal(got, code.AlreadyRan)
+	n, err := a.Value(ctx, "SELECT count(*) FROM orders")
+	is.NoErr(err)
+	is.Equal(n, "2")
+}
+
+func TestCancelEndsOnlyWhatItIsFor(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSlots(1, 0))
+	c := connect(t, ctx, s, 0)
+	began := make(chan struct{})
+	result := make(chan error, 1)
+	go func() {
+		close(began)
+		_, err := c.Value(ctx, "SELECT pg_sleep(20)")
+		result <- err
+	}()
+	<-began
+	for done := false; !done; {
+		is.NoErr(c.Conn().PgConn().CancelRequest(ctx))
+		select {
+		case err := <-result:
+			is.True(err != nil)
+			done = true
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	v, err := c.Value(ctx, "SELECT 5")
+	is.NoErr(err)
+	is.Equal(v, "5")
+}
+
+func TestCopyInAndOut(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	for i := range 3 {
+		c := connect(t, ctx, s, i)
+		exec(t, ctx, c, fmt.Sprintf("CREATE TABLE t%d (id int, note text)", i))
+		text := strings.Repeat("1\tjacket\n", 1000)
+		tag, err := c.Conn().PgConn().CopyFrom(ctx, strings.NewReader(text), fmt.Sprintf("COPY t%d FROM STDIN", i))
+		is.NoErr(err)
+		is.Equal(tag.RowsAffected(), int64(1000))
+		var out strings.Builder
+		_, err = c.Conn().PgConn().CopyTo(ctx, &out, fmt.Sprintf("COPY t%d TO STDOUT", i))
+		is.NoErr(err)
+		is.Equal(out.String(), text)
+	}
+}
+
+func TestLargeAnswerComesWhole(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	query := `WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 20000)
+		SELECT i, hex(zeroblob(100)) FROM n`
+	for i := range 3 {
+		c := connect(t, ctx, s, i)
+		results, err := c.Conn().PgConn().Exec(ctx, query).ReadAll()
+		is.NoErr(err)
+		is.Equal(len(results[0].Rows), 20000)
+		is.Equal(string(results[0].Rows[19999][0]), "20000")
+	}
+}
+
+func TestDrainCutsNothingOff(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSettings(func(_ int, c conf.Settings) conf.Settings {
+		c.LongAfter = time.Second
+		return c
+	}))
+	owner := ownerOf(s)
+	c := connect(t, ctx, s, owner)
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Value(ctx, "SELECT pg_sleep(1)")
+		result <- err
+	}()
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(s.Stop(ctx, owner), 0)
+	is.NoErr(<-result)
+	other := connect(t, ctx, s, (owner+1)%3)
+	exec(t, ctx, other, "CREATE TABLE after (id int)")
+}
--- a/standin/sqldb/db.go
+++ b/standin/sqldb/db.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"database/sql"
-	"database/sql/driver"
 	"fmt"
 	"regexp"
 	"strings"
@@ -13,7 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/pistachiotray/pistachiotray/process/wrap"
-	"modernc.org/sqlite"
+	_ "modernc.org/sqlite" // the driver of that name
 )
 
 // busyTimeout is how long a statement waits for another's lock.
@@ -21,21 +20,6 @@
 
 var serial atomic.Uint64
 
-func init() {
-	sqlite.MustRegisterScalarFunction("pg_sleep", 1, sleep)
-}
-
-// sleep waits as PostgreSQL's function of that name does, in seconds.
-func sleep(_ *sqlite.FunctionContext, args []driver.Value) (driver.Value, error) {
-	switch v := args[0].(type) {
-	case int64:
-		time.Sleep(time.Duration(v) * time.Second)
-	case float64:
-		time.Sleep(time.Duration(v * float64(time.Second)))
-	}
-	return "", nil
-}
-
 // DB is a database in memory. Its connections see each other's commits.
 type DB struct {
 	pool *sql.DB
--- a/standin/target/rows.go
+++ b/standin/target/rows.go
@@ -22,9 +22,10 @@
 	if !isRead(word) {
 		return &rows{}, nil
 	}
-	text := "SELECT * FROM (" + strings.TrimRight(sqldb.Translate(p.text), "; \n\t") + ") LIMIT 0"
+	plain := sleepPattern.ReplaceAllString(sqldb.Translate(p.text), "''")
+	text := "SELECT * FROM (" + strings.TrimRight(plain, "; \n\t") + ") LIMIT 0"
 	if word != "SELECT" && word != "VALUES" {
-		text = sqldb.Translate(p.text)
+		text = plain
 	}
 	args := make([]any, len(parameterTypes(p)))
 	r, err := s.conn.QueryContext(s.ctx, text, args...)
--- a/standin/target/session.go
+++ b/standin/target/session.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -236,7 +237,7 @@
 	if isRead(word) {
 		return s.fetch(word, text, args)
 	}
-	if s.readOnly || (!s.open && s.settings["default_transaction_read_only"] == "on") {
+	if (s.open && s.readOnly) || (!s.open && s.settings["default_transaction_read_only"] == "on") {
 		return nil, &sqlError{"25006", "cannot execute " + word + " in a read-only transaction"}
 	}
 	s.target.mu.Lock()
@@ -282,9 +283,34 @@
 	return out, err
 }
 
+var sleepPattern = regexp.MustCompile(`(?i)pg_sleep\(\s*([0-9.]+)\s*\)`)
+
+// sleep waits as PostgreSQL's pg_sleep does and takes the call out of a text.
+// The tables know no such function: it could not be interrupted there.
+func sleep(ctx context.Context, text string) (string, error) {
+	for _, m := range sleepPattern.FindAllStringSubmatch(text, -1) {
+		seconds, err := strconv.ParseFloat(m[1], 64)
+		if err != nil {
+			return text, &sqlError{"22023", "bad argument of pg_sleep"}
+		}
+		timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return text, ctx.Err()
+		}
+	}
+	return sleepPattern.ReplaceAllString(text, "''"), nil
+}
+
 func (s *session) exec(word, text string, args []any) (*rows, error) {
 	ctx := s.begun()
 	defer s.ended()
+	text, err := sleep(ctx, text)
+	if err != nil {
+		return nil, convert(err)
+	}
 	r, err := s.conn.ExecContext(ctx, text, args...)
 	if err != nil {
 		return nil, convert(err)
@@ -310,6 +336,10 @@
 func (s *session) fetch(word, text string, args []any) (*rows, error) {
 	ctx := s.begun()
 	defer s.ended()
+	text, err := sleep(ctx, text)
+	if err != nil {
+		return nil, convert(err)
+	}
 	r, err := s.conn.QueryContext(ctx, sqldb.Translate(text), args...)
 	if err != nil {
 		return nil, convert(err)
