Batch frames between hosts and shorten the report of a member

Cause: the profile of forwarded statements showed gzip under the stream's lock (a third of the time) and a message for each frame; the report cost ten columns and a Close in each pipeline. Change: no compression between hosts, frames that wait travel together, the report is one text, its portal is closed only inside a transaction.

--- a/connection/adapt/adapter.go
+++ b/connection/adapt/adapter.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -13,7 +12,7 @@
 	"github.com/pistachiotray/pistachiotray/request/mark"
 )
 
-// Columns of the answer to PositionSQL, in order.
+// The numbers in the answer to PositionSQL, in order.
 const (
 	columnTerm = iota
 	columnPrimary
@@ -44,7 +43,8 @@
 	return "pistachiotray_control"
 }
 
-// PositionSQL asks a member for its report, one row.
+// PositionSQL asks a member for its report, one row with one text: numbers
+// with a space between each two.
 func (Adapter) PositionSQL() string {
 	return "SHOW pistachiotray.position"
 }
@@ -62,16 +62,12 @@
 
 // Decode reads the row of a member's answer, values in text form.
 func (Adapter) Decode(member string, row [][]byte) (report.Report, error) {
-	if len(row) < columnCount {
-		return report.Report{}, errors.Errorf("Adapter.Decode: %d columns in place of %d", len(row), columnCount)
+	if len(row) != 1 {
+		return report.Report{}, errors.Errorf("Adapter.Decode: %d columns in place of 1", len(row))
 	}
-	var numbers [columnCount]uint64
-	for i := range numbers {
-		n, err := strconv.ParseUint(string(row[i]), 10, 64)
-		if err != nil {
-			return report.Report{}, errors.Wrapf(err, "Adapter.Decode: column %d", i)
-		}
-		numbers[i] = n
+	numbers, err := parse(row[0])
+	if err != nil {
+		return report.Report{}, err
 	}
 	return report.Report{
 		Member:   member,
@@ -85,6 +81,25 @@
 	}, nil
 }
 
+// parse reads the numbers of a report, with a space between each two.
+func parse(text []byte) (numbers [columnCount]uint64, err error) {
+	i := 0
+	for _, c := range text {
+		switch {
+		case c == ' ' && i < columnCount-1:
+			i++
+		case c >= '0' && c <= '9':
+			numbers[i] = numbers[i]*10 + uint64(c-'0')
+		default:
+			return numbers, errors.Errorf("Adapter.Decode: bad report %q", text)
+		}
+	}
+	if i != columnCount-1 {
+		return numbers, errors.Errorf("Adapter.Decode: %d numbers in place of %d", i+1, columnCount)
+	}
+	return numbers, nil
+}
+
 // CreateMarkerSQL makes the table of idempotency keys where it is missing.
 func (Adapter) CreateMarkerSQL() string {
 	return "CREATE TABLE IF NOT EXISTS " + markerTable +
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -186,7 +186,7 @@
 	ctx, stop := context.WithCancel(l.ctx)
 	defer stop()
 	s := l.client.Link(ctx)
-	if err := s.Send(&wirepb.Frame{Kind: wirepb.Frame_KIND_UNSPECIFIED}); err != nil {
+	if err := s.Send(&wirepb.Frames{}); err != nil {
 		return
 	}
 	greeted := make(chan struct{})
@@ -207,14 +207,33 @@
 		case <-ctx.Done():
 			return
 		case f := <-l.frames:
-			l.markSent(f)
-			if s.Send(f) != nil {
+			if s.Send(l.gather(f)) != nil {
 				return
 			}
 		}
 	}
 }
 
+// gatherMost bounds the frames that travel together.
+const gatherMost = 64
+
+// gather adds to a frame those that wait behind it.
+func (l *Link) gather(f *wirepb.Frame) *wirepb.Frames {
+	out := &wirepb.Frames{}
+	for {
+		l.markSent(f)
+		out.Frames = append(out.Frames, f)
+		if len(out.Frames) == gatherMost {
+			return out
+		}
+		select {
+		case f = <-l.frames:
+		default:
+			return out
+		}
+	}
+}
+
 func (l *Link) markSent(f *wirepb.Frame) {
 	if f.GetKind() != wirepb.Frame_KIND_SUBMIT {
 		return
@@ -247,10 +266,10 @@
 }
 
 // receive takes frames until the stream breaks.
-func (l *Link) receive(s *connect.BidiStreamForClient[wirepb.Frame, wirepb.Frame], greeted chan struct{}) {
+func (l *Link) receive(s *connect.BidiStreamForClient[wirepb.Frames, wirepb.Frames], greeted chan struct{}) {
 	first := true
 	for {
-		f, err := s.Receive()
+		frames, err := s.Receive()
 		if err != nil {
 			return
 		}
@@ -258,7 +277,9 @@
 			close(greeted)
 			first = false
 		}
-		l.take(f)
+		for _, f := range frames.GetFrames() {
+			l.take(f)
+		}
 	}
 }
 
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"github.com/pistachiotray/pistachiotray/connection/codec"
 	"github.com/pistachiotray/pistachiotray/connection/wirepb"
@@ -96,31 +97,81 @@
 type stream struct {
 	peer     *Peer
 	mu       sync.Mutex
-	send     *connect.BidiStream[wirepb.Frame, wirepb.Frame]
 	sessions map[string]string
+	waiting  []*wirepb.Frame
+	wake     chan struct{}
+	broken   bool
 }
 
+// errBroken tells that a stream has ended.
+var errBroken = errors.New("the stream has ended")
+
 // Link serves one stream until it breaks.
-func (p *Peer) Link(ctx context.Context, s *connect.BidiStream[wirepb.Frame, wirepb.Frame]) error {
-	st := &stream{peer: p, send: s, sessions: map[string]string{}}
-	if err := st.write(&wirepb.Frame{Kind: wirepb.Frame_KIND_ACCEPTED}); err != nil {
-		return err
-	}
+func (p *Peer) Link(ctx context.Context, s *connect.BidiStream[wirepb.Frames, wirepb.Frames]) error {
+	st := &stream{peer: p, sessions: map[string]string{}, wake: make(chan struct{}, 1)}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	_ = st.write(&wirepb.Frame{Kind: wirepb.Frame_KIND_ACCEPTED})
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		st.sendLoop(ctx, s)
+	}()
 	for {
-		f, err := s.Receive()
+		frames, err := s.Receive()
 		if err != nil {
 			break
 		}
-		st.take(ctx, f)
+		for _, f := range frames.GetFrames() {
+			st.take(ctx, f)
+		}
 	}
+	st.end()
+	stop()
+	<-sent
 	st.detachAll()
 	return nil
 }
 
+// write queues a frame for the entry host.
 func (s *stream) write(f *wirepb.Frame) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.send.Send(f)
+	if s.broken {
+		return errBroken
+	}
+	s.waiting = append(s.waiting, f)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (s *stream) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = true
+	s.waiting = nil
+}
+
+// sendLoop sends what waits, all of it together.
+func (s *stream) sendLoop(ctx context.Context, to *connect.BidiStream[wirepb.Frames, wirepb.Frames]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+		s.mu.Lock()
+		frames := s.waiting
+		s.waiting = nil
+		s.mu.Unlock()
+		if len(frames) > 0 && to.Send(&wirepb.Frames{Frames: frames}) != nil {
+			s.end()
+			return
+		}
+	}
 }
 
 // detachAll begins the grace period of all sessions of the entry host.
--- a/connection/slot/run.go
+++ b/connection/slot/run.go
@@ -228,13 +228,25 @@
 	r.raw('C', p, script.Caller)
 }
 
+// position asks for the member's report in the same pipeline. A portal ends
+// with its transaction; where the caller's goes on, it is closed.
 func (r *run) position() {
-	r.message(&pgproto3.Bind{DestinationPortal: positionName, PreparedStatement: positionName}, 'B', script.Position)
-	r.message(&pgproto3.Execute{Portal: positionName}, 'E', script.Position)
-	r.message(&pgproto3.Close{ObjectType: 'P', Name: positionName}, 'C', script.Position)
-	r.message(&pgproto3.Sync{}, 'S', script.Position)
+	r.raw('B', positionBind, script.Position)
+	r.raw('E', positionExecute, script.Position)
+	if r.call.Follows || r.call.Begins {
+		r.raw('C', positionClose, script.Position)
+	}
+	r.raw('S', positionSync, script.Position)
 }
 
+// The messages that ask for a member's report.
+var (
+	positionBind    = mustEncode(&pgproto3.Bind{DestinationPortal: positionName, PreparedStatement: positionName})
+	positionExecute = mustEncode(&pgproto3.Execute{Portal: positionName})
+	positionClose   = mustEncode(&pgproto3.Close{ObjectType: 'P', Name: positionName})
+	positionSync    = mustEncode(&pgproto3.Sync{})
+)
+
 func (r *run) query(text string, part int) {
 	r.message(&pgproto3.Query{String: text}, 'Q', part)
 }
--- a/connection/wirepb/wirepbconnect/wire.connect.go
+++ b/connection/wirepb/wirepbconnect/wire.connect.go
@@ -6,13 +6,12 @@
 package wirepbconnect
 
 import (
+	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
+	wirepb "github.com/pistachiotray/pistachiotray/connection/wirepb"
 	http "net/http"
 	strings "strings"
-
-	connect "connectrpc.com/connect"
-	wirepb "github.com/pistachiotray/pistachiotray/connection/wirepb"
 )
 
 // This is a compile-time assertion to ensure that this generated file and the connect package are
@@ -54,7 +53,7 @@
 // PeerClient is a client for the pistachiotray.v1.Peer service.
 type PeerClient interface {
 	// Link carries requests to their owner and answers back, matched by id.
-	Link(context.Context) *connect.BidiStreamForClient[wirepb.Frame, wirepb.Frame]
+	Link(context.Context) *connect.BidiStreamForClient[wirepb.Frames, wirepb.Frames]
 	// Probe asks a host whether it lives, or asks it to probe another.
 	Probe(context.Context, *connect.Request[wirepb.ProbeRequest]) (*connect.Response[wirepb.ProbeReply], error)
 	// Sight asks whether a host reaches a member of a group.
@@ -76,7 +75,7 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	peerMethods := wirepb.File_connection_wirepb_wire_proto.Services().ByName("Peer").Methods()
 	return &peerClient{
-		link: connect.NewClient[wirepb.Frame, wirepb.Frame](
+		link: connect.NewClient[wirepb.Frames, wirepb.Frames](
 			httpClient,
 			baseURL+PeerLinkProcedure,
 			connect.WithSchema(peerMethods.ByName("Link")),
@@ -111,7 +110,7 @@
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	link   *connect.Client[wirepb.Frame, wirepb.Frame]
+	link   *connect.Client[wirepb.Frames, wirepb.Frames]
 	probe  *connect.Client[wirepb.ProbeRequest, wirepb.ProbeReply]
 	sight  *connect.Client[wirepb.SightRequest, wirepb.SightReply]
 	body   *connect.Client[wirepb.BodyRequest, wirepb.BodyReply]
@@ -119,7 +118,7 @@
 }
 
 // Link calls pistachiotray.v1.Peer.Link.
-func (c *peerClient) Link(ctx context.Context) *connect.BidiStreamForClient[wirepb.Frame, wirepb.Frame] {
+func (c *peerClient) Link(ctx context.Context) *connect.BidiStreamForClient[wirepb.Frames, wirepb.Frames] {
 	return c.link.CallBidiStream(ctx)
 }
 
@@ -146,7 +145,7 @@
 // PeerHandler is an implementation of the pistachiotray.v1.Peer service.
 type PeerHandler interface {
 	// Link carries requests to their owner and answers back, matched by id.
-	Link(context.Context, *connect.BidiStream[wirepb.Frame, wirepb.Frame]) error
+	Link(context.Context, *connect.BidiStream[wirepb.Frames, wirepb.Frames]) error
 	// Probe asks a host whether it lives, or asks it to probe another.
 	Probe(context.Context, *connect.Request[wirepb.ProbeRequest]) (*connect.Response[wirepb.ProbeReply], error)
 	// Sight asks whether a host reaches a member of a group.
@@ -215,7 +214,7 @@
 // UnimplementedPeerHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerHandler struct{}
 
-func (UnimplementedPeerHandler) Link(context.Context, *connect.BidiStream[wirepb.Frame, wirepb.Frame]) error {
+func (UnimplementedPeerHandler) Link(context.Context, *connect.BidiStream[wirepb.Frames, wirepb.Frames]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("pistachiotray.v1.Peer.Link is not implemented"))
 }
 
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -88,7 +88,10 @@
 
 // serveHTTP serves other hosts and operators.
 func (h *Host) serveHTTP() {
-	guard := connect.WithInterceptors(h.keys.interceptor())
+	guard := connect.WithHandlerOptions(
+		connect.WithInterceptors(h.keys.interceptor()),
+		connect.WithCompression("gzip", nil, nil),
+	)
 	peers := http.NewServeMux()
 	peers.Handle(wirepbconnect.NewPeerHandler(h.peer, guard))
 	h.serve(h.listen.peers, peers, h.keys.peerTLS)
--- a/process/host/provide.go
+++ b/process/host/provide.go
@@ -100,7 +100,8 @@
 	self := news.New(s.Host, scheme+address, s.Zone, uint64(time.Now().UnixMilli()))
 	return fleet.New(self, log, e, c, v, peerClient(k.clientTLS),
 		fleet.WithInterval(s.ProbeInterval),
-		fleet.WithClientOptions(connect.WithInterceptors(k.interceptor()), connect.WithGRPC()))
+		fleet.WithClientOptions(connect.WithInterceptors(k.interceptor()), connect.WithGRPC(),
+			connect.WithAcceptCompression("gzip", nil, nil)))
 }
 
 // peerClient speaks HTTP/2 with other hosts, with or without TLS. A broken
--- a/standin/target/setting.go
+++ b/standin/target/setting.go
@@ -37,20 +37,21 @@
 
 func (s *session) position() *rows {
 	r := s.target.Report()
-	numbers := []uint64{
+	text := make([]byte, 0, 64)
+	for i, n := range [...]uint64{
 		r.Term, flag(r.Primary), r.Received.Term, r.Received.Position,
 		r.Applied.Term, r.Applied.Position, r.Base.Term, r.Base.Position, flag(r.Leaving), uint64(r.Slots),
+	} {
+		if i > 0 {
+			text = append(text, ' ')
+		}
+		text = strconv.AppendUint(text, n, 10)
 	}
-	out := &rows{tag: "SHOW"}
-	values := make([]any, len(numbers))
-	for i, n := range numbers {
-		out.columns = append(out.columns, column{fmt.Sprintf("p%d", i), oidText})
-		values[i] = strconv.FormatUint(n, 10)
-	}
-	out.values = [][]any{values}
-	return out
+	return &rows{tag: "SHOW", columns: positionColumns, values: [][]any{{text}}}
 }
 
+var positionColumns = []column{{positionName, oidText}}
+
 func flag(b bool) uint64 {
 	if b {
 		return 1
--- a/standin/target/wire.go
+++ b/standin/target/wire.go
@@ -20,8 +20,9 @@
 )
 
 type prepared struct {
-	text string
-	oids []uint32
+	text     string
+	oids     []uint32
+	position bool
 }
 
 type portal struct {
@@ -203,7 +204,7 @@
 			return &sqlError{"42P05", "prepared statement \"" + m.Name + "\" already exists"}
 		}
 		oids := append([]uint32(nil), m.ParameterOIDs...)
-		c.stmts[m.Name] = &prepared{text: m.Query, oids: oids}
+		c.stmts[m.Name] = &prepared{text: m.Query, oids: oids, position: strings.EqualFold(m.Query, "show "+positionName)}
 		c.backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		return c.bind(m)
@@ -364,6 +365,10 @@
 		return &sqlError{"34000", "portal \"" + m.Portal + "\" does not exist"}
 	}
 	if p.out == nil {
+		if p.stmt.position && !c.session.failed {
+			p.out = c.session.position()
+			return c.send(p, m.MaxRows)
+		}
 		out, err := c.session.run(p.stmt.text, p.args)
 		if err == nil && out.copyIn != "" {
 			out, err = c.receiveCopy(out.copyIn)
@@ -373,10 +378,16 @@
 		}
 		p.out = out
 	}
+	return c.send(p, m.MaxRows)
+}
+
+// send sends the rows of a portal that were not sent yet, at most as many as
+// asked for; 0 stands for all.
+func (c *conn) send(p *portal, most uint32) error {
 	rest := p.out.values[p.next:]
-	if m.MaxRows > 0 && len(rest) > int(m.MaxRows) {
-		c.rows(p.out, rest[:m.MaxRows], p.formats)
-		p.next += int(m.MaxRows)
+	if most > 0 && len(rest) > int(most) {
+		c.rows(p.out, rest[:most], p.formats)
+		p.next += int(most)
 		c.backend.Send(&pgproto3.PortalSuspended{})
 		return nil
 	}
