--- a/process/group/group.go
+++ b/process/group/group.go
@@ -250,7 +250,8 @@
 	}
 	g.active = false
 	g.refuseWaiting(now)
-	for id, s := range g.seats {
+	for _, id := range inOrder(g.seats, func(*seat) bool { return true }) {
+		s := g.seats[id]
 		if s.call == "" && s.session == "" {
 			g.closeSlot(now, id)
 		}
--- a/process/group/member.go
+++ b/process/group/member.go
@@ -102,7 +102,8 @@
 // movePermitted gives the reads that wait for a replica what the members'
 // newest reports permit.
 func (g *Group) movePermitted(now time.Time) {
-	for id, w := range g.parked {
+	for _, id := range inOrder(g.parked, func(*work) bool { return true }) {
+		w := g.parked[id]
 		if _, waits := g.waiting[id]; !waits {
 			delete(g.parked, id)
 			continue
@@ -337,8 +338,9 @@
 // loseOldWrites gives up the runs of writes whose member no longer leads.
 func (g *Group) loseOldWrites(now time.Time) {
 	_, term := g.quorum.Primary()
-	for id, s := range g.seats {
-		if !s.ready || s.term >= term || !s.write {
+	for _, id := range inOrder(g.seats, func(s *seat) bool { return s.ready && s.term < term && s.write }) {
+		s := g.seats[id]
+		if s == nil {
 			continue
 		}
 		if s.call != "" && s.call != rollbackCall {
--- /dev/null
+++ b/process/group/order.go
@@ -0,0 +1,19 @@
+package group
+
+import (
+	"cmp"
+	"slices"
+)
+
+// inOrder returns the keys of the values that are wanted, sorted, so that the
+// same inputs always lead to the same decisions in the same order.
+func inOrder[K cmp.Ordered, V any](m map[K]V, wanted func(V) bool) []K {
+	var keys []K
+	for k, v := range m {
+		if wanted(v) {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/process/group/ran.go
+++ b/process/group/ran.go
@@ -62,6 +62,7 @@
 func (g *Group) lost(now time.Time, w *work, why string) {
 	switch {
 	case w.call.Class.Read, w.call.Class.Repeatable:
+		w.sent = true
 		g.requeue(now, w, why)
 	case w.call.Key != "":
 		w.sent = true
--- a/process/group/tick.go
+++ b/process/group/tick.go
@@ -45,10 +45,8 @@
 // can't be confirmed has an unknown outcome; one that only awaited its floor
 // did not run.
 func (g *Group) expirePending(now time.Time) {
-	for id, w := range g.pending {
-		if now.Before(w.deadline) {
-			continue
-		}
+	for _, id := range inOrder(g.pending, func(w *work) bool { return !now.Before(w.deadline) }) {
+		w := g.pending[id]
 		g.quorum.Drop(id)
 		delete(g.pending, id)
 		switch {
@@ -67,10 +65,8 @@
 // expireRunning interrupts runs that outlast their deadline, and gives up
 // those that do not end then.
 func (g *Group) expireRunning(now time.Time) {
-	for id, w := range g.running {
-		if now.Before(w.deadline) {
-			continue
-		}
+	for _, id := range inOrder(g.running, func(w *work) bool { return !now.Before(w.deadline) }) {
+		w := g.running[id]
 		if !w.hung {
 			w.hung = true
 			w.deadline = now.Add(hangAfter)
--- a/process/group/tx.go
+++ b/process/group/tx.go
@@ -148,16 +148,19 @@
 // hangRunning interrupts what a session that ended still runs. Writes go on
 // to their end; reads are of no more use.
 func (g *Group) hangRunning(_ time.Time, session string) {
-	for _, w := range g.running {
-		if w.call.Session == session && w.call.Class.Read {
-			g.out.Interrupt(w.slot)
-		}
+	mine := func(w *work) bool { return w.call.Session == session && w.call.Class.Read }
+	for _, id := range inOrder(g.running, mine) {
+		g.out.Interrupt(g.running[id].slot)
 	}
 }
 
 // checkTransactions ends transactions that nobody will end.
 func (g *Group) checkTransactions(now time.Time) {
-	for _, t := range g.open {
+	ended := func(t *transaction) bool {
+		return !t.detached.IsZero() || now.Sub(t.used) >= g.idle
+	}
+	for _, name := range inOrder(g.open, ended) {
+		t := g.open[name]
 		switch {
 		case !t.detached.IsZero() && now.Sub(t.detached) >= g.grace:
 			g.abandon(now, t, "its session did not come back within the grace period")
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -219,11 +219,10 @@
 		}
 		g.refuse(w, code.NotRunMoved, "the group moved to another host")
 	}
-	for id, w := range g.pending {
-		if w.purpose == forFloor {
-			g.quorum.Drop(id)
-			g.refuse(w, code.NotRunMoved, "the group moved to another host")
-		}
+	for _, id := range inOrder(g.pending, func(w *work) bool { return w.purpose == forFloor }) {
+		w := g.pending[id]
+		g.quorum.Drop(id)
+		g.refuse(w, code.NotRunMoved, "the group moved to another host")
 	}
 	_ = now
 }
