Never run a COMMIT outside its transaction

Change: what belongs to a transaction is never queued again; the transaction is lost as a whole and the caller is told so. Conclusion: the queue takes single requests only.

--- a/process/group/ran.go
+++ b/process/group/ran.go
@@ -173,14 +173,14 @@
 
 // replaced decides about a call whose member stopped leading while it ran.
 func (g *Group) replaced(now time.Time, w *work, r result.Result) {
-	if r.Refused && idleStatus(r) {
-		g.requeue(now, w, "the member stopped leading and refused the request")
-		return
-	}
 	if w.inTx || !idleStatus(r) {
 		g.loseTransaction(now, w, r)
 		return
 	}
+	if r.Refused {
+		g.requeue(now, w, "the member stopped leading and refused the request")
+		return
+	}
 	g.lost(now, w, "the member stopped leading while the request ran")
 }
 
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -118,6 +118,10 @@
 
 // requeue lets a call that truly did not run wait again.
 func (g *Group) requeue(now time.Time, w *work, why string) {
+	if w.inTx && !w.settling {
+		g.refuse(w, code.TransactionLost, why)
+		return
+	}
 	if w.partly {
 		g.refuse(w, code.OutcomeUnknown, why+", and a part of its answer was delivered")
 		return
