Give operators their commands

Change: check, publish, history, diff, rollback, status, explain, drain, switch and audit; publishing settles lost answers and races.

--- a/cmd/pistachiotray/root.go
+++ b/cmd/pistachiotray/root.go
@@ -16,7 +16,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), replayCommand(), versionCommand())
+	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), replayCommand(), checkCommand(), publishCommand(), historyCommand(), diffCommand(),
+		rollbackCommand(), statusCommand(), explainCommand(), drainCommand(), switchCommand(), auditCommand(), versionCommand())
 	return c
 }
 
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -279,6 +279,7 @@
 	w.deadline = w.call.Deadline
 	w.attempts++
 	g.running[w.call.ID] = w
+	g.out.Note(w.call.ID, w.call.Session, "run as "+w.call.Label()+" at "+g.members[i].name)
 	if w.settling {
 		g.out.Settle(slot, w.call)
 		return
