--- a/cmd/pistachiotray/demo.go
+++ b/cmd/pistachiotray/demo.go
@@ -11,11 +11,14 @@
 	"github.com/spf13/cobra"
 
 	"github.com/pistachiotray/pistachiotray/process/conf"
+	"github.com/pistachiotray/pistachiotray/standin/demo"
 	"github.com/pistachiotray/pistachiotray/standin/site"
 )
 
 const demoUsage = `Demo runs a platform stand-in, three database groups of three members each and
-three hosts in one process, and keeps them running until SIGINT.`
+three hosts in one process. With --run it plays a short day of both users' work
+and ends with exit code 0 only where nothing was lost, doubled or wrong; else it
+keeps running until SIGINT.`
 
 const demoExample = `  pistachiotray demo --listen 127.0.0.1:6432
   psql -h 127.0.0.1 -p 6432 -d fittings`
@@ -26,21 +29,45 @@
 func demoCommand() *cobra.Command {
 	var listen string
 	var level string
+	var run, asJSON bool
+	var seed uint64
 	c := &cobra.Command{
 		Use: "demo", Short: "Run a small deployment in one process",
 		Long: demoUsage, Example: demoExample, Args: cobra.NoArgs,
 	}
 	c.Flags().StringVar(&listen, "listen", "127.0.0.1:6432", "IP number and port of the first host; the others take the next ports")
 	c.Flags().StringVar(&level, "log-level", "error", "debug, info, warn or error")
+	c.Flags().BoolVar(&run, "run", false, "play a short day and print the measures")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the measures as JSON")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the day")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if err := conf.Environment(c.Flags()); err != nil {
 			return err
 		}
+		if run {
+			return demoRun(c, seed, asJSON)
+		}
 		return demoListen(c, listen, level)
 	}
 	return c
 }
 
+// demoRun plays a short day; progress goes to the error output.
+func demoRun(c *cobra.Command, seed uint64, asJSON bool) error {
+	d := demo.New(seed, func(text string) { _, _ = fmt.Fprintln(c.ErrOrStderr(), text) })
+	if err := d.Run(c.Context()); err != nil {
+		return err
+	}
+	r := reach{asJSON: asJSON}
+	if err := r.show(c, d, d.Lines()...); err != nil {
+		return err
+	}
+	if !d.Good() {
+		return errors.New("a promise was broken")
+	}
+	return nil
+}
+
 func demoListen(c *cobra.Command, listen, level string) error {
 	ip, port, err := net.SplitHostPort(listen)
 	if err != nil {
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -266,3 +266,15 @@
 func (h *Host) Owner(name string) string {
 	return h.engine.Owner(name)
 }
+
+// Version returns the configuration version in force.
+func (h *Host) Version() uint64 {
+	return h.config.Policy().Version()
+}
+
+// Count returns a counter summed over the host's groups.
+func (h *Host) Count(name string) int64 {
+	var sum int64
+	h.engine.Inspect(func(g *group.Group) { sum += g.Count(name) })
+	return sum
+}
