--- /dev/null
+++ b/cmd/pistachiotray/compare.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/pistachiotray/pistachiotray/standin/replay"
+	"github.com/pistachiotray/pistachiotray/standin/versus"
+)
+
+const compareUsage = `Compare plays each trace under several policies for sharing slots and prints a
+table; with --plots it writes a PNG for each label.`
+
+func compareCommand() *cobra.Command {
+	var plots string
+	var labels []string
+	c := &cobra.Command{
+		Use: "compare FILE…", Short: "Compare policies on the same traces", Long: compareUsage,
+		Example: "  pistachiotray compare --label Crest --plots docs testdata/traces/vaahtera-crest.jsonl",
+		Args:    cobra.MinimumNArgs(1),
+	}
+	c.Flags().StringVar(&plots, "plots", "", "folder for the plots; empty writes none")
+	c.Flags().StringSliceVar(&labels, "label", []string{"Order", "Batch", "Crest"}, "label to show; may be given again")
+	c.RunE = func(c *cobra.Command, names []string) error {
+		for _, name := range names {
+			if err := compareFile(c, name, plots, labels); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return c
+}
+
+func compareFile(c *cobra.Command, name, plots string, labels []string) error {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return errors.Wrap(err, "compare")
+	}
+	r, err := replay.New(name, text)
+	if err != nil {
+		return err
+	}
+	v := versus.New(r)
+	if _, err := fmt.Fprintf(c.OutOrStdout(), "%s: %s\n\n", r.Name(), r.About()); err != nil {
+		return err
+	}
+	rows := v.Rows(labels...)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(c.OutOrStdout(), row); err != nil {
+			return err
+		}
+	}
+	if plots == "" {
+		return nil
+	}
+	for _, label := range labels {
+		if r.HasLabel(label) {
+			if _, err := v.Plot(plots, label); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/cmd/pistachiotray/root.go
+++ b/cmd/pistachiotray/root.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), replayCommand(), loadCommand(), checkCommand(), publishCommand(), historyCommand(), diffCommand(),
+	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), replayCommand(), compareCommand(), loadCommand(), checkCommand(), publishCommand(), historyCommand(), diffCommand(),
 		rollbackCommand(), statusCommand(), explainCommand(), drainCommand(), switchCommand(), auditCommand(), versionCommand())
 	return c
 }
--- a/standin/replay/trace.go
+++ b/standin/replay/trace.go
@@ -209,3 +209,26 @@
 	c.header.Seeds = min(c.header.Seeds, n)
 	return &c
 }
+
+// WithShare returns the trace as one of n hosts sees it that split slots and
+// demand among them.
+func (r *Replay) WithShare(n int) *Replay {
+	c := *r
+	c.header.Slots = max(c.header.Slots/n, 1)
+	c.inputs = make([]line, len(r.inputs))
+	for i, l := range r.inputs {
+		l.Rate /= float64(n)
+		c.inputs[i] = l
+	}
+	return &c
+}
+
+// HasLabel tells whether a request of the trace has the label.
+func (r *Replay) HasLabel(label string) bool {
+	for _, l := range r.inputs {
+		if l.Label == label {
+			return true
+		}
+	}
+	return false
+}
