Let the fakes ship entries as they come

Cause: the comparison of policies showed the same p99 for every duty: the fakes' replication gated each copy and added up to 10 ms to a confirmation, which hid what the policies do. Change: each entry is shipped on its own.

--- a/standin/world/fake.go
+++ b/standin/world/fake.go
@@ -148,21 +148,14 @@
 // followAgain is the pause before a member looks for its primary again.
 const followAgain = 10 * time.Millisecond
 
-// follow copies from the primary after the lag, as long as there is something
-// to copy.
+// follow copies from the primaries what they hold now, after the lag. Several
+// copies may be on their way at a time.
 func (m *fake) follow() {
-	if m.copying {
-		return
-	}
-	m.copying = true
 	lengths := map[*fake]int{}
 	for _, p := range m.world.members {
 		lengths[p] = len(p.log)
 	}
-	m.world.after(m.ship+m.world.delay(), func() {
-		m.copying = false
-		m.followNow(lengths)
-	})
+	m.world.after(m.ship+m.world.delay(), func() { m.followNow(lengths) })
 }
 
 // followNow takes what the primaries held when the copy set out.
