--- a/process/host/host.go
+++ b/process/host/host.go
@@ -109,7 +109,11 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: protocols, TLSConfig: t}
+	quiet, err := zap.NewStdLogAt(h.log, zap.DebugLevel)
+	if err != nil {
+		quiet = nil
+	}
+	s := &http.Server{ErrorLog: quiet, Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: protocols, TLSConfig: t}
 	h.servers = append(h.servers, s)
 	h.done.Go(func() {
 		if t != nil {
--- /dev/null
+++ b/standin/site/guard_test.go
@@ -0,0 +1,241 @@
+package site_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/pistachiotray/pistachiotray/connection/oper"
+	"github.com/pistachiotray/pistachiotray/process/conf"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/standin/caller"
+	"github.com/pistachiotray/pistachiotray/standin/pems"
+	"github.com/pistachiotray/pistachiotray/standin/site"
+)
+
+func secret(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestKeysAndCertificatesAreAskedFor(t *testing.T) {
+	is := is.New(t)
+	cert, key, err := pems.Write(t.TempDir())
+	is.NoErr(err)
+	users := secret(t, "users", "clerk:soap-and-lather\n")
+	peerKey := secret(t, "peer", "peer-key-9f3\n")
+	tokens := secret(t, "tokens", "b:second-secret-key\na:first-secret-key\n")
+	core, logs := observer.New(zap.DebugLevel)
+	s, ctx := start(t, site.WithLog(zap.New(core)), site.WithSettings(func(_ int, c conf.Settings) conf.Settings {
+		c.UsersFile, c.PeerKeyFile, c.KeysFile = users, peerKey, tokens
+		c.CertFile, c.KeyFile = cert, key
+		c.PeerCertFile, c.PeerKeyTLSFile, c.PeerCAFile = cert, key, cert
+		return c
+	}))
+	_, err = pgx.Connect(ctx, s.DSN(0, "fittings")+"&password=wrong")
+	is.True(err != nil && strings.Contains(err.Error(), "28P01"))
+	dsn := strings.Replace(s.DSN(0, "fittings"), "clerk@", "clerk:soap-and-lather@", 1)
+	dsn = strings.Replace(dsn, "sslmode=disable", "sslmode=require", 1)
+	c, err := caller.New(ctx, dsn)
+	is.NoErr(err)
+	defer c.Drop()
+	exec(t, ctx, c, "CREATE TABLE guarded (id int)")
+	other := strings.Replace(dsn, s.Settings(0).Listen, s.Settings(1).Listen, 1)
+	is.NoErr(c.Move(ctx, other, false))
+	exec(t, ctx, c, "INSERT INTO guarded VALUES (1)")
+	operators := "https://" + s.Settings(0).OperatorListen
+	_, err = oper.New(operators, "", http.DefaultClient).Command(ctx, "status")
+	is.True(err != nil)
+	for _, l := range logs.All() {
+		text := l.Message
+		for _, f := range l.Context {
+			text += f.String
+		}
+		for _, word := range []string{"soap-and-lather", "peer-key-9f3", "secret-key"} {
+			if strings.Contains(text, word) {
+				t.Fatalf("a secret is in the log: %s", text)
+			}
+		}
+	}
+}
+
+func TestOperatorsNeedTheKey(t *testing.T) {
+	is := is.New(t)
+	peerKey := secret(t, "peer", "peer-key-9f3\n")
+	s, ctx := start(t, site.WithSettings(func(_ int, c conf.Settings) conf.Settings {
+		c.PeerKeyFile = peerKey
+		return c
+	}))
+	address := s.Settings(0).OperatorListen
+	for _, name := range []string{"status", "drain", "explain", "switch"} {
+		_, err := oper.New(address, "wrong", http.DefaultClient).Command(ctx, name)
+		is.True(err != nil)
+	}
+	text, err := oper.New(address, "peer-key-9f3", http.DefaultClient).Command(ctx, "status")
+	is.NoErr(err)
+	is.True(bytes.Contains(text, []byte("host-0")))
+	is.True(!bytes.Contains(text, []byte("peer-key-9f3")))
+	answer, err := http.Get("http://" + address + "/debug/vars")
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusUnauthorized)
+	_ = answer.Body.Close()
+	ready, err := http.Get("http://" + address + "/ready")
+	is.NoErr(err)
+	is.Equal(ready.StatusCode, http.StatusOK)
+	_ = ready.Body.Close()
+}
+
+func TestForgedAndForeignTokens(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithDatabases("fittings", "orders"))
+	c := connect(t, ctx, s, 0)
+	exec(t, ctx, c, "CREATE TABLE x (id int)")
+	good := c.Token()
+	cases := map[string]struct {
+		database, token string
+		ok              bool
+	}{
+		"its own":             {"fittings", good, true},
+		"of another database": {"orders", good, false},
+		"forged":              {"fittings", good[:len(good)-4] + "AAAA", false},
+		"garbage":             {"fittings", "garbage", false},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			config, err := pgx.ParseConfig(s.DSN(1, k.database))
+			is.NoErr(err)
+			config.RuntimeParams["pistachiotray.session"] = k.token
+			conn, err := pgx.ConnectConfig(ctx, config)
+			is.Equal(err == nil, k.ok)
+			if err == nil {
+				_ = conn.Close(ctx)
+				return
+			}
+			is.True(strings.Contains(err.Error(), code.BadToken.SQLState()))
+		})
+	}
+}
+
+// raw opens a connection and sends bytes.
+func raw(t *testing.T, s *site.Site, p []byte) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Settings(0).Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = conn.Write(p)
+	return conn
+}
+
+func startupBytes(t *testing.T) []byte {
+	t.Helper()
+	m := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "clerk", "database": "fittings"}}
+	p, err := m.Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestGarbageIsMetWithAnErrorAndAClosedConnection(t *testing.T) {
+	s, _ := start(t, site.WithSettings(func(_ int, c conf.Settings) conf.Settings {
+		c.MessageLimit = 4096
+		return c
+	}))
+	hello := startupBytes(t)
+	tooLong := binary.BigEndian.AppendUint32([]byte{'Q'}, 1<<30)
+	cases := map[string]struct {
+		bytes []byte
+		want  code.Code
+	}{
+		"startup of an impossible length":  {[]byte{0xff, 0xff, 0xff, 0xff}, code.BadMessage},
+		"unknown protocol version":         {[]byte{0, 0, 0, 8, 0, 9, 0, 0}, code.BadMessage},
+		"unknown message type":             {append(bytes.Clone(hello), 'z', 0, 0, 0, 4), code.BadMessage},
+		"message over the limit":           {append(bytes.Clone(hello), tooLong...), code.MessageTooLarge},
+		"message of an impossible length":  {append(bytes.Clone(hello), 'Q', 0, 0, 0, 1), code.BadMessage},
+		"an unreadable Bind":               {append(bytes.Clone(hello), 'B', 0, 0, 0, 5, 'x', 'S', 0, 0, 0, 4), code.BadMessage},
+		"an HTTP request in place of that": {[]byte("GET / HTTP/1.1\r\n\r\n"), code.BadMessage},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn := raw(t, s, c.bytes)
+			if name == "an unreadable Bind" {
+				_, _ = conn.Write([]byte{'X', 0, 0, 0, 4})
+			}
+			answer, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.True(bytes.Contains(answer, []byte(c.want.Name())))
+		})
+	}
+}
+
+func TestHalfOpenCallersHoldNoSlot(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSlots(1, 0))
+	for range 20 {
+		raw(t, s, startupBytes(t))
+	}
+	c := connect(t, ctx, s, 0)
+	v, err := c.Value(ctx, "SELECT 7")
+	is.NoErr(err)
+	is.Equal(v, "7")
+}
+
+func TestCallerGoneInTheMiddleLeavesNothing(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSlots(1, 0), site.WithSettings(func(_ int, c conf.Settings) conf.Settings {
+		c.Grace = 100 * time.Millisecond
+		return c
+	}))
+	c := connect(t, ctx, s, 0)
+	exec(t, ctx, c, "CREATE TABLE x (id int)")
+	gone := connect(t, ctx, s, 1)
+	exec(t, ctx, gone, "BEGIN")
+	exec(t, ctx, gone, "INSERT INTO x VALUES (1)")
+	gone.Drop()
+	v, err := c.Value(ctx, "SELECT count(*) FROM x")
+	is.NoErr(err)
+	is.Equal(v, "0")
+	is.True(!c.Inside())
+}
+
+func TestErrorInsideAPipelineStaysInside(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSlots(1, 0))
+	conn, err := pgx.Connect(ctx, s.DSN(1, "fittings"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, "CREATE TABLE x (id text PRIMARY KEY)")
+	is.NoErr(err)
+	batch := &pgx.Batch{}
+	batch.Queue("INSERT INTO x VALUES ($1)", "a")
+	batch.Queue("INSERT INTO x VALUES ($1)", "a")
+	batch.Queue("INSERT INTO x VALUES ($1)", "b")
+	is.True(conn.SendBatch(ctx, batch).Close() != nil)
+	var n string
+	is.NoErr(conn.QueryRow(ctx, "SELECT count(*) FROM x WHERE id <> $1", "z").Scan(&n))
+	is.True(n == "0" || n == "1")
+	is.NoErr(conn.QueryRow(ctx, "SELECT 'fine' WHERE $1 = 'q'", "q").Scan(&n))
+	is.Equal(n, "fine")
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -108,7 +108,11 @@
 	c.Listen, c.PeerListen, c.OperatorListen = h.Addresses()
 	s.settings = append(s.settings, c)
 	s.hosts = append(s.hosts, h)
-	s.stage.Platform().SetHost(c.Host, "http://"+c.PeerListen, c.Zone, false)
+	scheme := "http://"
+	if c.PeerCertFile != "" {
+		scheme = "https://"
+	}
+	s.stage.Platform().SetHost(c.Host, scheme+c.PeerListen, c.Zone, false)
 	return nil
 }
 
