--- /dev/null
+++ b/connection/codec/codec_test.go
@@ -0,0 +1,58 @@
+package codec_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiotray/pistachiotray/connection/codec"
+	"github.com/pistachiotray/pistachiotray/connection/wirepb"
+	"github.com/pistachiotray/pistachiotray/request/call"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/fault"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+	"github.com/pistachiotray/pistachiotray/version/class"
+)
+
+func TestCallsComeThrough(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	k := class.Defaults().WithName("orders", "Order").WithOnce(true).WithWeight(3)
+	want := call.New("id", "session", "group", k).
+		WithBody([]byte("Q")).WithFloor(mark.New(3, 120)).WithKey("key").WithFollows(true).WithEnds(true).WithSent(true).
+		WithState(map[string][]byte{"a": []byte("P")}, []string{"SET x = 1"}).
+		WithTimes(now.Add(-time.Second), now.Add(3*time.Second))
+	got := codec.Decode(codec.Encode(want, now), now)
+	is.Equal(got, want)
+}
+
+func TestFaultsComeThrough(t *testing.T) {
+	is := is.New(t)
+	want := fault.New(code.NotRunOverload, "predicted wait").WithRetryAfter(20 * time.Millisecond)
+	is.Equal(codec.Fault(codec.Fail("id", want)), want)
+}
+
+// FuzzFrames reads any bytes as frames of another host.
+func FuzzFrames(f *testing.F) {
+	good, _ := proto.Marshal(&wirepb.Frames{Frames: []*wirepb.Frame{{
+		Kind: wirepb.Frame_KIND_SUBMIT, Id: "a",
+		Call: codec.Encode(call.New("a", "s", "g", class.Defaults()), time.Unix(0, 0)),
+	}}})
+	f.Add(good)
+	f.Add([]byte{0xff, 0x01})
+	f.Fuzz(func(t *testing.T, p []byte) {
+		var frames wirepb.Frames
+		if proto.Unmarshal(p, &frames) != nil {
+			return
+		}
+		for _, one := range frames.GetFrames() {
+			c := codec.Decode(one.GetCall(), time.Unix(0, 0))
+			if c.ID != one.GetCall().GetId() {
+				t.Fatal("the id changed")
+			}
+			_ = codec.Fault(one).Error()
+		}
+	})
+}
--- /dev/null
+++ b/process/config/config_test.go
@@ -0,0 +1,137 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/config"
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/version/bundle"
+)
+
+// store holds versions, and is down at times.
+type store struct {
+	mu     sync.Mutex
+	bodies map[string][]byte
+	rows   []record.Row
+	down   bool
+}
+
+func (s *store) add(t *testing.T, version uint64) []byte {
+	t.Helper()
+	b := bundle.New().WithVersion(version).WithPublication("p", "test", time.Unix(0, 0))
+	body, err := b.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := config.ObjectName(version, "p")
+	s.bodies[name] = body
+	s.rows = append(s.rows, record.New(config.RowKey(version), []byte(name)))
+	return body
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) Scan(_ context.Context, prefix string, last bool) ([]record.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errors.New("down")
+	}
+	var found []record.Row
+	for _, r := range s.rows {
+		if len(r.Key) >= len(prefix) && r.Key[:len(prefix)] == prefix {
+			found = append(found, r)
+		}
+	}
+	if last && len(found) > 1 {
+		found = found[len(found)-1:]
+	}
+	return found, nil
+}
+
+func (s *store) GetObject(_ context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errors.New("down")
+	}
+	return s.bodies[name], nil
+}
+
+func noPeers(context.Context, uint64) ([]byte, bool) { return nil, false }
+
+func TestNewestComesIntoForceAndStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{bodies: map[string][]byte{}}
+		var adopted [][2]uint64
+		c := config.New(zap.NewNop(), s, config.WithAdopted(func(from, to uint64) { adopted = append(adopted, [2]uint64{from, to}) }))
+		c.Start(noPeers)
+		defer c.Close()
+		s.add(t, 1)
+		time.Sleep(2 * time.Second)
+		is.Equal(c.Policy().Version(), uint64(1))
+		held := c.Policy()
+		s.add(t, 2)
+		s.add(t, 3)
+		time.Sleep(2 * time.Second)
+		is.Equal(c.Policy().Version(), uint64(3))
+		is.Equal(held.Version(), uint64(1))
+		c.Learn(2)
+		c.Learn(1)
+		time.Sleep(5 * time.Second)
+		is.Equal(c.Policy().Version(), uint64(3))
+		for i := 1; i < len(adopted); i++ {
+			is.True(adopted[i][1] > adopted[i-1][1])
+		}
+	})
+}
+
+func TestBodyComesFromAPeerWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{bodies: map[string][]byte{}}
+		body := s.add(t, 4)
+		s.setDown(true)
+		c := config.New(zap.NewNop(), s)
+		c.Start(func(_ context.Context, version uint64) ([]byte, bool) { return body, version == 4 })
+		defer c.Close()
+		time.Sleep(time.Minute)
+		is.Equal(c.Policy().Version(), uint64(0))
+		c.Learn(4)
+		time.Sleep(time.Second)
+		is.Equal(c.Policy().Version(), uint64(4))
+		got, ok := c.Body(4)
+		is.True(ok)
+		is.Equal(got, body)
+	})
+}
+
+func TestABodyOfAnotherVersionIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{bodies: map[string][]byte{}}
+		body := s.add(t, 4)
+		s.setDown(true)
+		c := config.New(zap.NewNop(), s)
+		c.Start(func(context.Context, uint64) ([]byte, bool) { return body, true })
+		defer c.Close()
+		c.Learn(9)
+		time.Sleep(10 * time.Second)
+		is.Equal(c.Policy().Version(), uint64(0))
+	})
+}
--- a/standin/replay/replay_test.go
+++ b/standin/replay/replay_test.go
@@ -78,3 +78,15 @@
 		})
 	}
 }
+
+func FuzzNew(f *testing.F) {
+	f.Add([]byte(`{"Trace":"t","Slots":2}` + "\n" + `{"At":"1s","Do":"Write","Session":"s","Id":"a"}` + "\n" + `{"Expect":"Outcome","Id":"a","Is":"Done"}`))
+	f.Add([]byte(`{"Do":"Write"}`))
+	f.Add([]byte(`{"Trace":"t"}` + "\n" + `{"Expect":"Gap"}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := replay.New("f", text)
+		if err == nil && r.Name() == "" {
+			t.Fatal("took a trace without a name")
+		}
+	})
+}
