--- a/process/config/config_test.go
+++ b/process/config/config_test.go
@@ -81,7 +81,6 @@
 		var adopted [][2]uint64
 		c := config.New(zap.NewNop(), s, config.WithAdopted(func(from, to uint64) { adopted = append(adopted, [2]uint64{from, to}) }))
 		c.Start(noPeers)
-		defer c.Close()
 		s.add(t, 1)
 		time.Sleep(2 * time.Second)
 		is.Equal(c.Policy().Version(), uint64(1))
@@ -95,6 +94,7 @@
 		c.Learn(1)
 		time.Sleep(5 * time.Second)
 		is.Equal(c.Policy().Version(), uint64(3))
+		c.Close()
 		for i := 1; i < len(adopted); i++ {
 			is.True(adopted[i][1] > adopted[i-1][1])
 		}
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		quiet = nil
 	}
-	s := &http.Server{ErrorLog: quiet, Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: protocols, TLSConfig: t}
+	s := &http.Server{ErrorLog: quiet, Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: protocols, TLSConfig: t.Clone()}
 	h.servers = append(h.servers, s)
 	h.done.Go(func() {
 		if t != nil {
--- a/standin/site/guard_test.go
+++ b/standin/site/guard_test.go
@@ -56,10 +56,10 @@
 	c, err := caller.New(ctx, dsn)
 	is.NoErr(err)
 	defer c.Drop()
-	exec(t, ctx, c, "CREATE TABLE guarded (id int)")
+	exec(ctx, t, c, "CREATE TABLE guarded (id int)")
 	other := strings.Replace(dsn, s.Settings(0).Listen, s.Settings(1).Listen, 1)
 	is.NoErr(c.Move(ctx, other, false))
-	exec(t, ctx, c, "INSERT INTO guarded VALUES (1)")
+	exec(ctx, t, c, "INSERT INTO guarded VALUES (1)")
 	operators := "https://" + s.Settings(0).OperatorListen
 	_, err = oper.New(operators, "", http.DefaultClient).Command(ctx, "status")
 	is.True(err != nil)
@@ -105,8 +105,8 @@
 func TestForgedAndForeignTokens(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t, site.WithDatabases("fittings", "orders"))
-	c := connect(t, ctx, s, 0)
-	exec(t, ctx, c, "CREATE TABLE x (id int)")
+	c := connect(ctx, t, s, 0)
+	exec(ctx, t, c, "CREATE TABLE x (id int)")
 	good := c.Token()
 	cases := map[string]struct {
 		database, token string
@@ -196,7 +196,7 @@
 	for range 20 {
 		raw(t, s, startupBytes(t))
 	}
-	c := connect(t, ctx, s, 0)
+	c := connect(ctx, t, s, 0)
 	v, err := c.Value(ctx, "SELECT 7")
 	is.NoErr(err)
 	is.Equal(v, "7")
@@ -208,11 +208,11 @@
 		c.Grace = 100 * time.Millisecond
 		return c
 	}))
-	c := connect(t, ctx, s, 0)
-	exec(t, ctx, c, "CREATE TABLE x (id int)")
-	gone := connect(t, ctx, s, 1)
-	exec(t, ctx, gone, "BEGIN")
-	exec(t, ctx, gone, "INSERT INTO x VALUES (1)")
+	c := connect(ctx, t, s, 0)
+	exec(ctx, t, c, "CREATE TABLE x (id int)")
+	gone := connect(ctx, t, s, 1)
+	exec(ctx, t, gone, "BEGIN")
+	exec(ctx, t, gone, "INSERT INTO x VALUES (1)")
 	gone.Drop()
 	v, err := c.Value(ctx, "SELECT count(*) FROM x")
 	is.NoErr(err)
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -32,7 +32,7 @@
 	return s, ctx
 }
 
-func connect(t *testing.T, ctx context.Context, s *site.Site, i int) *caller.Caller {
+func connect(ctx context.Context, t *testing.T, s *site.Site, i int) *caller.Caller {
 	t.Helper()
 	c, err := caller.New(ctx, s.DSN(i, "fittings"))
 	if err != nil {
@@ -42,7 +42,7 @@
 	return c
 }
 
-func exec(t *testing.T, ctx context.Context, c *caller.Caller, text string) {
+func exec(ctx context.Context, t *testing.T, c *caller.Caller, text string) {
 	t.Helper()
 	if _, err := c.Exec(ctx, text); err != nil {
 		t.Fatalf("%s: %v", text, err)
@@ -53,10 +53,10 @@
 	is := is.New(t)
 	s, ctx := start(t)
 	s.Group("fittings").SetLag(0, 30*time.Millisecond)
-	c := connect(t, ctx, s, 0)
-	exec(t, ctx, c, "CREATE TABLE fitting (id int PRIMARY KEY, note text)")
+	c := connect(ctx, t, s, 0)
+	exec(ctx, t, c, "CREATE TABLE fitting (id int PRIMARY KEY, note text)")
 	for i := range 12 {
-		exec(t, ctx, c, fmt.Sprintf("INSERT INTO fitting VALUES (%d, 'x')", i))
+		exec(ctx, t, c, fmt.Sprintf("INSERT INTO fitting VALUES (%d, 'x')", i))
 		is.NoErr(c.Move(ctx, s.DSN(i%3, "fittings"), i%2 == 0))
 		n, err := c.Value(ctx, "BEGIN READ ONLY; SELECT count(*) FROM fitting; COMMIT")
 		is.NoErr(err)
@@ -67,9 +67,9 @@
 func TestPreparedStatementsUnderPooling(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t, site.WithSlots(1, 0))
-	setup := connect(t, ctx, s, 0)
-	exec(t, ctx, setup, "CREATE TABLE fitting (id int PRIMARY KEY, note text)")
-	exec(t, ctx, setup, "INSERT INTO fitting VALUES (1, 'one'), (2, 'two')")
+	setup := connect(ctx, t, s, 0)
+	exec(ctx, t, setup, "CREATE TABLE fitting (id int PRIMARY KEY, note text)")
+	exec(ctx, t, setup, "INSERT INTO fitting VALUES (1, 'one'), (2, 'two')")
 	var all sync.WaitGroup
 	for i := range 4 {
 		all.Go(func() {
@@ -95,9 +95,9 @@
 func TestSettingsStayWithTheirSession(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t, site.WithSlots(1, 0))
-	a, b := connect(t, ctx, s, 0), connect(t, ctx, s, 1)
-	exec(t, ctx, a, "SET search_path = 'brno'")
-	exec(t, ctx, b, "SET search_path = 'praha'")
+	a, b := connect(ctx, t, s, 0), connect(ctx, t, s, 1)
+	exec(ctx, t, a, "SET search_path = 'brno'")
+	exec(ctx, t, b, "SET search_path = 'praha'")
 	for range 5 {
 		v, err := a.Value(ctx, "SHOW search_path")
 		is.NoErr(err)
@@ -106,9 +106,9 @@
 		is.NoErr(err)
 		is.Equal(v, "praha")
 	}
-	exec(t, ctx, a, "BEGIN")
-	exec(t, ctx, a, "SET search_path = 'ostrava'")
-	exec(t, ctx, a, "ROLLBACK")
+	exec(ctx, t, a, "BEGIN")
+	exec(ctx, t, a, "SET search_path = 'ostrava'")
+	exec(ctx, t, a, "ROLLBACK")
 	v, err := a.Value(ctx, "SHOW search_path")
 	is.NoErr(err)
 	is.Equal(v, "brno")
@@ -117,19 +117,19 @@
 func TestTransactionOutlivesItsEntryHost(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t)
-	setup := connect(t, ctx, s, 0)
-	exec(t, ctx, setup, "CREATE TABLE fitting (id int PRIMARY KEY)")
+	setup := connect(ctx, t, s, 0)
+	exec(ctx, t, setup, "CREATE TABLE fitting (id int PRIMARY KEY)")
 	owner := ownerOf(s)
 	entry, next := (owner+1)%3, (owner+2)%3
-	c := connect(t, ctx, s, entry)
-	exec(t, ctx, c, "BEGIN")
-	exec(t, ctx, c, "INSERT INTO fitting VALUES (7)")
+	c := connect(ctx, t, s, entry)
+	exec(ctx, t, c, "BEGIN")
+	exec(ctx, t, c, "INSERT INTO fitting VALUES (7)")
 	c.Token()
 	s.Kill(entry)
 	is.NoErr(c.Move(ctx, s.DSN(next, "fittings"), false))
 	is.True(c.Inside())
-	exec(t, ctx, c, "INSERT INTO fitting VALUES (8)")
-	exec(t, ctx, c, "COMMIT")
+	exec(ctx, t, c, "INSERT INTO fitting VALUES (8)")
+	exec(ctx, t, c, "COMMIT")
 	n, err := c.Value(ctx, "SELECT count(*) FROM fitting")
 	is.NoErr(err)
 	is.Equal(n, "2")
@@ -147,11 +147,11 @@
 func TestOwnerLostWhileOrdersComeIn(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t)
-	setup := connect(t, ctx, s, 0)
-	exec(t, ctx, setup, "CREATE TABLE orders (id text)")
+	setup := connect(ctx, t, s, 0)
+	exec(ctx, t, setup, "CREATE TABLE orders (id text)")
 	owner := ownerOf(s)
 	entry := (owner + 1) % 3
-	c := connect(t, ctx, s, entry)
+	c := connect(ctx, t, s, entry)
 	acked := 0
 	for i := range 60 {
 		if i == 20 {
@@ -172,8 +172,8 @@
 func TestPrimaryCutOff(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t)
-	c := connect(t, ctx, s, 1)
-	exec(t, ctx, c, "CREATE TABLE orders (id text)")
+	c := connect(ctx, t, s, 1)
+	exec(ctx, t, c, "CREATE TABLE orders (id text)")
 	old := s.Group("fittings").Primary()
 	for i := range 30 {
 		if i == 10 {
@@ -194,16 +194,16 @@
 func TestSameKeyRunsOnce(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t)
-	a, b := connect(t, ctx, s, 0), connect(t, ctx, s, 1)
-	exec(t, ctx, a, "CREATE TABLE orders (id text)")
-	exec(t, ctx, a, "/*RequestKey='k'*/ INSERT INTO orders VALUES ('1')")
+	a, b := connect(ctx, t, s, 0), connect(ctx, t, s, 1)
+	exec(ctx, t, a, "CREATE TABLE orders (id text)")
+	exec(ctx, t, a, "/*RequestKey='k'*/ INSERT INTO orders VALUES ('1')")
 	_, err := b.Exec(ctx, "/*RequestKey='k'*/ INSERT INTO orders VALUES ('1')")
 	got, ok := caller.Code(err)
 	is.True(ok)
 	is.Equal(got, code.AlreadyRan)
-	exec(t, ctx, b, "/*RequestKey='tx'*/ BEGIN")
-	exec(t, ctx, b, "INSERT INTO orders VALUES ('2')")
-	exec(t, ctx, b, "COMMIT")
+	exec(ctx, t, b, "/*RequestKey='tx'*/ BEGIN")
+	exec(ctx, t, b, "INSERT INTO orders VALUES ('2')")
+	exec(ctx, t, b, "COMMIT")
 	_, err = a.Exec(ctx, "/*RequestKey='tx'*/ BEGIN")
 	got, _ = caller.Code(err)
 	is.Equal(got, code.AlreadyRan)
@@ -215,7 +215,7 @@
 func TestCancelEndsOnlyWhatItIsFor(t *testing.T) {
 	is := is.New(t)
 	s, ctx := start(t, site.WithSlots(1, 0))
-	c := connect(t, ctx, s, 0)
+	c := connect(ctx, t, s, 0)
 	began := make(chan struct{})
 	result := make(chan error, 1)
 	go func() {
@@ -242,8 +242,8 @@
 	is := is.New(t)
 	s, ctx := start(t)
 	for i := range 3 {
-		c := connect(t, ctx, s, i)
-		exec(t, ctx, c, fmt.Sprintf("CREATE TABLE t%d (id int, note text)", i))
+		c := connect(ctx, t, s, i)
+		exec(ctx, t, c, fmt.Sprintf("CREATE TABLE t%d (id int, note text)", i))
 		text := strings.Repeat("1\tjacket\n", 1000)
 		tag, err := c.Conn().PgConn().CopyFrom(ctx, strings.NewReader(text), fmt.Sprintf("COPY t%d FROM STDIN", i))
 		is.NoErr(err)
@@ -261,7 +261,7 @@
 	query := `WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 20000)
 		SELECT i, hex(zeroblob(100)) FROM n`
 	for i := range 3 {
-		c := connect(t, ctx, s, i)
+		c := connect(ctx, t, s, i)
 		results, err := c.Conn().PgConn().Exec(ctx, query).ReadAll()
 		is.NoErr(err)
 		is.Equal(len(results[0].Rows), 20000)
@@ -276,7 +276,7 @@
 		return c
 	}))
 	owner := ownerOf(s)
-	c := connect(t, ctx, s, owner)
+	c := connect(ctx, t, s, owner)
 	result := make(chan error, 1)
 	go func() {
 		_, err := c.Value(ctx, "SELECT pg_sleep(1)")
@@ -285,6 +285,6 @@
 	time.Sleep(200 * time.Millisecond)
 	is.Equal(s.Stop(ctx, owner), 0)
 	is.NoErr(<-result)
-	other := connect(t, ctx, s, (owner+1)%3)
-	exec(t, ctx, other, "CREATE TABLE after (id int)")
+	other := connect(ctx, t, s, (owner+1)%3)
+	exec(ctx, t, other, "CREATE TABLE after (id int)")
 }
--- a/standin/target/session.go
+++ b/standin/target/session.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -283,27 +282,6 @@
 	return out, err
 }
 
-var sleepPattern = regexp.MustCompile(`(?i)pg_sleep\(\s*([0-9.]+)\s*\)`)
-
-// sleep waits as PostgreSQL's pg_sleep does and takes the call out of a text.
-// The tables know no such function: it could not be interrupted there.
-func sleep(ctx context.Context, text string) (string, error) {
-	for _, m := range sleepPattern.FindAllStringSubmatch(text, -1) {
-		seconds, err := strconv.ParseFloat(m[1], 64)
-		if err != nil {
-			return text, &sqlError{"22023", "bad argument of pg_sleep"}
-		}
-		timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return text, ctx.Err()
-		}
-	}
-	return sleepPattern.ReplaceAllString(text, "''"), nil
-}
-
 func (s *session) exec(word, text string, args []any) (*rows, error) {
 	ctx := s.begun()
 	defer s.ended()
