--- /dev/null
+++ b/cmd/pistachiotray/pages.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"github.com/pistachiotray/pistachiotray/process/conf"
+	"github.com/pistachiotray/pistachiotray/request/code"
+)
+
+// pagesCommand writes the pages that are made from the code.
+func pagesCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "pages FOLDER", Short: "Write the pages that are made from the code", Hidden: true,
+		Long: "Pages writes SETTINGS.md and RESULTS.md.", Example: "  pistachiotray pages docs", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			const mode = 0o644
+			for name, text := range map[string]string{"SETTINGS.md": conf.Markdown(), "RESULTS.md": code.Markdown()} {
+				if err := os.WriteFile(filepath.Join(arguments[0], name), []byte(text), mode); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/pistachiotray/pages_test.go
@@ -0,0 +1,24 @@
+package main_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachiotray/pistachiotray/process/conf"
+	"github.com/pistachiotray/pistachiotray/request/code"
+)
+
+func TestPagesAreTrue(t *testing.T) {
+	for name, want := range map[string]string{"SETTINGS.md": conf.Markdown(), "RESULTS.md": code.Markdown()} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := os.ReadFile("../../docs/" + name)
+			is.NoErr(err)
+			if string(got) != want {
+				t.Fatal("run: go run ./cmd/pistachiotray pages docs")
+			}
+		})
+	}
+}
--- a/cmd/pistachiotray/root.go
+++ b/cmd/pistachiotray/root.go
@@ -17,7 +17,7 @@
 		SilenceErrors: false,
 	}
 	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), replayCommand(), compareCommand(), loadCommand(), checkCommand(), publishCommand(), historyCommand(), diffCommand(),
-		rollbackCommand(), statusCommand(), explainCommand(), drainCommand(), switchCommand(), auditCommand(), versionCommand())
+		rollbackCommand(), statusCommand(), explainCommand(), drainCommand(), switchCommand(), auditCommand(), pagesCommand(), versionCommand())
 	return c
 }
 
--- a/process/conf/settings.go
+++ b/process/conf/settings.go
@@ -2,6 +2,7 @@
 package conf
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"strings"
@@ -213,3 +214,18 @@
 	f.VisitAll(func(flag *pflag.Flag) { parts = append(parts, flag.Name+"="+flag.Value.String()) })
 	return strings.Join(parts, " ")
 }
+
+// Markdown returns docs/SETTINGS.md, the table of all settings.
+func Markdown() string {
+	s := Defaults()
+	f := pflag.NewFlagSet("", pflag.ContinueOnError)
+	s.Flags(f)
+	var b strings.Builder
+	b.WriteString("# Settings of `serve`\n\nA flag goes before its environment variable, which goes before the default. All\n" +
+		"are checked before anything starts, and every bad one is named.\n`pistachiotray pages docs` writes this page.\n\n" +
+		"| flag | variable | default | meaning |\n| --- | --- | --- | --- |\n")
+	f.VisitAll(func(flag *pflag.Flag) {
+		fmt.Fprintf(&b, "| --%s | %s | %s | %s |\n", flag.Name, Variable(flag.Name), flag.DefValue, flag.Usage)
+	})
+	return b.String()
+}
--- /dev/null
+++ b/process/conf/settings_test.go
@@ -0,0 +1,49 @@
+package conf_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/spf13/pflag"
+
+	"github.com/pistachiotray/pistachiotray/process/conf"
+)
+
+func flags(t *testing.T, s *conf.Settings, arguments ...string) *pflag.FlagSet {
+	t.Helper()
+	f := pflag.NewFlagSet("", pflag.ContinueOnError)
+	s.Flags(f)
+	if err := f.Parse(arguments); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestFlagGoesBeforeVariableBeforeDefault(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("PISTACHIOTRAY_ZONE", "from-variable")
+	t.Setenv("PISTACHIOTRAY_HOST", "from-variable")
+	s := conf.Defaults()
+	is.NoErr(conf.Environment(flags(t, &s, "--host", "from-flag")))
+	is.Equal(s.Host, "from-flag")
+	is.Equal(s.Zone, "from-variable")
+	is.Equal(s.Workers, conf.Defaults().Workers)
+}
+
+func TestEveryBadSettingIsNamed(t *testing.T) {
+	is := is.New(t)
+	t.Setenv("PISTACHIOTRAY_WORKERS", "many")
+	t.Setenv("PISTACHIOTRAY_GRACE", "soon")
+	s := conf.Defaults()
+	err := conf.Environment(flags(t, &s))
+	is.True(strings.Contains(err.Error(), "PISTACHIOTRAY_WORKERS") && strings.Contains(err.Error(), "PISTACHIOTRAY_GRACE"))
+	s = conf.Defaults()
+	s.Listen, s.Platform, s.Workers, s.LogLevel, s.CertFile = "0.0.0.0:1", "x", 0, "loud", "c"
+	err = s.Validate()
+	for _, want := range []string{"host:", "platform:", "workers:", "log-level:", "tls-cert-file", "users-file", "token-keys-file"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in:\n%v", want, err)
+		}
+	}
+}
--- a/process/engine/engine.go
+++ b/process/engine/engine.go
@@ -125,6 +125,7 @@
 func (e *Engine) Connect(l links) {
 	e.links = l
 	e.done.Go(e.tick)
+	e.done.Go(e.trimLoop)
 }
 
 // SetHosts takes the hosts that are believed live, this one among them.
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -287,3 +287,9 @@
 func (h *Host) Switch(name, to string) bool {
 	return h.engine.Switch(name, to)
 }
+
+// TrimKeys removes the idempotency keys made before a time at the groups that
+// this host owns.
+func (h *Host) TrimKeys(before time.Time) {
+	h.engine.Trim(before)
+}
--- a/request/code/code.go
+++ b/request/code/code.go
@@ -1,7 +1,11 @@
 // Package code holds the numbered result codes that callers and operators see.
 package code
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // Code is a numbered result of a request. Codes from 100 say that the request
 // was not run, codes from 200 that it may have run or did run, codes from 300
@@ -157,3 +161,18 @@
 func (c Code) Error() string {
 	return fmt.Sprintf("%s (%d): %s", c.Name(), int(c), c.Meaning())
 }
+
+// Markdown returns docs/RESULTS.md, the table of all codes in their order.
+func Markdown() string {
+	codes := All()
+	slices.Sort(codes)
+	var b strings.Builder
+	b.WriteString("# Result codes\n\nEvery error of pistachiotray itself carries a numbered result in its detail,\n" +
+		"`Result NAME NUMBER: …`, beside the SQLSTATE. Codes from 100 promise that the\nrequest was not run, codes from 200 say that it may have run or did run, codes\n" +
+		"from 300 that it was not accepted as it stands. Errors of the target itself are\npassed on as they are. `pistachiotray pages docs` writes this page.\n\n" +
+		"| number | name | SQLSTATE | meaning | what the caller may do |\n| --- | --- | --- | --- | --- |\n")
+	for _, c := range codes {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s |\n", int(c), c.Name(), c.SQLState(), c.Meaning(), c.Advice())
+	}
+	return b.String()
+}
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -288,3 +288,20 @@
 	other := connect(ctx, t, s, (owner+1)%3)
 	exec(ctx, t, other, "CREATE TABLE after (id int)")
 }
+
+func TestOldKeysAreRemovedAndYoungOnesStay(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	c := connect(ctx, t, s, 0)
+	exec(ctx, t, c, "CREATE TABLE orders (id text)")
+	exec(ctx, t, c, "/*RequestKey='k'*/ INSERT INTO orders VALUES ('1')")
+	s.Host(ownerOf(s)).TrimKeys(time.Now().Add(-time.Hour))
+	_, err := c.Exec(ctx, "/*RequestKey='k'*/ INSERT INTO orders VALUES ('1')")
+	got, _ := caller.Code(err)
+	is.Equal(got, code.AlreadyRan)
+	s.Host(ownerOf(s)).TrimKeys(time.Now().Add(time.Hour))
+	for n := "1"; n != "0"; {
+		n, err = c.Value(ctx, "SELECT count(*) FROM pistachiotray_request")
+		is.NoErr(err)
+	}
+}
