Start without the platform and notice dead slots before they are used

Cause: a host that started while the platform was down knew no group and no host; a write sent into a slot that its member had closed was told OutcomeUnknown although nothing had reached the target. Both have a test that failed before.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -62,6 +62,12 @@
 	CancelKey(pid uint32, secret []byte) bool
 }
 
+// lists are the lists that this host knows.
+type lists interface {
+	// Export returns the list of groups.
+	Export() []byte
+}
+
 // exchange is one request of another host's caller.
 type exchange struct {
 	mu     sync.Mutex
@@ -83,14 +89,15 @@
 	gossip gossip
 	bodies bodies
 	caller callers
+	lists  lists
 
 	mu        sync.Mutex
 	exchanges map[string]*exchange
 }
 
 // New returns the handler.
-func New(e engine, g gossip, b bodies, c callers) *Peer {
-	return &Peer{engine: e, gossip: g, bodies: b, caller: c, exchanges: map[string]*exchange{}}
+func New(e engine, g gossip, b bodies, c callers, l lists) *Peer {
+	return &Peer{engine: e, gossip: g, bodies: b, caller: c, lists: l, exchanges: map[string]*exchange{}}
 }
 
 // stream is one stream of an entry host.
@@ -303,3 +310,8 @@
 	found := p.caller.CancelKey(r.Msg.GetPid(), r.Msg.GetSecret())
 	return connect.NewResponse(&wirepb.CancelKeyReply{Found: found}), nil
 }
+
+// Groups returns the list of groups that this host knows.
+func (p *Peer) Groups(context.Context, *connect.Request[wirepb.GroupsRequest]) (*connect.Response[wirepb.GroupsReply], error) {
+	return connect.NewResponse(&wirepb.GroupsReply{Rows: p.lists.Export()}), nil
+}
--- a/connection/slot/run.go
+++ b/connection/slot/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -16,6 +17,10 @@
 // answer is read; a longer one is written beside the reading.
 const smallBody = 16 << 10
 
+// trusted is how long after its last use a slot is taken to be alive: what is
+// written to a dead one counts as sent, and may have run.
+const trusted = 500 * time.Millisecond
+
 // sink takes an answer as it is read.
 type sink interface {
 	// Append adds a part. It returns true where the slot has to pause.
@@ -50,6 +55,11 @@
 // Run sends a call and passes its answer to the sink. Every failure is told
 // apart in the result: nothing sent, or sent and not fully answered.
 func (s *Slot) Run(ctx context.Context, c call.Call, out sink) result.Result {
+	if time.Since(s.used) > trusted && !s.Alive() {
+		s.failed = true
+		return result.Result{Failure: result.Unsent}
+	}
+	defer func() { s.used = time.Now() }()
 	if c.Key != "" && c.Begins && !s.marked {
 		s.marked = s.createMarker()
 	}
--- a/connection/slot/slot.go
+++ b/connection/slot/slot.go
@@ -3,14 +3,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"golang.org/x/sys/unix"
 
 	"github.com/pistachiotray/pistachiotray/connection/adapt"
 	"github.com/pistachiotray/pistachiotray/connection/frame"
@@ -47,6 +50,7 @@
 	dirty      bool
 	failed     bool
 	marked     bool
+	used       time.Time
 	now        func() time.Time
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	once       sync.Once
@@ -152,6 +156,37 @@
 	s.once.Do(func() { _ = s.conn.Close() })
 }
 
+// Alive tells whether the member still holds the connection. It is called
+// while nothing runs. It looks at what has come without waiting: an end of the
+// connection, or a message that nobody asked for, such as that of a member
+// that stops.
+func (s *Slot) Alive() bool {
+	s.used = time.Now()
+	if s.reader.Buffered() > 0 {
+		return false
+	}
+	plain := s.conn
+	t, encrypted := plain.(*tls.Conn)
+	if encrypted {
+		plain = t.NetConn()
+	}
+	c, ok := plain.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		alive = errors.Is(err, unix.EAGAIN) || (err == nil && n > 0 && encrypted)
+		return true
+	})
+	return err == nil && alive
+}
+
 // Rollback ends the open transaction and reports whether the slot is clean.
 func (s *Slot) Rollback() bool {
 	if _, err := s.conn.Write(mustEncode(&pgproto3.Query{String: "ROLLBACK"})); err != nil {
--- a/connection/wirepb/wirepbconnect/wire.connect.go
+++ b/connection/wirepb/wirepbconnect/wire.connect.go
@@ -44,6 +44,8 @@
 	PeerSightProcedure = "/pistachiotray.v1.Peer/Sight"
 	// PeerBodyProcedure is the fully-qualified name of the Peer's Body RPC.
 	PeerBodyProcedure = "/pistachiotray.v1.Peer/Body"
+	// PeerGroupsProcedure is the fully-qualified name of the Peer's Groups RPC.
+	PeerGroupsProcedure = "/pistachiotray.v1.Peer/Groups"
 	// PeerCancelProcedure is the fully-qualified name of the Peer's Cancel RPC.
 	PeerCancelProcedure = "/pistachiotray.v1.Peer/Cancel"
 	// OperatorCommandProcedure is the fully-qualified name of the Operator's Command RPC.
@@ -60,6 +62,8 @@
 	Sight(context.Context, *connect.Request[wirepb.SightRequest]) (*connect.Response[wirepb.SightReply], error)
 	// Body fetches the body of a configuration version.
 	Body(context.Context, *connect.Request[wirepb.BodyRequest]) (*connect.Response[wirepb.BodyReply], error)
+	// Groups returns the list of groups that the host knows.
+	Groups(context.Context, *connect.Request[wirepb.GroupsRequest]) (*connect.Response[wirepb.GroupsReply], error)
 	// Cancel cancels what the caller with a key runs at the host.
 	Cancel(context.Context, *connect.Request[wirepb.CancelKeyRequest]) (*connect.Response[wirepb.CancelKeyReply], error)
 }
@@ -99,6 +103,12 @@
 			connect.WithSchema(peerMethods.ByName("Body")),
 			connect.WithClientOptions(opts...),
 		),
+		groups: connect.NewClient[wirepb.GroupsRequest, wirepb.GroupsReply](
+			httpClient,
+			baseURL+PeerGroupsProcedure,
+			connect.WithSchema(peerMethods.ByName("Groups")),
+			connect.WithClientOptions(opts...),
+		),
 		cancel: connect.NewClient[wirepb.CancelKeyRequest, wirepb.CancelKeyReply](
 			httpClient,
 			baseURL+PeerCancelProcedure,
@@ -114,6 +124,7 @@
 	probe  *connect.Client[wirepb.ProbeRequest, wirepb.ProbeReply]
 	sight  *connect.Client[wirepb.SightRequest, wirepb.SightReply]
 	body   *connect.Client[wirepb.BodyRequest, wirepb.BodyReply]
+	groups *connect.Client[wirepb.GroupsRequest, wirepb.GroupsReply]
 	cancel *connect.Client[wirepb.CancelKeyRequest, wirepb.CancelKeyReply]
 }
 
@@ -137,6 +148,11 @@
 	return c.body.CallUnary(ctx, req)
 }
 
+// Groups calls pistachiotray.v1.Peer.Groups.
+func (c *peerClient) Groups(ctx context.Context, req *connect.Request[wirepb.GroupsRequest]) (*connect.Response[wirepb.GroupsReply], error) {
+	return c.groups.CallUnary(ctx, req)
+}
+
 // Cancel calls pistachiotray.v1.Peer.Cancel.
 func (c *peerClient) Cancel(ctx context.Context, req *connect.Request[wirepb.CancelKeyRequest]) (*connect.Response[wirepb.CancelKeyReply], error) {
 	return c.cancel.CallUnary(ctx, req)
@@ -152,6 +168,8 @@
 	Sight(context.Context, *connect.Request[wirepb.SightRequest]) (*connect.Response[wirepb.SightReply], error)
 	// Body fetches the body of a configuration version.
 	Body(context.Context, *connect.Request[wirepb.BodyRequest]) (*connect.Response[wirepb.BodyReply], error)
+	// Groups returns the list of groups that the host knows.
+	Groups(context.Context, *connect.Request[wirepb.GroupsRequest]) (*connect.Response[wirepb.GroupsReply], error)
 	// Cancel cancels what the caller with a key runs at the host.
 	Cancel(context.Context, *connect.Request[wirepb.CancelKeyRequest]) (*connect.Response[wirepb.CancelKeyReply], error)
 }
@@ -187,6 +205,12 @@
 		connect.WithSchema(peerMethods.ByName("Body")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerGroupsHandler := connect.NewUnaryHandler(
+		PeerGroupsProcedure,
+		svc.Groups,
+		connect.WithSchema(peerMethods.ByName("Groups")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerCancelHandler := connect.NewUnaryHandler(
 		PeerCancelProcedure,
 		svc.Cancel,
@@ -203,6 +227,8 @@
 			peerSightHandler.ServeHTTP(w, r)
 		case PeerBodyProcedure:
 			peerBodyHandler.ServeHTTP(w, r)
+		case PeerGroupsProcedure:
+			peerGroupsHandler.ServeHTTP(w, r)
 		case PeerCancelProcedure:
 			peerCancelHandler.ServeHTTP(w, r)
 		default:
@@ -230,6 +256,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pistachiotray.v1.Peer.Body is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Groups(context.Context, *connect.Request[wirepb.GroupsRequest]) (*connect.Response[wirepb.GroupsReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pistachiotray.v1.Peer.Groups is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Cancel(context.Context, *connect.Request[wirepb.CancelKeyRequest]) (*connect.Response[wirepb.CancelKeyReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pistachiotray.v1.Peer.Cancel is not implemented"))
 }
--- a/process/conf/settings.go
+++ b/process/conf/settings.go
@@ -23,6 +23,7 @@
 	Listen         string
 	PeerListen     string
 	PeerAddress    string
+	Seeds          []string
 	OperatorListen string
 	Platform       string
 	UsersFile      string
@@ -81,6 +82,7 @@
 	f.StringVar(&s.Listen, "listen", s.Listen, "IP number and port for callers")
 	f.StringVar(&s.PeerListen, "peer-listen", s.PeerListen, "IP number and port for other hosts")
 	f.StringVar(&s.PeerAddress, "peer-address", s.PeerAddress, "IP number and port under which other hosts reach this one; empty takes peer-listen")
+	f.StringSliceVar(&s.Seeds, "seed", s.Seeds, "IP number and port of another host, for a start while the platform is down; may be given again")
 	f.StringVar(&s.OperatorListen, "operator-listen", s.OperatorListen, "IP number and port for operators")
 	f.StringVar(&s.Platform, "platform", s.Platform, "URL of the platform's table service and object store")
 	f.StringVar(&s.UsersFile, "users-file", s.UsersFile, "file of callers' names and passwords, one name:password a line")
@@ -152,6 +154,9 @@
 	add(s.PeerKeyFile == "" && !isLoopback(s.PeerListen), "peer-key-file: needed where hosts are not on loopback")
 	add(s.PeerKeyFile == "" && !isLoopback(s.OperatorListen), "peer-key-file: needed where operators are not on loopback")
 	add(s.KeysFile == "" && !isLoopback(s.Listen), "token-keys-file: needed where callers do not come from loopback")
+	for _, seed := range s.Seeds {
+		add(!isAddress(seed), "seed: must be an IP number and a port")
+	}
 	found = append(found, s.checkNumbers()...)
 	return errors.Join(found...)
 }
--- a/process/engine/owned.go
+++ b/process/engine/owned.go
@@ -29,6 +29,8 @@
 	dialTimeout = 2 * time.Second
 	// readTimeout bounds the wait for a caller that does not read.
 	readTimeout = 5 * time.Second
+	// idleCheck is how often an idle slot is looked at.
+	idleCheck = 10 * time.Second
 	// commandsKept is how many commands may wait for a slot's goroutine.
 	commandsKept = 8
 )
@@ -208,12 +210,21 @@
 		return
 	}
 	defer s.Close()
+	check := time.NewTimer(idleCheck)
+	defer check.Stop()
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
 		case f := <-l.commands:
 			f(s)
+			check.Reset(idleCheck)
+		case <-check.C:
+			if !s.Alive() {
+				o.submit(func(g *group.Group, now time.Time) { g.Broke(now, id) })
+				return
+			}
+			check.Reset(idleCheck)
 		}
 	}
 }
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/link"
 	"github.com/pistachiotray/pistachiotray/connection/wirepb"
+	"github.com/pistachiotray/pistachiotray/connection/wirepb/wirepbconnect"
 	"github.com/pistachiotray/pistachiotray/process/news"
 	"github.com/pistachiotray/pistachiotray/process/swim"
 	"github.com/pistachiotray/pistachiotray/request/fault"
@@ -66,6 +67,7 @@
 	client   connect.HTTPClient
 	options  []connect.ClientOption
 	interval time.Duration
+	seeds    []string
 
 	mu        sync.Mutex
 	swim      *swim.Swim
@@ -91,6 +93,16 @@
 	return func(f *Fleet) { f.options = options }
 }
 
+// WithSeeds returns an option that names addresses of other hosts, which are
+// asked while no other host is known.
+func WithSeeds(scheme string, addresses []string) func(*Fleet) {
+	return func(f *Fleet) {
+		for _, a := range addresses {
+			f.seeds = append(f.seeds, scheme+a)
+		}
+	}
+}
+
 // New returns the fleet as the host self sees it. Start begins the probes.
 func New(self news.News, log *zap.Logger, e engine, v versions, l lister, client connect.HTTPClient, options ...func(*Fleet)) *Fleet {
 	seed := xxhash.Sum64String(self.Host)
@@ -107,7 +119,11 @@
 
 // Start takes the platform's list and begins the probes.
 func (f *Fleet) Start(ctx context.Context) {
+	f.mu.Lock()
+	f.heard = time.Now()
+	f.mu.Unlock()
 	f.relist(ctx)
+	f.sow(ctx)
 	f.done.Go(f.probeLoop)
 	f.done.Go(f.listLoop)
 }
@@ -158,6 +174,26 @@
 	return gone
 }
 
+// sow asks the seeds who they are, as long as no other host is known.
+func (f *Fleet) sow(ctx context.Context) {
+	for _, address := range f.seeds {
+		if len(f.Known()) > 1 {
+			return
+		}
+		asked, stop := context.WithTimeout(ctx, helpTimeout)
+		client := wirepbconnect.NewPeerClient(f.client, address, f.options...)
+		r, err := client.Probe(asked, connect.NewRequest(&wirepb.ProbeRequest{From: f.self.Host, News: encode([]news.News{f.self})}))
+		stop()
+		if err != nil || r.Msg.GetHost() == f.self.Host {
+			continue
+		}
+		f.change(func(now time.Time) {
+			f.swim.Candidates(now, []news.News{news.New(r.Msg.GetHost(), address, "", 0)})
+			f.swim.Take(now, decode(r.Msg.GetNews()))
+		})
+	}
+}
+
 func (f *Fleet) listLoop() {
 	const every = 5 * time.Second
 	t := time.NewTicker(every)
@@ -169,6 +205,7 @@
 		case <-t.C:
 			ctx, stop := context.WithTimeout(context.Background(), every)
 			f.relist(ctx)
+			f.sow(ctx)
 			stop()
 		}
 	}
--- a/process/group/member.go
+++ b/process/group/member.go
@@ -248,7 +248,7 @@
 // Broke takes the loss of a slot in which nothing ran.
 func (g *Group) Broke(now time.Time, slot uint64) {
 	s := g.seats[slot]
-	if s == nil {
+	if s == nil || s.call != "" {
 		return
 	}
 	if s.session != "" {
--- a/process/groups/groups.go
+++ b/process/groups/groups.go
@@ -73,6 +73,32 @@
 	return nil
 }
 
+// Export returns the list for a host that can't read the table, empty where
+// there is none.
+func (g *Groups) Export() []byte {
+	entries := *g.entries.Load()
+	if len(entries) == 0 {
+		return nil
+	}
+	text, err := json.Marshal(entries)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+// Import takes the list of another host, unless there is one here already.
+func (g *Groups) Import(text []byte) error {
+	entries := map[string]entry{}
+	if err := json.Unmarshal(text, &entries); err != nil {
+		return errors.Wrap(err, "Groups.Import")
+	}
+	if len(*g.entries.Load()) == 0 {
+		g.entries.Store(&entries)
+	}
+	return nil
+}
+
 // Row returns the row of a group with members given as name=address.
 func Row(name string, slots int, members ...string) (record.Row, error) {
 	e := entry{Name: name, Slots: slots}
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -78,6 +78,7 @@
 	h.engine.Connect(h.fleet)
 	h.serveHTTP()
 	h.fleet.Start(loading)
+	h.groupsOfPeers(loading)
 	h.config.Start(h.bodyOfPeers)
 	h.trail.Start()
 	h.ownGroups()
@@ -164,14 +165,34 @@
 			return
 		case <-t.C:
 			ctx, stop := context.WithTimeout(context.Background(), loadTimeout)
-			if h.groups.Load(ctx) == nil {
-				h.ownGroups()
+			if h.groups.Load(ctx) != nil {
+				h.groupsOfPeers(ctx)
 			}
+			h.ownGroups()
 			stop()
 		}
 	}
 }
 
+// groupsOfPeers takes the list of groups from another host where this one has
+// none, as after a start while the platform is down.
+func (h *Host) groupsOfPeers(ctx context.Context) {
+	for _, n := range h.fleet.Known()[1:] {
+		if len(h.groups.Names()) > 0 {
+			return
+		}
+		if n.State != news.Alive {
+			continue
+		}
+		r, err := h.fleet.Link(n.Host, n.Address).Client().Groups(ctx, connect.NewRequest(&wirepb.GroupsRequest{}))
+		if err == nil && len(r.Msg.GetRows()) > 0 {
+			if err := h.groups.Import(r.Msg.GetRows()); err != nil {
+				h.log.Warn("list of groups of a host can't be read", zap.String("Peer", n.Host), zap.Error(err))
+			}
+		}
+	}
+}
+
 // bodyOfPeers asks other hosts for the body of a version.
 func (h *Host) bodyOfPeers(ctx context.Context, version uint64) ([]byte, bool) {
 	const asked = 3
--- a/process/host/provide.go
+++ b/process/host/provide.go
@@ -99,7 +99,7 @@
 	}
 	self := news.New(s.Host, scheme+address, s.Zone, uint64(time.Now().UnixMilli()))
 	return fleet.New(self, log, e, c, v, peerClient(k.clientTLS),
-		fleet.WithInterval(s.ProbeInterval),
+		fleet.WithInterval(s.ProbeInterval), fleet.WithSeeds(scheme, s.Seeds),
 		fleet.WithClientOptions(connect.WithInterceptors(k.interceptor()), connect.WithGRPC(),
 			connect.WithAcceptCompression("gzip", nil, nil)))
 }
@@ -135,8 +135,8 @@
 	return front.New(s.Host, log, e, c, g, options...)
 }
 
-func providePeer(e *engine.Engine, f *fleet.Fleet, c *config.Config, fr *front.Front) *peer.Peer {
-	return peer.New(e, f, c, fr)
+func providePeer(e *engine.Engine, f *fleet.Fleet, c *config.Config, fr *front.Front, g *groups.Groups) *peer.Peer {
+	return peer.New(e, f, c, fr, g)
 }
 
 func provideHost(s conf.Settings, log *zap.Logger, p *pool.Pool, v *vault.Vault, g *groups.Groups, e *engine.Engine, c *config.Config,
--- a/process/host/wire_gen.go
+++ b/process/host/wire_gen.go
@@ -34,7 +34,7 @@
 	}
 	fleet := provideFleet(s, log, engine, config, vault, hostSecrets, hostListeners)
 	front := provideFront(s, log, engine, config, groups, hostSecrets)
-	peer := providePeer(engine, fleet, config, front)
+	peer := providePeer(engine, fleet, config, front, groups)
 	host := provideHost(s, log, pool, vault, groups, engine, config, fleet, front, peer, trail, ringRing, hostSecrets, hostListeners)
 	return host, nil
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -174,6 +174,11 @@
 // Restart starts host i again.
 func (s *Site) Restart(ctx context.Context, i int) error {
 	s.Kill(i)
+	for j, other := range s.settings {
+		if j != i {
+			s.settings[i].Seeds = append(s.settings[i].Seeds, other.PeerListen)
+		}
+	}
 	h, err := host.New(s.settings[i], s.log.Named(s.settings[i].Host))
 	if err != nil {
 		return err
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -305,3 +305,32 @@
 		is.NoErr(err)
 	}
 }
+
+func TestHostStartsWhileThePlatformIsDown(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	c := connect(ctx, t, s, 0)
+	exec(ctx, t, c, "CREATE TABLE orders (id text)")
+	s.Platform().SetDown(true)
+	is.NoErr(s.Restart(ctx, 1))
+	other := connect(ctx, t, s, 1)
+	exec(ctx, t, other, "INSERT INTO orders VALUES ('1')")
+	ok, why := s.Host(1).Ready()
+	is.True(ok)
+	is.Equal(why, "")
+}
+
+func TestRestartedMemberLosesNoWrite(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	c := connect(ctx, t, s, 0)
+	exec(ctx, t, c, "CREATE TABLE orders (id text)")
+	time.Sleep(600 * time.Millisecond)
+	s.Group("fittings").Primary().DropSlots()
+	for i := range 8 {
+		exec(ctx, t, c, fmt.Sprintf("INSERT INTO orders VALUES ('%d')", i))
+	}
+	n, err := c.Value(ctx, "SELECT count(*) FROM orders")
+	is.NoErr(err)
+	is.Equal(n, "8")
+}
--- a/standin/target/follow.go
+++ b/standin/target/follow.go
@@ -114,7 +114,7 @@
 	t.log = log
 	t.applied = 0
 	t.epoch++
-	t.dropSlots()
+	t.DropSlots()
 	t.db = fresh
 	t.catchUpLocked()
 }
@@ -129,8 +129,8 @@
 	return n
 }
 
-// dropSlots closes the slots, whose tables are gone.
-func (t *Target) dropSlots() {
+// DropSlots closes all slots, as a restart of the member does.
+func (t *Target) DropSlots() {
 	t.connMu.Lock()
 	defer t.connMu.Unlock()
 	for _, c := range t.conns {
