--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -15,7 +15,6 @@
 	"github.com/pistachiotray/pistachiotray/connection/wirepb/wirepbconnect"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
-	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/fault"
 )
 
@@ -272,13 +271,6 @@
 	}
 }
 
-// Fail ends a request of the link with a fault.
-func (l *Link) Fail(id string, c code.Code, detail string) {
-	if e := l.remove(id); e != nil {
-		l.outcomes.Refused(id, fault.New(c, detail))
-	}
-}
-
 // Close ends the link and gives up what it carries.
 func (l *Link) Close() {
 	l.stop()
--- a/connection/slot/read.go
+++ b/connection/slot/read.go
@@ -324,11 +324,6 @@
 	}
 }
 
-// Broken tells whether the slot can't be used any more.
-func (s *Slot) Broken() bool {
-	return s.failed
-}
-
 func errorState(p []byte) string {
 	var e pgproto3.ErrorResponse
 	if e.Decode(frame.Body(p)) != nil {
--- a/connection/slot/slot.go
+++ b/connection/slot/slot.go
@@ -52,20 +52,9 @@
 	marked     bool
 	used       time.Time
 	now        func() time.Time
-	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	once       sync.Once
 }
 
-// WithClock returns an option that sets the clock for the keys' time.
-func WithClock(now func() time.Time) func(*Slot) {
-	return func(s *Slot) { s.now = now }
-}
-
-// WithDial returns an option that sets how connections are made.
-func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(*Slot) {
-	return func(s *Slot) { s.dial = dial }
-}
-
 // New opens a slot to the member with a connection string of pgconn's form.
 // The error wraps that of the target, which tells a refusal by SQLSTATE.
 func New(ctx context.Context, member, dsn string, options ...func(*Slot)) (*Slot, error) {
@@ -77,12 +66,6 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "New: connection string")
 	}
-	if s.dial != nil {
-		config.DialFunc = s.dial
-	} else {
-		s.dial = (&net.Dialer{}).DialContext
-		config.DialFunc = s.dial
-	}
 	pc, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
 		return nil, errors.Wrap(err, "New")
@@ -142,7 +125,7 @@
 func (s *Slot) Cancel(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
-	conn, err := s.dial(ctx, "tcp", s.address)
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.address)
 	if err != nil {
 		return errors.Wrap(err, "Slot.Cancel")
 	}
--- a/process/group/change.go
+++ b/process/group/change.go
@@ -37,11 +37,6 @@
 	return true
 }
 
-// Switching tells whether a planned change of primary is in progress.
-func (g *Group) Switching() bool {
-	return g.shifting != nil
-}
-
 func (g *Group) blocked() bool {
 	return g.shifting != nil
 }
@@ -252,7 +247,7 @@
 		w.purpose = forMark
 	}
 	g.pending[id] = w
-	g.pollForQuorum(now)
+	g.pollForQuorum()
 }
 
 // indexedLater decides about a call that ran in an earlier term and whose
--- a/process/group/group.go
+++ b/process/group/group.go
@@ -256,7 +256,7 @@
 		return
 	}
 	g.active = false
-	g.refuseWaiting(now)
+	g.refuseWaiting()
 	for _, id := range inOrder(g.seats, func(*seat) bool { return true }) {
 		s := g.seats[id]
 		if s.call == "" && s.session == "" {
--- a/process/group/poll.go
+++ b/process/group/poll.go
@@ -38,7 +38,7 @@
 }
 
 // pollForQuorum asks the members whose word a waiting call lacks.
-func (g *Group) pollForQuorum(now time.Time) {
+func (g *Group) pollForQuorum() {
 	p := g.primaryIndex()
 	highest := g.quorum.Highest()
 	for i, m := range g.members {
@@ -50,7 +50,6 @@
 	if g.quorum.Indexing() > 0 {
 		g.pollAll(0)
 	}
-	_ = now
 }
 
 // Heard takes a member's report that was asked for at the time asked.
--- a/process/group/ran.go
+++ b/process/group/ran.go
@@ -168,7 +168,7 @@
 	w.since = now
 	w.deadline = w.call.Deadline.Add(confirmGrace)
 	g.pending[w.call.ID] = w
-	g.pollForQuorum(now)
+	g.pollForQuorum()
 }
 
 // replaced decides about a call whose member stopped leading while it ran.
@@ -251,7 +251,7 @@
 	w.partly = true
 	g.quorum.AwaitIndex(partPrefix+id, now)
 	g.pending[partPrefix+id] = &work{call: w.call, purpose: forPart, deadline: w.call.Deadline, term: w.term}
-	g.pollForQuorum(now)
+	g.pollForQuorum()
 }
 
 // partPrefix tells the wait for a part of an answer from the wait for all of it.
--- a/process/group/tick.go
+++ b/process/group/tick.go
@@ -29,11 +29,6 @@
 	g.diagnose(now)
 }
 
-// NextDeadline returns when something that waits will time out.
-func (g *Group) NextDeadline() (time.Time, bool) {
-	return g.queue.NextDeadline()
-}
-
 func (g *Group) expire(now time.Time) {
 	for _, c := range g.queue.Expire(now) {
 		w := g.waiting[c.ID]
--- a/process/group/tx.go
+++ b/process/group/tx.go
@@ -119,7 +119,7 @@
 func (g *Group) Leave(now time.Time, session string) {
 	t, ok := g.open[session]
 	if !ok {
-		g.hangRunning(now, session)
+		g.hangRunning(session)
 		return
 	}
 	g.abandon(now, t, "the session ended")
@@ -147,7 +147,7 @@
 
 // hangRunning interrupts what a session that ended still runs. Writes go on
 // to their end; reads are of no more use.
-func (g *Group) hangRunning(_ time.Time, session string) {
+func (g *Group) hangRunning(session string) {
 	mine := func(w *work) bool { return w.call.Session == session && w.call.Class.Read }
 	for _, id := range inOrder(g.running, mine) {
 		g.out.Interrupt(g.running[id].slot)
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -214,7 +214,7 @@
 	g.dispatch(now)
 }
 
-func (g *Group) refuseWaiting(now time.Time) {
+func (g *Group) refuseWaiting() {
 	for _, c := range g.queue.Drain() {
 		w := g.waiting[c.ID]
 		if w.sent {
@@ -228,7 +228,6 @@
 		g.quorum.Drop(id)
 		g.refuse(w, code.NotRunMoved, "the group moved to another host")
 	}
-	_ = now
 }
 
 // dispatch grants free slots to waiting calls until none fits.
--- a/process/publ/publisher.go
+++ b/process/publ/publisher.go
@@ -134,7 +134,7 @@
 		if err != nil {
 			return bundle.Bundle{}, err
 		}
-		if err := p.checkChanged(ctx, base, head, changed); err != nil {
+		if err := checkChanged(base, head, changed); err != nil {
 			return bundle.Bundle{}, err
 		}
 		next := head.WithFiles(changed).WithPublication(publication, p.by, p.now().UTC())
@@ -150,7 +150,7 @@
 }
 
 // checkChanged tells whether one of the services was changed since base.
-func (p *Publisher) checkChanged(_ context.Context, base, head bundle.Bundle, changed map[string]string) error {
+func checkChanged(base, head bundle.Bundle, changed map[string]string) error {
 	var both []string
 	for service := range maps.Keys(changed) {
 		if base.Files[service] != head.Files[service] {
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -244,14 +244,6 @@
 	return len(q.items)
 }
 
-// NextDeadline returns the earliest deadline among the waiting calls.
-func (q *Queue) NextDeadline() (time.Time, bool) {
-	if len(q.deadlines) == 0 {
-		return time.Time{}, false
-	}
-	return q.deadlines[0].call.Deadline, true
-}
-
 // Drain removes and returns every waiting call.
 func (q *Queue) Drain() []call.Call {
 	calls := make([]call.Call, 0, len(q.items))
--- a/process/queue/server.go
+++ b/process/queue/server.go
@@ -77,14 +77,6 @@
 	return len(q.servers[i].slots), len(q.servers[i].free)
 }
 
-// Holder returns the id of the call that slot id of member i was granted to.
-func (q *Queue) Holder(i int, id uint64) string {
-	if k, ok := q.servers[i].slots[id]; ok && k.busy {
-		return k.id
-	}
-	return ""
-}
-
 // Release frees a slot. Where the call was answered, its service time is
 // learned.
 func (q *Queue) Release(now time.Time, i int, id uint64, answered bool) {
--- a/process/quorum/quorum.go
+++ b/process/quorum/quorum.go
@@ -257,11 +257,6 @@
 	q.indexing = slices.DeleteFunc(q.indexing, func(w indexWaiter) bool { return w.id == id })
 }
 
-// Waiting returns how many wait for a confirmation or a read index.
-func (q *Quorum) Waiting() int {
-	return len(q.waiting) + len(q.indexing)
-}
-
 // Indexing returns how many wait for a read index.
 func (q *Quorum) Indexing() int {
 	return len(q.indexing)
--- a/process/swim/swim.go
+++ b/process/swim/swim.go
@@ -65,12 +65,6 @@
 	return s
 }
 
-// WithSuspicion returns an option that sets how long a suspected host may
-// refute it.
-func WithSuspicion(d time.Duration) func(*Swim) {
-	return func(s *Swim) { s.suspicion = d }
-}
-
 // Candidates takes hosts that the platform lists. They count as live until a
 // probe says otherwise; hosts that are known keep what is known of them.
 func (s *Swim) Candidates(now time.Time, listed []news.News) {
--- a/standin/plat/plat.go
+++ b/standin/plat/plat.go
@@ -74,13 +74,6 @@
 	p.hosts = append(p.hosts, hostEntry{host, address, zone, leaving})
 }
 
-// RemoveHost takes a host off the list.
-func (p *Plat) RemoveHost(host string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hosts = slices.DeleteFunc(p.hosts, func(e hostEntry) bool { return e.Host == host })
-}
-
 // Load returns how many reads and writes were asked for.
 func (p *Plat) Load() (reads, writes int64) {
 	p.mu.Lock()
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -98,13 +98,6 @@
 	return true
 }
 
-// Used returns how many slots are taken.
-func (t *Target) Used() int {
-	t.connMu.Lock()
-	defer t.connMu.Unlock()
-	return t.used
-}
-
 func (c *conn) startup() bool {
 	m, err := c.backend.ReceiveStartupMessage()
 	if err != nil {
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -99,11 +99,6 @@
 	return func(w *World) { w.ownerCount = n }
 }
 
-// WithSize returns an option that sets the number of members.
-func WithSize(n int) func(*World) {
-	return func(w *World) { w.size = n }
-}
-
 // WithGroup returns an option that passes options to each owner's group.
 func WithGroup(options ...func(*group.Group)) func(*World) {
 	return func(w *World) { w.groupOptions = append(w.groupOptions, options...) }
