Ask other hosts without making a stream to each

Each probe made a stream to its host, kept alive by a ping a second; at 2,600 hosts that is 2,600 streams a host. The owner of a group was found by hashing each host's name for each statement. Change: probes and questions use plain calls whose connections close after 10 s unused; streams are made by requests only, and closed when their host is dead; owners are remembered until the live hosts change.

--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -85,11 +85,6 @@
 	return l
 }
 
-// Client returns the client for single questions to the host.
-func (l *Link) Client() wirepbconnect.PeerClient {
-	return l.client
-}
-
 // Up tells whether the stream stands.
 func (l *Link) Up() bool {
 	l.mu.Lock()
--- a/process/engine/engine.go
+++ b/process/engine/engine.go
@@ -74,7 +74,7 @@
 	links    links
 	recorder recorder
 	catalog  catalog
-	ranking  atomic.Pointer[owner.Owner]
+	ranking  atomic.Pointer[ranking]
 	options  []func(*group.Group)
 	limits   *limit.Limit
 
@@ -92,6 +92,24 @@
 	done     sync.WaitGroup
 }
 
+// ranking is the order of the live hosts, with the owners that were found. A
+// change of the live hosts makes a new one.
+type ranking struct {
+	order owner.Owner
+	found sync.Map
+}
+
+// of returns the owner of a group. Only the first question about a group costs
+// time in proportion to the number of hosts.
+func (r *ranking) of(name string) string {
+	if host, ok := r.found.Load(name); ok {
+		return host.(string)
+	}
+	host := r.order.Of(name)
+	r.found.Store(name, host)
+	return host
+}
+
 // request is one call at this host.
 type request struct {
 	answer *answer.Answer
@@ -130,14 +148,13 @@
 
 // SetHosts takes the hosts that are believed live, this one among them.
 func (e *Engine) SetHosts(hosts []string) {
-	r := owner.New(hosts)
-	e.ranking.Store(&r)
+	e.ranking.Store(&ranking{order: owner.New(hosts)})
 	e.pool.Submit(e.settleOwnership)
 }
 
 // Owner returns the host that owns a group, as far as this host knows.
 func (e *Engine) Owner(name string) string {
-	return e.ranking.Load().Of(name)
+	return e.ranking.Load().of(name)
 }
 
 // settleOwnership activates and deactivates the known groups.
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -14,7 +14,6 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/link"
 	"github.com/pistachiotray/pistachiotray/connection/wirepb"
-	"github.com/pistachiotray/pistachiotray/connection/wirepb/wirepbconnect"
 	"github.com/pistachiotray/pistachiotray/process/news"
 	"github.com/pistachiotray/pistachiotray/process/swim"
 	"github.com/pistachiotray/pistachiotray/request/fault"
@@ -153,25 +152,33 @@
 	f.changes = changes
 	f.live = f.swim.Live()
 	live := f.live
-	gone := f.gone()
+	broken, dead := f.gone()
 	f.mu.Unlock()
 	f.log.Info("live hosts changed", zap.Strings("Hosts", live))
 	f.engine.SetHosts(live)
-	for _, l := range gone {
+	for _, l := range broken {
 		l.Abandon()
 	}
+	for _, l := range dead {
+		go l.Close()
+	}
 }
 
-// gone returns the broken links to hosts that are not believed live.
-func (f *Fleet) gone() []*link.Link {
-	var gone []*link.Link
+// gone returns the links to hosts that are not believed live: the broken ones
+// of suspected hosts, whose requests are given up, and all of dead ones, which
+// are closed.
+func (f *Fleet) gone() (broken, dead []*link.Link) {
 	for host, l := range f.links {
 		p, ok := f.swim.Peer(host)
-		if ok && (p.State == news.Suspect || p.State == news.Dead) && !l.Up() {
-			gone = append(gone, l)
+		switch {
+		case ok && p.State == news.Dead:
+			dead = append(dead, l)
+			delete(f.links, host)
+		case ok && p.State == news.Suspect && !l.Up():
+			broken = append(broken, l)
 		}
 	}
-	return gone
+	return broken, dead
 }
 
 // sow asks the seeds who they are, as long as no other host is known.
@@ -181,8 +188,7 @@
 			return
 		}
 		asked, stop := context.WithTimeout(ctx, helpTimeout)
-		client := wirepbconnect.NewPeerClient(f.client, address, f.options...)
-		r, err := client.Probe(asked, connect.NewRequest(&wirepb.ProbeRequest{From: f.self.Host, News: encode([]news.News{f.self})}))
+		r, err := f.Client(address).Probe(asked, connect.NewRequest(&wirepb.ProbeRequest{From: f.self.Host, News: encode([]news.News{f.self})}))
 		stop()
 		if err != nil || r.Msg.GetHost() == f.self.Host {
 			continue
@@ -271,7 +277,7 @@
 	f.mu.Lock()
 	given := f.swim.Give()
 	f.mu.Unlock()
-	r, err := f.Link(to.Host, to.Address).Client().Probe(ctx, connect.NewRequest(&wirepb.ProbeRequest{
+	r, err := f.Client(to.Address).Probe(ctx, connect.NewRequest(&wirepb.ProbeRequest{
 		From: f.self.Host, Target: target, TargetAddress: address, News: encode(given), Version: f.versions.Newest(),
 	}))
 	if err != nil || (target == "" && r.Msg.GetHost() != to.Host) {
--- a/process/fleet/links.go
+++ b/process/fleet/links.go
@@ -7,6 +7,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/link"
 	"github.com/pistachiotray/pistachiotray/connection/wirepb"
+	"github.com/pistachiotray/pistachiotray/connection/wirepb/wirepbconnect"
 	"github.com/pistachiotray/pistachiotray/process/news"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
@@ -86,7 +87,7 @@
 	}
 	for _, n := range asked {
 		go func() {
-			r, err := f.Link(n.Host, n.Address).Client().Sight(ctx, connect.NewRequest(&wirepb.SightRequest{Group: group, Member: member}))
+			r, err := f.Client(n.Address).Sight(ctx, connect.NewRequest(&wirepb.SightRequest{Group: group, Member: member}))
 			tell(err == nil && r.Msg.GetReached())
 		}()
 	}
@@ -107,3 +108,9 @@
 	all := append(elsewhere, same...)
 	return all[:min(len(all), opinions)]
 }
+
+// Client returns a client for single questions to a host. It makes no stream:
+// a host asks many others and has streams to few.
+func (f *Fleet) Client(address string) wirepbconnect.PeerClient {
+	return wirepbconnect.NewPeerClient(f.client, address, f.options...)
+}
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -184,7 +184,7 @@
 		if n.State != news.Alive {
 			continue
 		}
-		r, err := h.fleet.Link(n.Host, n.Address).Client().Groups(ctx, connect.NewRequest(&wirepb.GroupsRequest{}))
+		r, err := h.fleet.Client(n.Address).Groups(ctx, connect.NewRequest(&wirepb.GroupsRequest{}))
 		if err == nil && len(r.Msg.GetRows()) > 0 {
 			if err := h.groups.Import(r.Msg.GetRows()); err != nil {
 				h.log.Warn("list of groups of a host can't be read", zap.String("Peer", n.Host), zap.Error(err))
@@ -202,7 +202,7 @@
 			continue
 		}
 		tried++
-		r, err := h.fleet.Link(n.Host, n.Address).Client().Body(ctx, connect.NewRequest(&wirepb.BodyRequest{Version: version}))
+		r, err := h.fleet.Client(n.Address).Body(ctx, connect.NewRequest(&wirepb.BodyRequest{Version: version}))
 		if err == nil && r.Msg.GetFound() {
 			return r.Msg.GetBody(), true
 		}
@@ -216,7 +216,7 @@
 		if numberOf(n.Host) == uint16(pid>>16) {
 			ctx, stop := context.WithTimeout(context.Background(), stopTimeout)
 			defer stop()
-			_, _ = h.fleet.Link(n.Host, n.Address).Client().Cancel(ctx, connect.NewRequest(&wirepb.CancelKeyRequest{Pid: pid, Secret: secret}))
+			_, _ = h.fleet.Client(n.Address).Cancel(ctx, connect.NewRequest(&wirepb.CancelKeyRequest{Pid: pid, Secret: secret}))
 		}
 	}
 }
--- a/process/host/provide.go
+++ b/process/host/provide.go
@@ -109,7 +109,8 @@
 func peerClient(t *tls.Config) *http.Client {
 	const (
 		dialTimeout = 500 * time.Millisecond
-		pingAfter   = time.Second
+		pingAfter   = 15 * time.Second
+		idleTimeout = 10 * time.Second
 		pingTimeout = time.Second
 	)
 	protocols := new(http.Protocols)
@@ -118,6 +119,7 @@
 	return &http.Client{Transport: &http.Transport{
 		TLSClientConfig: t,
 		Protocols:       protocols,
+		IdleConnTimeout: idleTimeout,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			d := net.Dialer{Timeout: dialTimeout}
 			c, err := d.DialContext(ctx, network, address)
