--- a/docs/measure/bytes.sh
+++ b/docs/measure/bytes.sh
@@ -33,10 +33,7 @@
   # shellcheck disable=SC2086
   wait $pids 2>/dev/null || true
 }
-measure 1 1
-measure 4 1
-measure 8 1
-measure 1 2
-measure 1 4
-measure 1 8
+for pair in ${PAIRS:-1,1 4,1 8,1 1,2 1,4 1,8}; do
+  measure "${pair%,*}" "${pair#*,}"
+done
 rm -r "$folder"
