--- /dev/null
+++ b/standin/site/rolling_test.go
@@ -0,0 +1,85 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/standin/caller"
+	"github.com/pistachiotray/pistachiotray/standin/site"
+)
+
+// clerk writes orders until the context ends and moves on where its host
+// stops. It returns how many were acknowledged; an order that was told
+// anything but done or not run is a fault.
+func clerk(ctx, until context.Context, t *testing.T, s *site.Site, number int) int {
+	t.Helper()
+	at := number % s.Hosts()
+	var c *caller.Caller
+	defer func() {
+		if c != nil {
+			c.Drop()
+		}
+	}()
+	acked := 0
+	for n := 0; until.Err() == nil; n++ {
+		for c == nil || c.Conn().IsClosed() {
+			at = (at + 1) % s.Hosts()
+			fresh, err := caller.New(ctx, s.DSN(at, "fittings"))
+			if err == nil {
+				c = fresh
+				continue
+			}
+			if ctx.Err() != nil {
+				return acked
+			}
+		}
+		_, err := c.Exec(ctx, fmt.Sprintf("/*RequestKey='%d-%d'*/ INSERT INTO orders VALUES ('%d-%d')", number, n, number, n))
+		k, known := caller.Code(err)
+		switch {
+		case err == nil:
+			acked++
+		case known && k == code.NotRunStopping:
+		default:
+			t.Errorf("order %d-%d: %v", number, n, err)
+			return acked
+		}
+	}
+	return acked
+}
+
+func TestRollingRestartUnderLoad(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	setup := connect(ctx, t, s, 0)
+	exec(ctx, t, setup, "CREATE TABLE orders (id text)")
+	setup.Drop()
+	until, stop := context.WithCancel(ctx)
+	var acked atomic.Int64
+	var all sync.WaitGroup
+	for i := range 6 {
+		all.Go(func() { acked.Add(int64(clerk(ctx, until, t, s, i))) })
+	}
+	for i := range s.Hosts() {
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(s.Stop(ctx, i), 0)
+		time.Sleep(300 * time.Millisecond)
+		is.NoErr(s.Restart(ctx, i))
+	}
+	time.Sleep(300 * time.Millisecond)
+	stop()
+	all.Wait()
+	c := connect(ctx, t, s, 0)
+	n, err := c.Value(ctx, "SELECT count(*) FROM orders")
+	is.NoErr(err)
+	is.Equal(n, fmt.Sprint(acked.Load()))
+	n, err = c.Value(ctx, "SELECT count(DISTINCT id) FROM orders")
+	is.NoErr(err)
+	is.Equal(n, fmt.Sprint(acked.Load()))
+}
