Never let a cancel request reach what runs next in a slot

Cause: a cancel request was sent beside the slot's work by its key alone; where the canceled call had ended meanwhile, the target canceled the next session's statement. Change: a cancel names the call; the slot sends it only while that call runs, waits until the target has taken it, and starts nothing else before.

--- a/connection/slot/run.go
+++ b/connection/slot/run.go
@@ -59,7 +59,11 @@
 		s.failed = true
 		return result.Result{Failure: result.Unsent}
 	}
-	defer func() { s.used = time.Now() }()
+	s.occupy(c.ID)
+	defer func() {
+		s.occupy("")
+		s.used = time.Now()
+	}()
 	if c.Key != "" && c.Begins && !s.marked {
 		s.marked = s.createMarker()
 	}
--- a/connection/slot/slot.go
+++ b/connection/slot/slot.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -50,9 +51,12 @@
 	dirty      bool
 	failed     bool
 	marked     bool
-	used       time.Time
-	now        func() time.Time
-	once       sync.Once
+	// cancelMu guards current, and is held while a cancel request is under way.
+	cancelMu sync.Mutex
+	current  string
+	used     time.Time
+	now      func() time.Time
+	once     sync.Once
 }
 
 // New opens a slot to the member with a connection string of pgconn's form.
@@ -121,8 +125,22 @@
 	return s.parameters
 }
 
-// Cancel asks the member to cancel what runs in the slot.
-func (s *Slot) Cancel(ctx context.Context) error {
+// occupy notes what runs in the slot. It waits for a cancel request under way,
+// so that none can reach what runs next.
+func (s *Slot) occupy(id string) {
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	s.current = id
+}
+
+// Cancel asks the member to cancel a call, if it still runs in the slot, and
+// waits until the member has taken the request.
+func (s *Slot) Cancel(ctx context.Context, id string) error {
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	if s.current != id {
+		return nil
+	}
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.address)
@@ -130,7 +148,12 @@
 		return errors.Wrap(err, "Slot.Cancel")
 	}
 	defer func() { _ = conn.Close() }()
-	_, err = conn.Write(mustEncode(&pgproto3.CancelRequest{ProcessID: s.pid, SecretKey: s.secret}))
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	if _, err = conn.Write(mustEncode(&pgproto3.CancelRequest{ProcessID: s.pid, SecretKey: s.secret})); err != nil {
+		return errors.Wrap(err, "Slot.Cancel")
+	}
+	_, err = io.Copy(io.Discard, conn)
 	return wrap.If(err, "Slot.Cancel")
 }
 
@@ -172,6 +195,7 @@
 
 // Rollback ends the open transaction and reports whether the slot is clean.
 func (s *Slot) Rollback() bool {
+	s.occupy("")
 	if _, err := s.conn.Write(mustEncode(&pgproto3.Query{String: "ROLLBACK"})); err != nil {
 		return false
 	}
--- a/process/engine/owned.go
+++ b/process/engine/owned.go
@@ -173,8 +173,8 @@
 	})
 }
 
-// Interrupt cancels what runs in a slot.
-func (o *owned) Interrupt(id uint64) {
+// Interrupt cancels a call that runs in a slot.
+func (o *owned) Interrupt(id uint64, running string) {
 	l := o.line(id)
 	if l == nil {
 		return
@@ -183,7 +183,7 @@
 	s := l.slot
 	l.mu.Unlock()
 	if s != nil {
-		go func() { _ = s.Cancel(context.Background()) }()
+		go func() { _ = s.Cancel(context.Background(), running) }()
 	}
 }
 
--- a/process/group/change.go
+++ b/process/group/change.go
@@ -187,7 +187,7 @@
 	delete(g.pending, id)
 	switch {
 	case w.purpose == forPart:
-		g.out.Interrupt(g.slotOf(w.call.ID))
+		g.out.Interrupt(g.slotOf(w.call.ID), w.call.ID)
 	case w.inTx || !idleStatus(result.Result{Status: w.status}):
 		g.refuse(w, code.TransactionLost, "the primary was replaced before a majority held the transaction")
 	default:
@@ -255,7 +255,7 @@
 func (g *Group) indexedLater(now time.Time, w *work) {
 	switch {
 	case w.purpose == forPart:
-		g.out.Interrupt(g.slotOf(w.call.ID))
+		g.out.Interrupt(g.slotOf(w.call.ID), w.call.ID)
 	case w.inTx:
 		g.refuse(w, code.OutcomeUnknown, "the primary was replaced before a majority held the transaction")
 	case w.call.Class.Read:
--- a/process/group/group.go
+++ b/process/group/group.go
@@ -26,8 +26,9 @@
 	Settle(slot uint64, c call.Call)
 	// Rollback ends a slot's transaction.
 	Rollback(slot uint64)
-	// Interrupt cancels what runs in a slot.
-	Interrupt(slot uint64)
+	// Interrupt cancels a call that runs in a slot, and nothing else that may
+	// run there by then.
+	Interrupt(slot uint64, id string)
 	// Dial opens a slot to a member.
 	Dial(slot uint64, member string)
 	// Hang closes a slot.
--- a/process/group/tick.go
+++ b/process/group/tick.go
@@ -46,7 +46,7 @@
 		delete(g.pending, id)
 		switch {
 		case w.purpose == forPart:
-			g.out.Interrupt(g.slotOf(w.call.ID))
+			g.out.Interrupt(g.slotOf(w.call.ID), w.call.ID)
 		case w.purpose == forFloor:
 			g.refuse(w, g.notRunCode(w), "no read index before the deadline")
 		case w.call.Class.Read:
@@ -66,7 +66,7 @@
 			w.hung = true
 			w.deadline = now.Add(hangAfter)
 			g.count("Interrupted")
-			g.out.Interrupt(w.slot)
+			g.out.Interrupt(w.slot, id)
 			continue
 		}
 		g.loseRun(now, w.slot, id)
--- a/process/group/tx.go
+++ b/process/group/tx.go
@@ -150,7 +150,7 @@
 func (g *Group) hangRunning(session string) {
 	mine := func(w *work) bool { return w.call.Session == session && w.call.Class.Read }
 	for _, id := range inOrder(g.running, mine) {
-		g.out.Interrupt(g.running[id].slot)
+		g.out.Interrupt(g.running[id].slot, id)
 	}
 }
 
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -209,7 +209,7 @@
 		return
 	}
 	if w, ok := g.running[id]; ok {
-		g.out.Interrupt(w.slot)
+		g.out.Interrupt(w.slot, id)
 	}
 	g.dispatch(now)
 }
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -335,3 +335,32 @@
 	is.NoErr(err)
 	is.Equal(n, "8")
 }
+
+// TestLateCancelMissesWhatRunsNext cancels one session again and again while
+// another one uses the same slot.
+func TestLateCancelMissesWhatRunsNext(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t, site.WithSlots(1, 0))
+	canceled, other := connect(ctx, t, s, 0), connect(ctx, t, s, 1)
+	exec(ctx, t, other, "CREATE TABLE x (id int)")
+	until, stop := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	all.Go(func() {
+		for until.Err() == nil {
+			_, _ = canceled.Value(ctx, "SELECT pg_sleep(0.002)")
+		}
+	})
+	all.Go(func() {
+		for until.Err() == nil {
+			_ = canceled.Conn().PgConn().CancelRequest(ctx)
+		}
+	})
+	for i := range 150 {
+		exec(ctx, t, other, fmt.Sprintf("INSERT INTO x VALUES (%d)", i))
+	}
+	stop()
+	all.Wait()
+	n, err := other.Value(ctx, "SELECT count(*) FROM x")
+	is.NoErr(err)
+	is.Equal(n, "150")
+}
--- a/standin/world/keeper.go
+++ b/standin/world/keeper.go
@@ -247,7 +247,7 @@
 }
 
 // Interrupt cancels what runs in a slot: it ends without effect.
-func (k *keeper) Interrupt(slot uint64) {
+func (k *keeper) Interrupt(slot uint64, running string) {
 	m := k.slots[slot]
 	if m == nil {
 		return
@@ -255,7 +255,7 @@
 	k.world.after(k.world.delay(), func() {
 		m.receive(k.name, func() {
 			s := m.slots[slotKey{k.number, slot}]
-			if s == nil || s.running == "" {
+			if s == nil || s.running != running {
 				return
 			}
 			id := s.running
