Keep long work from being shut out on more than 3 slots, and budget retries

Cause: the test of old keys failed now and then in whole runs: the removal, a long request, was never run. The first reckoning of long work's budget took the time since year 1; times a gain over 1 (5 slots) it overflowed to the lowest number there is, and long work waited as long as short work came in. Change: the first reckoning begins at 0; a test at 2, 5 and 50 slots that failed before. Retries of the entry host pause by cenkalti/backoff and have a budget a host; a test kills entry host and owner together. Conclusion: the flake was a fault of the queue, not of the test. Its earlier reading (a loop that kept the stand-in's writer out) was wrong.

--- a/process/engine/engine.go
+++ b/process/engine/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/pistachiotray/pistachiotray/process/group"
 	"github.com/pistachiotray/pistachiotray/process/limit"
@@ -24,6 +25,13 @@
 	"github.com/pistachiotray/pistachiotray/request/retry"
 )
 
+// A host's budget of retries, so that a fleet that lost an owner does not
+// drown the next one.
+const (
+	retriesPerSecond = 2000
+	retriesBurst     = 10_000
+)
+
 // links carry requests to other hosts.
 type links interface {
 	// Submit sends a call to a host; what comes of it reaches the answer and,
@@ -71,6 +79,7 @@
 	ranking  atomic.Pointer[ranking]
 	options  []func(*group.Group)
 	limits   *limit.Limit
+	retries  *rate.Limiter
 
 	groupsMu sync.RWMutex
 	groups   map[string]*owned
@@ -119,7 +128,8 @@
 	e := &Engine{
 		host: host, log: log, pool: p, now: time.Now, catalog: c, recorder: r,
 		groups: map[string]*owned{}, requests: map[string]*request{}, stop: make(chan struct{}), awake: make(chan struct{}, 1),
-		limits: limit.New(time.Now),
+		limits:  limit.New(time.Now),
+		retries: rate.NewLimiter(retriesPerSecond, retriesBurst),
 	}
 	for _, o := range options {
 		o(e)
@@ -265,60 +275,6 @@
 	})
 }
 
-// Refused takes an owner's fault for a request of this entry host.
-func (e *Engine) Refused(id string, f *fault.Fault) {
-	e.pool.Submit(func() { e.refused(id, f) })
-}
-
-func (e *Engine) refused(id string, f *fault.Fault) {
-	r := e.request(id)
-	if r == nil {
-		return
-	}
-	next, pause, again := r.retry.Refused(e.now(), f)
-	if !r.entry || !again {
-		e.end(id, r.retry.Final(f))
-		return
-	}
-	e.later(r, next, pause)
-}
-
-// Lost takes the loss of the owner of a request of this entry host. Sent tells
-// that the owner may have it.
-func (e *Engine) Lost(id string, sent, begun bool) {
-	e.pool.Submit(func() { e.lost(id, sent, begun) })
-}
-
-func (e *Engine) lost(id string, sent, begun bool) {
-	r := e.request(id)
-	if r == nil {
-		return
-	}
-	now := e.now()
-	if !sent {
-		next, pause, again := r.retry.Unsent(now)
-		e.orEnd(r, id, next, pause, again, r.retry.UnsentFault())
-		return
-	}
-	next, pause, again := r.retry.WithBegun(begun).Lost(now)
-	e.orEnd(r, id, next, pause, again, r.retry.LostFault())
-}
-
-func (e *Engine) orEnd(r *request, id string, next retry.Retry, pause time.Duration, again bool, f *fault.Fault) {
-	if !again {
-		e.end(id, f)
-		return
-	}
-	e.later(r, next, pause)
-}
-
-func (e *Engine) later(r *request, next retry.Retry, pause time.Duration) {
-	e.requestsMu.Lock()
-	r.retry = next
-	e.requestsMu.Unlock()
-	time.AfterFunc(pause, func() { e.pool.Submit(func() { e.route(r) }) })
-}
-
 func (e *Engine) request(id string) *request {
 	e.requestsMu.Lock()
 	defer e.requestsMu.Unlock()
--- a/process/queue/queue_test.go
+++ b/process/queue/queue_test.go
@@ -214,3 +214,22 @@
 		}
 	}
 }
+
+// TestLongWorkIsNotShutOutByTheFirstShortWork holds the budget of long work at
+// its first reckoning, for which no earlier one exists.
+func TestLongWorkIsNotShutOutByTheFirstShortWork(t *testing.T) {
+	for _, slots := range []int{2, 5, 50} {
+		is := is.New(t)
+		q := filled(slots)
+		k := class.Defaults().WithDeadline(time.Minute)
+		q.Offer(began, newCall("short", began, k), 1)
+		q.Offer(began, newCall("long", began, k.WithName("s", "l").WithLong(true)), 1)
+		picked := map[string]bool{}
+		for range 2 {
+			c, _, _, ok := q.Pick(began, []int{0})
+			is.True(ok)
+			picked[c.ID] = true
+		}
+		is.True(picked["short"] && picked["long"])
+	}
+}
--- a/process/queue/server.go
+++ b/process/queue/server.go
@@ -172,9 +172,10 @@
 // the cap and empties with the long work that runs; without short work there
 // is nothing to reckon.
 func (q *Queue) pay(now time.Time, s *server) {
+	first := s.paid.IsZero()
 	passed := now.Sub(s.paid)
 	s.paid = now
-	if now.Sub(q.lastShort) > shortPresence || passed < 0 {
+	if first || now.Sub(q.lastShort) > shortPresence || passed < 0 {
 		s.budget = 0
 		return
 	}
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -4,6 +4,8 @@
 import (
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/pistachiotray/pistachiotray/request/call"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/fault"
@@ -14,6 +16,8 @@
 	// owner again.
 	pauseLeast = 5 * time.Millisecond
 	pauseMost  = 100 * time.Millisecond
+	// pauseGrowth is the factor from one pause to the next.
+	pauseGrowth = 2
 )
 
 // Retry is the state of one request's tries at its entry host. It is
@@ -68,8 +72,20 @@
 	return r.again(now)
 }
 
+// pause returns the pause before the next try. It grows from try to try, and
+// is the same for the same number of tries, so that a course can be replayed.
+func (r Retry) pause() time.Duration {
+	b := backoff.ExponentialBackOff{InitialInterval: pauseLeast, Multiplier: pauseGrowth, MaxInterval: pauseMost}
+	b.Reset()
+	next := b.NextBackOff()
+	for range r.tries {
+		next = b.NextBackOff()
+	}
+	return next
+}
+
 func (r Retry) again(now time.Time) (Retry, time.Duration, bool) {
-	pause := min(pauseLeast<<min(r.tries, 10), pauseMost)
+	pause := r.pause()
 	r.tries++
 	if r.begun || !now.Add(pause).Before(r.call.Deadline) {
 		return r, 0, false
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -364,3 +364,30 @@
 	is.NoErr(err)
 	is.Equal(n, "150")
 }
+
+func TestEntryHostAndOwnerLostTogether(t *testing.T) {
+	is := is.New(t)
+	s, ctx := start(t)
+	owner := ownerOf(s)
+	entry, last := (owner+1)%3, (owner+2)%3
+	c := connect(ctx, t, s, entry)
+	exec(ctx, t, c, "CREATE TABLE orders (id text)")
+	exec(ctx, t, c, "/*RequestKey='a'*/ INSERT INTO orders VALUES ('a')")
+	exec(ctx, t, c, "BEGIN")
+	exec(ctx, t, c, "INSERT INTO orders VALUES ('lost')")
+	c.Token()
+	s.Kill(owner)
+	s.Kill(entry)
+	is.NoErr(c.Move(ctx, s.DSN(last, "fittings"), false))
+	is.True(!c.Inside())
+	var n string
+	err := fmt.Errorf("not tried")
+	for err != nil && ctx.Err() == nil {
+		n, err = c.Value(ctx, "SELECT count(*) FROM orders")
+	}
+	is.NoErr(err)
+	is.Equal(n, "1")
+	_, err = c.Exec(ctx, "/*RequestKey='a'*/ INSERT INTO orders VALUES ('a')")
+	got, _ := caller.Code(err)
+	is.Equal(got, code.AlreadyRan)
+}
