--- /dev/null
+++ b/cmd/pistachiotray/proxy.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/pistachiotray/pistachiotray/platform/node"
+	"github.com/pistachiotray/pistachiotray/platform/sets"
+	"github.com/pistachiotray/pistachiotray/process/drop"
+)
+
+const proxyUsage = `Proxy runs one host on the users' platform until SIGTERM or SIGINT, which stop
+it in order within the grace period of the settings.
+
+The settings file is the one that the platform writes; the environment variable
+PISTACHIOTRAY_CONFIG names it. It is checked before anything is started. Log
+lines are JSON on standard output.`
+
+func proxyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "proxy",
+		Short:   "Run one host on the users' platform",
+		Long:    proxyUsage,
+		Example: "  PISTACHIOTRAY_CONFIG=/etc/pistachiotray/boot.toml pistachiotray proxy",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return proxy(c.Context()) },
+	}
+}
+
+func proxy(ctx context.Context) error {
+	s, err := sets.Load()
+	if err != nil {
+		return err
+	}
+	out := drop.New(os.Stdout)
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(logEncoding()), zapcore.AddSync(out), zapcore.InfoLevel)).Named(s.Host)
+	defer func() { _ = out.Sync() }()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// Nothing in the settings may change while the process runs.
+	signal.Ignore(syscall.SIGHUP)
+	if err := node.New(s, log).Run(ctx); err != nil {
+		log.Error("ended", zap.Error(err))
+		return err
+	}
+	return nil
+}
--- a/cmd/pistachiotray/root.go
+++ b/cmd/pistachiotray/root.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	c.AddCommand(serveCommand(), demoCommand(), standinCommand(), replayCommand(), compareCommand(), loadCommand(), checkCommand(), publishCommand(), historyCommand(), diffCommand(),
+	c.AddCommand(serveCommand(), proxyCommand(), demoCommand(), standinCommand(), replayCommand(), compareCommand(), loadCommand(), checkCommand(), publishCommand(), historyCommand(), diffCommand(),
 		rollbackCommand(), statusCommand(), explainCommand(), drainCommand(), switchCommand(), auditCommand(), pagesCommand(), versionCommand())
 	return c
 }
@@ -30,16 +30,24 @@
 	c := zap.NewProductionConfig()
 	c.Level = zap.NewAtomicLevelAt(l)
 	c.Sampling = nil
-	c.EncoderConfig.TimeKey = "Time"
-	c.EncoderConfig.LevelKey = "Level"
-	c.EncoderConfig.NameKey = "Host"
-	c.EncoderConfig.CallerKey = "Caller"
-	c.EncoderConfig.MessageKey = "Message"
-	c.EncoderConfig.StacktraceKey = "Stacktrace"
-	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	c.EncoderConfig = logEncoding()
 	return c.Build()
 }
 
+// logEncoding returns the form of log lines.
+func logEncoding() zapcore.EncoderConfig {
+	e := zap.NewProductionEncoderConfig()
+	e.TimeKey = "Time"
+	e.LevelKey = "Level"
+	e.NameKey = "Host"
+	e.CallerKey = "Caller"
+	e.MessageKey = "Message"
+	e.StacktraceKey = "Stacktrace"
+	e.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	e.EncodeDuration = zapcore.MillisDurationEncoder
+	return e
+}
+
 // checkSettings reads environment variables and lists every bad setting.
 func checkSettings(c *cobra.Command, s *conf.Settings) error {
 	if err := conf.Environment(c.Flags()); err != nil {
--- /dev/null
+++ b/connection/caller/caller.go
@@ -0,0 +1,118 @@
+// Package caller holds the state of one caller's session.
+package caller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/request/mark"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+)
+
+type value struct {
+	name string
+	text string
+}
+
+type prepared struct {
+	shape  string
+	writes bool
+}
+
+// Caller is the state of a session that a target's connection must carry
+// while it serves the session. A Caller is immutable.
+type Caller struct {
+	// ID names the session in logs.
+	ID string
+	// Database is the name that the caller gave.
+	Database string
+	// Status is the state of its transaction as in package reply.
+	Status byte
+	// Floor is the newest commit of the session, acknowledged at FloorAt.
+	Floor   mark.Mark
+	FloorAt time.Duration
+
+	values   []value
+	prepared map[string]prepared
+}
+
+// New returns a session without values.
+func New(id, database string) Caller {
+	return Caller{ID: id, Database: database, Status: reply.Idle}
+}
+
+// WithStatus returns the session in another state.
+func (c Caller) WithStatus(status byte) Caller {
+	c.Status = status
+	return c
+}
+
+// WithFloor returns the session after a commit was acknowledged.
+func (c Caller) WithFloor(m mark.Mark, at time.Duration) Caller {
+	c.Floor = m
+	c.FloorAt = at
+	return c
+}
+
+// WithValue returns the session with a value set.
+func (c Caller) WithValue(name, text string) Caller {
+	values := slices.Clone(c.values)
+	i, ok := slices.BinarySearchFunc(values, name, compareName)
+	if ok {
+		values[i].text = text
+	} else {
+		values = slices.Insert(values, i, value{name, text})
+	}
+	c.values = values
+	return c
+}
+
+func compareName(v value, name string) int {
+	switch {
+	case v.name < name:
+		return -1
+	case v.name > name:
+		return 1
+	}
+	return 0
+}
+
+// Values calls f with each value in the order of names.
+func (c Caller) Values(f func(name, text string)) {
+	for _, v := range c.values {
+		f(v.name, v.text)
+	}
+}
+
+// Value returns one value.
+func (c Caller) Value(name string) (string, bool) {
+	i, ok := slices.BinarySearchFunc(c.values, name, compareName)
+	if !ok {
+		return "", false
+	}
+	return c.values[i].text, true
+}
+
+// WithPrepared returns the session with a prepared statement.
+func (c Caller) WithPrepared(name, shape string, writes bool) Caller {
+	c.prepared = maps.Clone(c.prepared)
+	if c.prepared == nil {
+		c.prepared = map[string]prepared{}
+	}
+	c.prepared[name] = prepared{shape, writes}
+	return c
+}
+
+// WithoutPrepared returns the session without a prepared statement.
+func (c Caller) WithoutPrepared(name string) Caller {
+	c.prepared = maps.Clone(c.prepared)
+	delete(c.prepared, name)
+	return c
+}
+
+// Prepared returns the shape of a prepared statement and whether it writes.
+func (c Caller) Prepared(name string) (shape string, writes, ok bool) {
+	p, ok := c.prepared[name]
+	return p.shape, p.writes, ok
+}
--- /dev/null
+++ b/connection/runner/single.go
@@ -0,0 +1,266 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/process/crew"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+	"github.com/pistachiotray/pistachiotray/version/route"
+)
+
+const (
+	// retryPause is the pause before a statement that was not run is tried
+	// again: a few round trips within a zone, and time for a slot to come free.
+	retryPause = 20 * time.Millisecond
+	// ageMargin is taken off a route's limit of age: clocks are read a little
+	// after the caller sent its statement.
+	ageMargin = 10 * time.Millisecond
+)
+
+// pause waits before another try. It reports false where the time is over.
+func pause(ctx context.Context) bool {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// notRun is the refusal of a statement that never left this host, or that the
+// last target refused to run.
+func notRun(last reply.Reply) reply.Reply {
+	if last.Code.NotRun() {
+		return last
+	}
+	return reply.Refuse(code.NotRunDeadline, "no target could take it in time")
+}
+
+// write runs a single write at the leader. It is sent again only where the
+// target said that it did not run.
+func (r *Runner) write(ctx context.Context, c *crew.Crew, rt route.Route, s stmt.Stmt) reply.Reply {
+	var last reply.Reply
+	for try := 1; ; try++ {
+		t, l, err := r.leaderLane(ctx, c, rt)
+		if err != nil {
+			if ctx.Err() != nil || !pause(ctx) {
+				return notRun(last)
+			}
+			continue
+		}
+		sent := r.now()
+		replies, err := c.Run(ctx, l, r.caller, s)
+		r.note(zap.String("Target", t.ID), zap.Int("Try", try))
+		if err != nil {
+			c.Drop(l)
+			r.note(zap.Error(err))
+			return reply.Refuse(code.OutcomeUnknown, "the answer of the target was lost")
+		}
+		c.Put(l)
+		last = replies[0]
+		if last.OK() {
+			r.committed(c, last, sent)
+			return last
+		}
+		if !r.again(ctx, c, t, last) {
+			return last
+		}
+	}
+}
+
+// committed takes the acknowledgement of a commit that wrote.
+func (r *Runner) committed(c *crew.Crew, out reply.Reply, sent time.Duration) {
+	c.Add(out.Mark, sent)
+	r.caller = r.caller.WithFloor(out.Mark, r.now())
+}
+
+// again tells whether a statement that was refused may be tried once more, after a pause.
+func (r *Runner) again(ctx context.Context, c *crew.Crew, t target.Target, out reply.Reply) bool {
+	if out.Code == code.NotRunNoPrimary {
+		c.Deny(t.ID)
+	}
+	return out.Code.NotRun() && pause(ctx)
+}
+
+func (r *Runner) leaderLane(ctx context.Context, c *crew.Crew, rt route.Route) (target.Target, *lane.Lane, error) {
+	t, err := c.Await(ctx)
+	if err != nil {
+		return t, nil, err
+	}
+	l, err := c.Take(ctx, t.ID, r.caller, rt.Priority)
+	return t, l, err
+}
+
+// readAtLeader reads inside a transaction that only the leader accepts: the
+// read fails where the target lost the lead before it.
+func (r *Runner) readAtLeader(ctx context.Context, c *crew.Crew, rt route.Route, s stmt.Stmt) reply.Reply {
+	var last reply.Reply
+	sent := false
+	for try := 1; ; try++ {
+		t, l, err := r.leaderLane(ctx, c, rt)
+		if err == nil {
+			last, err = r.provedRead(ctx, c, t, l, s, &sent)
+			r.note(zap.String("Target", t.ID), zap.Int("Try", try))
+		}
+		if err == nil && (last.OK() || !last.Code.NotRun()) {
+			return last
+		}
+		if ctx.Err() != nil || !pause(ctx) {
+			return unread(last, sent)
+		}
+	}
+}
+
+// unread is the reply to a read that got no answer.
+func unread(last reply.Reply, sent bool) reply.Reply {
+	if sent && !last.Code.NotRun() {
+		return reply.Refuse(code.DeadlinePassed, "no answer in time")
+	}
+	return notRun(last)
+}
+
+func (r *Runner) provedRead(ctx context.Context, c *crew.Crew, t target.Target, l *lane.Lane, s stmt.Stmt, sent *bool) (reply.Reply, error) {
+	begun, err := r.open(ctx, c, l, stmt.New(stmt.Own, stmt.Begin, ""))
+	if err != nil {
+		c.Drop(l)
+		return reply.Reply{}, err
+	}
+	if !begun.OK() {
+		c.Put(l)
+		if begun.Code == code.NotRunNoPrimary {
+			c.Deny(t.ID)
+		}
+		return begun, nil
+	}
+	*sent = true
+	replies, err := c.Run(ctx, l, r.caller, s, stmt.New(stmt.Own, stmt.Rollback, ""))
+	if err != nil {
+		c.Drop(l)
+		return reply.Reply{}, err
+	}
+	if replies[1].Status != reply.Idle {
+		c.Drop(l)
+	} else {
+		c.Put(l)
+	}
+	if replies[0].Code == code.NotRunNoPrimary {
+		c.Deny(t.ID)
+	}
+	return replies[0], nil
+}
+
+// open begins a transaction on a connection. Where the target accepts one
+// that may write, that proves how fresh its log is.
+func (r *Runner) open(ctx context.Context, c *crew.Crew, l *lane.Lane, begin stmt.Stmt) (reply.Reply, error) {
+	at := r.now()
+	replies, err := c.Run(ctx, l, r.caller, begin)
+	if err != nil {
+		return reply.Reply{}, err
+	}
+	if replies[0].OK() && begin.Kind == stmt.Begin {
+		c.Add(replies[0].Mark, at)
+	}
+	return replies[0], nil
+}
+
+// read runs a read that may be served by any target whose log holds enough.
+func (r *Runner) read(ctx context.Context, c *crew.Crew, rt route.Route, s stmt.Stmt) reply.Reply {
+	var last reply.Reply
+	sent := false
+	w := walk{crew: c, tried: map[string]bool{}}
+	for try := 1; ; try++ {
+		t, l, need, err := r.freshLane(ctx, &w, rt, s.Arrived)
+		if err == nil {
+			sent = true
+			last, err = r.readOnce(ctx, &w, t, l, s.WithAfter(need))
+			r.note(zap.String("Target", t.ID), zap.Int("Try", try), zap.Stringer("After", need))
+		}
+		if err == nil && (last.OK() || !retried(last)) {
+			return last
+		}
+		if ctx.Err() != nil {
+			return unread(last, sent)
+		}
+	}
+}
+
+// retried tells whether a read may be answered by another target.
+func retried(out reply.Reply) bool {
+	return out.Code.NotRun() || out.Code == code.TargetFailed
+}
+
+// walk goes through the targets of a group for one read.
+type walk struct {
+	crew  *crew.Crew
+	tried map[string]bool
+	// renew asks for a proof that was begun after a time: every target lacked
+	// the position that was asked for.
+	renew time.Duration
+}
+
+// freshLane returns a connection to a target and the position that its log
+// must hold.
+func (r *Runner) freshLane(ctx context.Context, w *walk, rt route.Route, arrived time.Duration) (target.Target, *lane.Lane, mark.Mark, error) {
+	need, err := r.need(ctx, w, rt, arrived)
+	if err != nil {
+		pause(ctx)
+		return target.Target{}, nil, need, err
+	}
+	t, ok := w.crew.Pick(w.tried)
+	if !ok {
+		clear(w.tried)
+		w.renew = r.now()
+		pause(ctx)
+		return t, nil, need, errors.Wrap(crew.ErrUnsent, "no target left")
+	}
+	l, err := w.crew.Take(ctx, t.ID, r.caller, rt.Priority)
+	if err != nil {
+		w.tried[t.ID] = true
+	}
+	return t, l, need, err
+}
+
+func (r *Runner) readOnce(ctx context.Context, w *walk, t target.Target, l *lane.Lane, s stmt.Stmt) (reply.Reply, error) {
+	w.tried[t.ID] = true
+	replies, err := w.crew.Run(ctx, l, r.caller, s)
+	if err != nil {
+		w.crew.Drop(l)
+		return reply.Reply{}, err
+	}
+	w.crew.Put(l)
+	return replies[0], nil
+}
+
+// need returns the position that a log must hold to serve a read of the route
+// that arrived at a time: all commits older than the route's limit, and all of
+// the session's own.
+func (r *Runner) need(ctx context.Context, w *walk, rt route.Route, arrived time.Duration) (mark.Mark, error) {
+	since := max(arrived-rt.MaxAge+ageMargin, w.renew)
+	m, covers, newest, ok := w.crew.Since(since)
+	if !ok {
+		if err := w.crew.Prove(ctx, since); err != nil {
+			return m, err
+		}
+		return r.need(ctx, w, rt, arrived)
+	}
+	if arrived-newest > rt.MaxAge/2 {
+		go func() { _ = w.crew.Prove(context.WithoutCancel(ctx), newest+1) }()
+	}
+	// A proof begun after the commit was acknowledged covers it, also where a
+	// change of leader renumbered the log.
+	if rt.Kind == route.Session && covers < r.caller.FloorAt {
+		m = m.Max(r.caller.Floor)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/process/crew/crew.go
@@ -0,0 +1,296 @@
+// Package crew holds what a host knows of one database group: its targets,
+// who leads them, the connections to them and how fresh their logs are.
+package crew
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/process/fresh"
+	"github.com/pistachiotray/pistachiotray/process/stock"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+// ErrUnsent tells that a statement did not leave this host.
+var ErrUnsent = errors.New("not sent")
+
+// ErrGone tells that a target is not registered any more.
+var ErrGone = errors.New("the target is not registered")
+
+// dialer opens connections to targets.
+type dialer interface {
+	// Open opens a connection; stock.ErrFull tells that the target takes no more.
+	Open(ctx context.Context, t target.Target) (*lane.Lane, error)
+	// Reach tells whether the target's machine accepts connections.
+	Reach(ctx context.Context, t target.Target) error
+}
+
+// Crew is one database group as this host sees it. Its lock comes after that
+// of the Book and before those of the Stocks.
+type Crew struct {
+	// Name is the group's name.
+	Name string
+
+	mu       sync.Mutex
+	log      *zap.Logger
+	dialer   dialer
+	now      func() time.Duration
+	distance func(zone string) time.Duration
+	most     int
+	seats    map[string]*seat
+	leader   string
+	// claimed is the target whose registration last made it the leader, and
+	// since which revision.
+	claimed   string
+	since     uint64
+	denied    bool
+	searching bool
+	changed   chan struct{}
+	fresh     *fresh.Fresh
+	proving   *proving
+	trouble   chan struct{}
+}
+
+// seat is one target of the group with what this host saw of it.
+type seat struct {
+	target target.Target
+	stock  *stock.Stock
+	// running counts this host's statements at the target.
+	running int
+	// latency is the moving mean of the answers' times.
+	latency time.Duration
+	// heard is when the target last answered.
+	heard time.Duration
+	// failing is since when it doesn't, or 0.
+	failing  time.Duration
+	probing  bool
+	mark     mark.Mark
+	refusals int
+}
+
+// New returns a group without targets. Distance tells how much longer a
+// statement takes to a zone than within this one.
+func New(name string, log *zap.Logger, d dialer, now func() time.Duration, distance func(zone string) time.Duration) *Crew {
+	return &Crew{
+		Name: name, log: log, dialer: d, now: now, distance: distance,
+		seats: map[string]*seat{}, changed: make(chan struct{}), fresh: fresh.New(),
+		trouble: make(chan struct{}, 1),
+	}
+}
+
+// Update takes the group's registered targets and the number of connections
+// that each takes from all hosts together.
+func (c *Crew) Update(targets []target.Target, leader target.Target, most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most = max(most, 1)
+	known := map[string]bool{}
+	for _, t := range targets {
+		known[t.ID] = true
+		c.seat(t)
+	}
+	for id, s := range c.seats {
+		if !known[id] {
+			c.remove(id, s)
+		}
+	}
+	if leader.ID != "" && (leader.ID != c.claimed || leader.LedSince != c.since) {
+		c.claimed, c.since = leader.ID, leader.LedSince
+		c.lead(leader.ID, "registration")
+	}
+	if l, ok := c.seats[c.leader]; !ok || l.target.Leaving {
+		c.alarm()
+	}
+	c.wake()
+}
+
+func (c *Crew) seat(t target.Target) {
+	s, ok := c.seats[t.ID]
+	if ok && s.target.Started != t.Started {
+		c.remove(t.ID, s)
+		ok = false
+	}
+	if !ok {
+		s = &seat{}
+		opened := t
+		s.stock = stock.New(c.most, c.now, func(ctx context.Context) (*lane.Lane, error) {
+			l, err := c.dialer.Open(ctx, opened)
+			c.opened(opened.ID, err)
+			return l, err
+		})
+		c.seats[t.ID] = s
+		c.log.Info("target added", zap.String("Group", c.Name), zap.String("Target", t.ID), zap.String("Address", t.Address), zap.Uint64("Revision", t.Revision))
+	}
+	if s.target.Leaving != t.Leaving {
+		c.log.Info("target changed", zap.String("Group", c.Name), zap.String("Target", t.ID), zap.Bool("Leaving", t.Leaving), zap.Uint64("Revision", t.Revision))
+	}
+	s.target = t
+	s.stock.SetMost(c.most)
+}
+
+func (c *Crew) remove(id string, s *seat) {
+	s.stock.Close()
+	delete(c.seats, id)
+	c.log.Info("target removed", zap.String("Group", c.Name), zap.String("Target", id))
+	if c.leader == id {
+		c.lead("", "registration removed")
+	}
+}
+
+// Leader returns the target that is believed to lead the group.
+func (c *Crew) Leader() (target.Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.seats[c.leader]
+	if !ok {
+		return target.Target{}, false
+	}
+	return s.target, true
+}
+
+// Targets returns the group's targets in no order.
+func (c *Crew) Targets() []target.Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := make([]target.Target, 0, len(c.seats))
+	for _, s := range c.seats {
+		found = append(found, s.target)
+	}
+	return found
+}
+
+// Lead takes what a target proved: that it led the group.
+func (c *Crew) Lead(id, why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.seats[id]; ok && c.leader != id {
+		c.lead(id, why)
+	}
+}
+
+// Deny takes a target's word that it does not lead the group.
+func (c *Crew) Deny(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == id {
+		c.lead("", "target does not lead")
+		c.alarm()
+	}
+}
+
+func (c *Crew) lead(id, why string) {
+	if c.leader == id {
+		return
+	}
+	c.log.Info("leader changed", zap.String("Group", c.Name), zap.String("From", c.leader), zap.String("To", id), zap.String("Why", why))
+	c.leader = id
+	c.wake()
+}
+
+func (c *Crew) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// alarm tells whoever replaces leaders that there is something to look at.
+func (c *Crew) alarm() {
+	select {
+	case c.trouble <- struct{}{}:
+	default:
+	}
+}
+
+// Trouble returns a channel that receives when the leader may need to be
+// replaced.
+func (c *Crew) Trouble() <-chan struct{} {
+	return c.trouble
+}
+
+// Await returns the leader, and waits for one until the context ends. Where
+// nothing is known it asks the targets.
+func (c *Crew) Await(ctx context.Context) (target.Target, error) {
+	for {
+		c.mu.Lock()
+		s, ok := c.seats[c.leader]
+		changed := c.changed
+		if !ok {
+			c.search()
+		}
+		c.mu.Unlock()
+		if ok {
+			return s.target, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return target.Target{}, errors.Wrap(ErrUnsent, "no leader is known")
+		}
+	}
+}
+
+// Take returns a connection to a target.
+func (c *Crew) Take(ctx context.Context, id string, who caller.Caller, priority int) (*lane.Lane, error) {
+	c.mu.Lock()
+	s, ok := c.seats[id]
+	c.mu.Unlock()
+	if !ok {
+		return nil, ErrGone
+	}
+	return s.stock.Take(ctx, who, priority)
+}
+
+// Put takes a connection back that is in no transaction.
+func (c *Crew) Put(l *lane.Lane) {
+	if s := c.seatOf(l); s != nil {
+		s.stock.Put(l)
+		return
+	}
+	l.Close()
+}
+
+// Drop closes a connection of no more use.
+func (c *Crew) Drop(l *lane.Lane) {
+	if s := c.seatOf(l); s != nil {
+		s.stock.Drop(l)
+		return
+	}
+	l.Close()
+}
+
+func (c *Crew) seatOf(l *lane.Lane) *seat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seats[l.Target]
+}
+
+// Trim closes connections that were idle for longer than d.
+func (c *Crew) Trim(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.seats {
+		s.stock.Trim(d)
+	}
+}
+
+// Add takes a proof that a log which holds m covers all commits before a time.
+func (c *Crew) Add(m mark.Mark, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fresh.Add(m, at)
+}
+
+// Since returns the oldest known mark that covers all commits before a time,
+// the time up to which it does, and the time of the newest proof.
+func (c *Crew) Since(at time.Duration) (m mark.Mark, covers, newest time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, covers, ok = c.fresh.Since(at)
+	return m, covers, c.fresh.Newest(), ok
+}
--- /dev/null
+++ b/process/crew/health.go
@@ -0,0 +1,213 @@
+package crew
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/process/stock"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// silentAfter is how long a target may leave a statement unanswered
+	// before its machine is probed: several times the longest ordinary work.
+	silentAfter = 300 * time.Millisecond
+	// probeTimeout bounds one probe: some round trips between regions.
+	probeTimeout = 250 * time.Millisecond
+	// probePause is the pause between the probes of a target that fails.
+	probePause = 150 * time.Millisecond
+	// downAfter is how long a target must fail before nothing more is
+	// expected of it: two probes and a pause.
+	downAfter = 600 * time.Millisecond
+	// latencyWeight is the share of a new measurement in the moving mean.
+	latencyWeight = 0.2
+	// fade is the time in which an old mean counts half.
+	fade = time.Second
+)
+
+// Run runs a batch on a connection, watches over its target meanwhile, and
+// learns from the replies.
+func (c *Crew) Run(ctx context.Context, l *lane.Lane, who caller.Caller, batch ...stmt.Stmt) ([]reply.Reply, error) {
+	began := c.now()
+	c.began(l.Target)
+	watch := time.AfterFunc(silentAfter, func() { c.suspect(l.Target, began) })
+	replies, err := l.Run(ctx, who, batch...)
+	watch.Stop()
+	c.ended(l.Target, c.now()-began, replies, err)
+	return replies, err
+}
+
+func (c *Crew) began(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.seats[id]; ok {
+		s.running++
+	}
+}
+
+func (c *Crew) ended(id string, took time.Duration, replies []reply.Reply, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.seats[id]
+	if !ok {
+		return
+	}
+	s.running--
+	if err != nil {
+		return
+	}
+	s.latency = s.expected(c.now())
+	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+	c.hear(s)
+	for _, r := range replies {
+		if !r.Mark.IsZero() {
+			s.mark = r.Mark
+		}
+	}
+}
+
+// hear notes that a target answered.
+func (c *Crew) hear(s *seat) {
+	s.heard = c.now()
+	if s.failing != 0 {
+		c.log.Info("target answers again", zap.String("Group", c.Name), zap.String("Target", s.target.ID), zap.Duration("Failed", s.heard-s.failing))
+		s.failing = 0
+		c.wake()
+	}
+}
+
+// expected returns the mean time of an answer, which fades while none comes.
+func (s *seat) expected(now time.Duration) time.Duration {
+	idle := now - s.heard
+	if idle <= 0 {
+		return s.latency
+	}
+	return time.Duration(float64(s.latency) * float64(fade) / float64(fade+idle))
+}
+
+// opened learns from an attempt to open a connection.
+func (c *Crew) opened(id string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.seats[id]
+	if !ok {
+		return
+	}
+	if err == nil || errors.Is(err, stock.ErrFull) {
+		c.hear(s)
+		return
+	}
+	c.log.Info("no connection", zap.String("Group", c.Name), zap.String("Target", id), zap.Error(err))
+	c.fail(s)
+}
+
+// suspect probes a target that left a statement unanswered since a time.
+func (c *Crew) suspect(id string, since time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.seats[id]; ok && s.heard < since {
+		c.probe(s)
+	}
+}
+
+func (c *Crew) fail(s *seat) {
+	if s.failing == 0 {
+		s.failing = c.now()
+		c.log.Info("target fails", zap.String("Group", c.Name), zap.String("Target", s.target.ID), zap.Bool("Leads", s.target.ID == c.leader), zap.Duration("Heard", c.now()-s.heard))
+	}
+	c.probe(s)
+}
+
+// probe asks a target's machine until it answers or counts as down.
+func (c *Crew) probe(s *seat) {
+	if s.probing {
+		return
+	}
+	s.probing = true
+	go c.probeLoop(s, s.target)
+}
+
+func (c *Crew) probeLoop(s *seat, t target.Target) {
+	for {
+		asked := c.now()
+		ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
+		err := c.dialer.Reach(ctx, t)
+		stop()
+		if !c.probed(s, t.ID, asked, err) {
+			return
+		}
+		time.Sleep(probePause)
+	}
+}
+
+// probed takes the outcome of a probe and tells whether another is due.
+func (c *Crew) probed(s *seat, id string, asked time.Duration, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seats[id] != s {
+		return false
+	}
+	if err == nil || s.heard > asked {
+		s.probing = false
+		c.hear(s)
+		return false
+	}
+	if s.failing == 0 {
+		s.failing = asked
+		c.log.Info("target fails", zap.String("Group", c.Name), zap.String("Target", id), zap.Bool("Leads", id == c.leader), zap.Error(err), zap.Duration("Heard", asked-s.heard))
+	}
+	if c.down(s) {
+		s.stock.Abort(err)
+		if id == c.leader {
+			c.alarm()
+		}
+	}
+	return true
+}
+
+func (c *Crew) down(s *seat) bool {
+	return s.failing != 0 && c.now()-s.failing >= downAfter
+}
+
+// Down tells whether nothing is expected of a target any more, and since when
+// it fails.
+func (c *Crew) Down(id string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.seats[id]
+	if !ok {
+		return 0, true
+	}
+	return s.failing, c.down(s)
+}
+
+// Pick returns the target that should answer a read soonest, without those
+// that were tried. Targets that leave or fail are taken only where no other is.
+func (c *Crew) Pick(tried map[string]bool) (target.Target, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	var best *seat
+	var least time.Duration
+	for id, s := range c.seats {
+		if tried[id] || s.target.Leaving || s.failing != 0 {
+			continue
+		}
+		cost := c.distance(s.target.Zone) + s.expected(now)*time.Duration(1+s.running/max(s.target.Slots, 1))
+		if best == nil || cost < least || cost == least && id < best.target.ID {
+			best, least = s, cost
+		}
+	}
+	if best == nil {
+		return target.Target{}, false
+	}
+	return best.target, true
+}
--- /dev/null
+++ b/process/crew/prove.go
@@ -0,0 +1,147 @@
+package crew
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+)
+
+const (
+	// proveTimeout bounds one proof: it takes no slot, so only round trips
+	// and the wait for a connection count.
+	proveTimeout = time.Second
+	// searchPause is the pause between two rounds of asking who leads.
+	searchPause = 100 * time.Millisecond
+	// searchLimit bounds a search; the next statement that needs a leader
+	// begins another.
+	searchLimit = 10 * time.Second
+)
+
+// proving is a proof under way that several statements wait for.
+type proving struct {
+	done  chan struct{}
+	began time.Duration
+	err   error
+}
+
+// Prove asks the leader for a proof that was begun after a time, together with others that need one.
+func (c *Crew) Prove(ctx context.Context, after time.Duration) error {
+	for {
+		c.mu.Lock()
+		p := c.proving
+		if p == nil {
+			p = &proving{done: make(chan struct{}), began: c.now()}
+			c.proving = p
+			go c.prove(p)
+		}
+		c.mu.Unlock()
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return errors.Wrap(ErrUnsent, "no proof of the newest position")
+		}
+		if p.began >= after || p.err != nil {
+			return p.err
+		}
+	}
+}
+
+func (c *Crew) prove(p *proving) {
+	ctx, stop := context.WithTimeout(context.Background(), proveTimeout)
+	defer stop()
+	p.err = c.proof(ctx)
+	c.mu.Lock()
+	c.proving = nil
+	c.mu.Unlock()
+	close(p.done)
+}
+
+func (c *Crew) proof(ctx context.Context) error {
+	t, err := c.Await(ctx)
+	if err != nil {
+		return err
+	}
+	r, err := c.ask(ctx, t)
+	if err != nil {
+		return err
+	}
+	if !r.OK() {
+		c.Deny(t.ID)
+		return errors.Errorf("the leader did not prove to lead: %s", r.Code.Name())
+	}
+	return nil
+}
+
+// ask begins and rolls back a transaction that may write, which only the
+// leader accepts and which takes no slot.
+func (c *Crew) ask(ctx context.Context, t target.Target) (reply.Reply, error) {
+	var nobody caller.Caller
+	l, err := c.Take(ctx, t.ID, nobody, 0)
+	if err != nil {
+		return reply.Reply{}, err
+	}
+	at := c.now()
+	replies, err := c.Run(ctx, l, nobody, stmt.New(stmt.Own, stmt.Begin, ""), stmt.New(stmt.Own, stmt.Rollback, ""))
+	if err != nil {
+		c.Drop(l)
+		return reply.Reply{}, err
+	}
+	c.Put(l)
+	if replies[0].OK() {
+		c.Add(replies[0].Mark, at)
+	}
+	return replies[0], nil
+}
+
+// search asks all targets who leads until one does.
+func (c *Crew) search() {
+	if c.searching {
+		return
+	}
+	c.searching = true
+	go c.searchLoop()
+}
+
+func (c *Crew) searchLoop() {
+	ctx, stop := context.WithTimeout(context.Background(), searchLimit)
+	defer stop()
+	for ctx.Err() == nil {
+		if _, ok := c.Leader(); ok {
+			break
+		}
+		c.searchRound(ctx)
+		if _, ok := c.Leader(); ok {
+			break
+		}
+		time.Sleep(searchPause)
+	}
+	c.mu.Lock()
+	c.searching = false
+	c.mu.Unlock()
+}
+
+func (c *Crew) searchRound(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, proveTimeout)
+	defer stop()
+	targets := c.Targets()
+	done := make(chan struct{}, len(targets))
+	for _, t := range targets {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			r, err := c.ask(ctx, t)
+			if err == nil && r.Code == code.Done {
+				c.Lead(t.ID, "accepted a transaction")
+			}
+		}()
+	}
+	for range targets {
+		<-done
+	}
+}
--- /dev/null
+++ b/process/fresh/fresh.go
@@ -0,0 +1,77 @@
+// Package fresh holds which log position covers all commits up to a time.
+package fresh
+
+import (
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+const (
+	// spacing is the time between two kept proofs; closer ones replace.
+	spacing = 25 * time.Millisecond
+	// kept bounds the proofs: at the spacing they cover 6.4 s, more than the
+	// longest stated age.
+	kept = 256
+)
+
+type proof struct {
+	mark mark.Mark
+	at   time.Duration
+}
+
+// Fresh keeps proofs of one group: a log that holds Mark holds every commit
+// that was acknowledged before a time. A proof is a mark that the primary
+// reported while it led, and the time just before it was asked. Times count
+// from the machine's start and go on while it is suspended.
+type Fresh struct {
+	proofs []proof
+}
+
+// New returns an empty table.
+func New() *Fresh {
+	return &Fresh{}
+}
+
+// Add takes a proof. Proofs older than the newest are dropped.
+func (f *Fresh) Add(m mark.Mark, at time.Duration) {
+	n := len(f.proofs)
+	if m.IsZero() || n > 0 && at <= f.proofs[n-1].at {
+		return
+	}
+	if n > 1 && at-f.proofs[n-2].at < spacing {
+		f.proofs[n-1] = proof{m, at}
+		return
+	}
+	if n == kept {
+		copy(f.proofs, f.proofs[1:])
+		f.proofs = f.proofs[:n-1]
+	}
+	f.proofs = append(f.proofs, proof{m, at})
+}
+
+// Since returns the oldest mark that covers every commit acknowledged before
+// a time, and the time up to which it does.
+func (f *Fresh) Since(at time.Duration) (mark.Mark, time.Duration, bool) {
+	low, high := 0, len(f.proofs)
+	for low < high {
+		middle := (low + high) / 2
+		if f.proofs[middle].at >= at {
+			high = middle
+		} else {
+			low = middle + 1
+		}
+	}
+	if low == len(f.proofs) {
+		return mark.Mark{}, 0, false
+	}
+	return f.proofs[low].mark, f.proofs[low].at, true
+}
+
+// Newest returns the time of the newest proof, or 0 where there is none.
+func (f *Fresh) Newest() time.Duration {
+	if len(f.proofs) == 0 {
+		return 0
+	}
+	return f.proofs[len(f.proofs)-1].at
+}
--- a/process/record/row.go
+++ b/process/record/row.go
@@ -9,6 +9,8 @@
 	Value []byte
 	// Version counts its changes; 0 stands for a row that does not exist.
 	Version uint64
+	// Gone tells that the row was deleted at that version.
+	Gone bool
 }
 
 // New returns a row that does not exist yet.
--- /dev/null
+++ b/process/stock/stock.go
@@ -0,0 +1,319 @@
+// Package stock holds the open connections to one target.
+package stock
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/lane"
+)
+
+const (
+	// openTimeout bounds the opening of a connection, its wait for a slot included.
+	openTimeout = 2 * time.Second
+	// fullPause is how long no connection is opened after the target took no more.
+	fullPause = 300 * time.Millisecond
+	// idleKept is how many idle connections are kept whatever their age.
+	idleKept = 1
+)
+
+// ErrFull tells that the target takes no more connections.
+var ErrFull = errors.New("the target takes no more connections")
+
+// ErrClosed tells that the target is gone.
+var ErrClosed = errors.New("the target is gone")
+
+// opener opens a connection to the target.
+type opener func(ctx context.Context) (*lane.Lane, error)
+
+type waiter struct {
+	caller   caller.Caller
+	priority int
+	granted  chan grant
+}
+
+type grant struct {
+	lane *lane.Lane
+	err  error
+}
+
+// Stock hands out the connections of this host to one target and opens more
+// while statements wait. Its lock is taken after that of the group.
+type Stock struct {
+	mu      sync.Mutex
+	open    opener
+	now     func() time.Duration
+	limit   int
+	most    int
+	count   int
+	opening int
+	pause   time.Duration
+	retry   bool
+	idle    []*lane.Lane
+	out     map[*lane.Lane]struct{}
+	waiting []*waiter
+	closed  bool
+}
+
+// New returns an empty stock of at most most connections.
+func New(most int, now func() time.Duration, open func(ctx context.Context) (*lane.Lane, error)) *Stock {
+	return &Stock{open: open, now: now, limit: most, most: most, out: map[*lane.Lane]struct{}{}}
+}
+
+// SetMost changes how many connections may be open.
+func (s *Stock) SetMost(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if most != s.most {
+		s.most = most
+		s.limit = most
+	}
+}
+
+// Take returns a connection, if possible one that carries the caller's values
+// already. The lowest priority number that waits is served first. It returns
+// the context's error when that ends first, and the error of an attempt to
+// open a connection to a target that can't be reached.
+func (s *Stock) Take(ctx context.Context, c caller.Caller, priority int) (*lane.Lane, error) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, ErrClosed
+	}
+	if l := s.pick(c); l != nil {
+		s.mu.Unlock()
+		return l, nil
+	}
+	w := &waiter{caller: c, priority: priority, granted: make(chan grant, 1)}
+	s.insert(w)
+	s.grow()
+	s.mu.Unlock()
+	select {
+	case g := <-w.granted:
+		return g.lane, g.err
+	case <-ctx.Done():
+		return nil, s.leave(w, ctx.Err())
+	}
+}
+
+// leave takes a waiter out; a connection granted meanwhile goes back.
+func (s *Stock) leave(w *waiter, err error) error {
+	s.mu.Lock()
+	i := slices.Index(s.waiting, w)
+	if i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+	s.mu.Unlock()
+	if i < 0 {
+		if g := <-w.granted; g.lane != nil {
+			s.Put(g.lane)
+		}
+	}
+	return err
+}
+
+func (s *Stock) insert(w *waiter) {
+	i := len(s.waiting)
+	for i > 0 && s.waiting[i-1].priority > w.priority {
+		i--
+	}
+	s.waiting = slices.Insert(s.waiting, i, w)
+}
+
+// pick takes the idle connection that is nearest to the caller's values, the
+// last used first.
+func (s *Stock) pick(c caller.Caller) *lane.Lane {
+	s.sweep()
+	best, distance := -1, 0
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		if d := s.idle[i].Distance(c); best < 0 || d < distance {
+			best, distance = i, d
+		}
+		if distance == 0 {
+			break
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	l := s.idle[best]
+	s.idle = slices.Delete(s.idle, best, best+1)
+	s.out[l] = struct{}{}
+	return l
+}
+
+// sweep drops idle connections that the target closed.
+func (s *Stock) sweep() {
+	s.idle = slices.DeleteFunc(s.idle, func(l *lane.Lane) bool {
+		if !l.Broken() {
+			return false
+		}
+		s.count--
+		l.Close()
+		return true
+	})
+}
+
+// grow opens connections for those that wait.
+func (s *Stock) grow() {
+	if s.closed {
+		return
+	}
+	if wait := s.pause - s.now(); wait > 0 && len(s.waiting) > 0 {
+		s.later(wait)
+		return
+	}
+	for s.opening < len(s.waiting) && s.count+s.opening < s.limit {
+		s.opening++
+		go s.add()
+	}
+}
+
+func (s *Stock) later(wait time.Duration) {
+	if s.retry {
+		return
+	}
+	s.retry = true
+	time.AfterFunc(wait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.retry = false
+		s.grow()
+	})
+}
+
+func (s *Stock) add() {
+	ctx, stop := context.WithTimeout(context.Background(), openTimeout)
+	defer stop()
+	l, err := s.open(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opening--
+	switch {
+	case err == nil && s.closed:
+		l.Close()
+	case err == nil:
+		s.count++
+		s.limit = min(s.most, max(s.limit, s.count+1))
+		s.hand(l)
+	case errors.Is(err, ErrFull):
+		s.limit = max(s.count, 1)
+		s.pause = s.now() + fullPause
+		if s.count == 0 {
+			s.fail(err)
+		}
+		s.limit++
+		s.grow()
+	default:
+		s.fail(err)
+	}
+}
+
+// fail tells all that wait that no connection can be had.
+func (s *Stock) fail(err error) {
+	for _, w := range s.waiting {
+		w.granted <- grant{err: err}
+	}
+	s.waiting = nil
+}
+
+// hand gives a connection to the first that waits, or keeps it.
+func (s *Stock) hand(l *lane.Lane) {
+	if len(s.waiting) == 0 {
+		delete(s.out, l)
+		l.Used = s.now()
+		s.idle = append(s.idle, l)
+		return
+	}
+	w := s.waiting[0]
+	s.waiting = slices.Delete(s.waiting, 0, 1)
+	s.out[l] = struct{}{}
+	w.granted <- grant{lane: l}
+}
+
+// Put takes a connection back that is in no transaction.
+func (s *Stock) Put(l *lane.Lane) {
+	if l.Broken() {
+		s.Drop(l)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		s.forget(l)
+		return
+	}
+	s.hand(l)
+}
+
+// Drop closes a connection of no more use.
+func (s *Stock) Drop(l *lane.Lane) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forget(l)
+	s.grow()
+}
+
+func (s *Stock) forget(l *lane.Lane) {
+	if _, ok := s.out[l]; ok {
+		delete(s.out, l)
+		s.count--
+	}
+	l.Close()
+}
+
+// Trim closes connections that were idle for longer than d, but for one.
+func (s *Stock) Trim(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep()
+	before := s.now() - d
+	for len(s.idle) > idleKept && s.idle[0].Used < before {
+		s.count--
+		s.idle[0].Close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+	}
+}
+
+// Abort closes every connection, those in use as well: their statements end
+// without an answer. The stock stays usable.
+func (s *Stock) Abort(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.idle {
+		s.count--
+		l.Close()
+	}
+	s.idle = nil
+	for l := range s.out {
+		l.Close()
+	}
+	s.fail(err)
+}
+
+// Close ends the stock: idle connections are closed, those in use as they
+// come back.
+func (s *Stock) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, l := range s.idle {
+		s.count--
+		l.Close()
+	}
+	s.idle = nil
+	s.fail(ErrClosed)
+}
+
+// Counts returns how many connections are open, are idle, and how many
+// statements wait for one.
+func (s *Stock) Counts() (open, idle, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count, len(s.idle), len(s.waiting)
+}
--- /dev/null
+++ b/process/watch/watch.go
@@ -0,0 +1,116 @@
+// Package watch follows the changes of one table of the platform's store.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/record"
+)
+
+const (
+	// feedWait is how long the store holds a question while nothing changes.
+	// A connection that fell silent is noticed this much later.
+	feedWait = 1500 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failure.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+)
+
+// ErrHistory tells that the store no longer knows what changed.
+var ErrHistory = errors.New("the store dropped the history that was asked for")
+
+// ErrRefused tells that the store did nothing and wants to be asked less.
+var ErrRefused = errors.New("the store refused the call")
+
+// source is the platform's store.
+type source interface {
+	// List returns the rows of a table and the version that they are of.
+	List(ctx context.Context, table string) ([]record.Row, uint64, error)
+	// Feed returns what changed after a version, and the version to go on from.
+	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]record.Row, uint64, error)
+}
+
+// Watch follows one table.
+type Watch struct {
+	log    *zap.Logger
+	source source
+	table  string
+	pace   time.Duration
+	apply  func(rows []record.Row, version uint64, whole bool)
+	failed time.Time
+}
+
+// New returns a watch of a table that asks at most once in a pace. Apply gets
+// the changed rows, or the whole table.
+func New(log *zap.Logger, s source, table string, pace time.Duration, apply func(rows []record.Row, version uint64, whole bool)) *Watch {
+	return &Watch{log: log, source: s, table: table, pace: pace, apply: apply}
+}
+
+// Run follows the table until the context ends.
+func (w *Watch) Run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
+	pause.MaxInterval = longestPause
+	version, listed := uint64(0), false
+	for ctx.Err() == nil {
+		rows, next, err := w.ask(ctx, version, listed)
+		if err == nil {
+			w.regained()
+			pause.Reset()
+			if len(rows) > 0 || !listed {
+				w.apply(rows, next, !listed)
+			}
+			version, listed = next, true
+			w.sleep(ctx, w.pace)
+			continue
+		}
+		if errors.Is(err, ErrHistory) {
+			w.log.Warn("history dropped", zap.String("Table", w.table), zap.Uint64("Version", version))
+			listed = false
+			continue
+		}
+		w.lost(err, version)
+		w.sleep(ctx, pause.NextBackOff())
+	}
+}
+
+func (w *Watch) ask(ctx context.Context, version uint64, listed bool) ([]record.Row, uint64, error) {
+	if !listed {
+		return w.source.List(ctx, w.table)
+	}
+	return w.source.Feed(ctx, w.table, version, feedWait)
+}
+
+// lost logs the first of a series of failures.
+func (w *Watch) lost(err error, version uint64) {
+	if w.failed.IsZero() {
+		w.failed = time.Now()
+		w.log.Warn("store lost", zap.String("Table", w.table), zap.Uint64("Version", version), zap.Error(err))
+	}
+}
+
+func (w *Watch) regained() {
+	if !w.failed.IsZero() {
+		w.log.Info("store regained", zap.String("Table", w.table), zap.Duration("Lost", time.Since(w.failed)))
+		w.failed = time.Time{}
+	}
+}
+
+// sleep waits for d, a tenth more or less, so that hosts don't ask together.
+func (w *Watch) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d*9/10 + rand.N(d/5+1))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/request/code/code.go
+++ b/request/code/code.go
@@ -37,6 +37,12 @@
 	NotRunCanceled Code = 108
 	// NotRunNoFresh ends a read for which no member was fresh enough in time.
 	NotRunNoFresh Code = 109
+	// NotRunBusy ends a request that a target refused since its slots and queue were full.
+	NotRunBusy Code = 110
+	// NotRunWrongTarget ends a request that reached another target than was meant.
+	NotRunWrongTarget Code = 111
+	// NotRunUnprepared ends an execution of a prepared statement that the target doesn't know.
+	NotRunUnprepared Code = 112
 
 	// OutcomeUnknown ends a request that was sent and whose result is not known.
 	OutcomeUnknown Code = 200
@@ -46,6 +52,10 @@
 	AlreadyRan Code = 202
 	// TransactionLost ends a statement of a transaction that its target rolled back.
 	TransactionLost Code = 203
+	// TargetFailed ends a request that the target ran and failed.
+	TargetFailed Code = 204
+	// DeadlinePassed ends a request that was sent and not answered before its deadline.
+	DeadlinePassed Code = 205
 
 	// BadMessage closes a connection that sent a malformed or unexpected message.
 	BadMessage Code = 300
@@ -92,29 +102,34 @@
 )
 
 var entries = map[Code]entry{
-	Done:             {"Done", stateDone, "the target answered", "nothing"},
-	NotRunOverload:   {"NotRunOverload", stateRetry, "not run: the queue is too long for the deadline", "retry after the hint"},
-	NotRunDeadline:   {"NotRunDeadline", stateTimeout, "not run: the deadline passed while the request waited", "retry"},
-	NotRunNoPrimary:  {"NotRunNoPrimary", stateUnavailable, "not run: no primary could be reached before the deadline", "retry"},
-	NotRunNoMajority: {"NotRunNoMajority", stateUnavailable, "not run: a majority of the group's members is unreachable", "retry later"},
-	NotRunLimit:      {"NotRunLimit", stateLimit, "not run: over the limit of the caller, service or host", "retry after the hint"},
-	NotRunStopping:   {"NotRunStopping", stateShutdown, "not run: the host is stopping", "connect again and retry"},
-	NotRunSettled:    {"NotRunSettled", stateRetry, "not run: the answer was lost, and the idempotency key was withdrawn before the request ran", "retry with a new key"},
-	NotRunMoved:      {"NotRunMoved", stateRetry, "not run: the group moved to another host while the request waited", "retry"},
-	NotRunCanceled:   {"NotRunCanceled", stateTimeout, "not run: canceled by the caller while it waited", "nothing"},
-	NotRunNoFresh:    {"NotRunNoFresh", stateUnavailable, "not run: no member held data as fresh as the read asks for before the deadline", "retry"},
-	OutcomeUnknown:   {"OutcomeUnknown", stateUnknown, "sent, and its result is not known: it may have run", "check before a retry"},
-	RanAnswerLost:    {"RanAnswerLost", stateUnknown, "ran exactly once; its answer was lost", "do not retry; read what it wrote"},
-	AlreadyRan:       {"AlreadyRan", stateDuplicate, "a request with this idempotency key ran before", "do not retry"},
-	TransactionLost:  {"TransactionLost", stateRolledBack, "the open transaction was rolled back with its connection; nothing of it remains", "run the transaction again"},
-	BadMessage:       {"BadMessage", stateProtocol, "malformed or unexpected message", "mend the client"},
-	MessageTooLarge:  {"MessageTooLarge", stateProtocol, "message over the size limit", "send less at once"},
-	BadPassword:      {"BadPassword", statePassword, "wrong name or password", "check the credentials"},
-	BadToken:         {"BadToken", stateToken, "session token forged, of another session's user, or of an unknown key", "connect without a token"},
-	UnknownDatabase:  {"UnknownDatabase", stateDatabase, "no such database group", "check the name"},
-	NotSupported:     {"NotSupported", stateNotSupported, "this feature cannot be pooled", "see docs/OPERATORS.md"},
-	SlowCaller:       {"SlowCaller", stateConnections, "the caller does not read its answer", "read answers as they come"},
-	TooManyCallers:   {"TooManyCallers", stateConnections, "over the host's limit of callers", "connect later or elsewhere"},
+	Done:              {"Done", stateDone, "the target answered", "nothing"},
+	NotRunOverload:    {"NotRunOverload", stateRetry, "not run: the queue is too long for the deadline", "retry after the hint"},
+	NotRunDeadline:    {"NotRunDeadline", stateTimeout, "not run: the deadline passed while the request waited", "retry"},
+	NotRunNoPrimary:   {"NotRunNoPrimary", stateUnavailable, "not run: no primary could be reached before the deadline", "retry"},
+	NotRunNoMajority:  {"NotRunNoMajority", stateUnavailable, "not run: a majority of the group's members is unreachable", "retry later"},
+	NotRunLimit:       {"NotRunLimit", stateLimit, "not run: over the limit of the caller, service or host", "retry after the hint"},
+	NotRunStopping:    {"NotRunStopping", stateShutdown, "not run: the host is stopping", "connect again and retry"},
+	NotRunSettled:     {"NotRunSettled", stateRetry, "not run: the answer was lost, and the idempotency key was withdrawn before the request ran", "retry with a new key"},
+	NotRunMoved:       {"NotRunMoved", stateRetry, "not run: the group moved to another host while the request waited", "retry"},
+	NotRunCanceled:    {"NotRunCanceled", stateTimeout, "not run: canceled by the caller while it waited", "nothing"},
+	NotRunNoFresh:     {"NotRunNoFresh", stateUnavailable, "not run: no member held data as fresh as the read asks for before the deadline", "retry"},
+	OutcomeUnknown:    {"OutcomeUnknown", stateUnknown, "sent, and its result is not known: it may have run", "check before a retry"},
+	RanAnswerLost:     {"RanAnswerLost", stateUnknown, "ran exactly once; its answer was lost", "do not retry; read what it wrote"},
+	AlreadyRan:        {"AlreadyRan", stateDuplicate, "a request with this idempotency key ran before", "do not retry"},
+	NotRunBusy:        {"NotRunBusy", stateRetry, "not run: the target's slots and queue are full", "retry after the hint"},
+	NotRunWrongTarget: {"NotRunWrongTarget", stateUnavailable, "not run: another target answers at the address", "retry"},
+	NotRunUnprepared:  {"NotRunUnprepared", stateUnavailable, "not run: the target does not know the prepared statement", "prepare it again"},
+	TargetFailed:      {"TargetFailed", stateUnknown, "the target ran the request and failed", "retry what only reads"},
+	DeadlinePassed:    {"DeadlinePassed", stateTimeout, "sent, and not answered before the deadline", "check before a retry"},
+	TransactionLost:   {"TransactionLost", stateRolledBack, "the open transaction was rolled back with its connection; nothing of it remains", "run the transaction again"},
+	BadMessage:        {"BadMessage", stateProtocol, "malformed or unexpected message", "mend the client"},
+	MessageTooLarge:   {"MessageTooLarge", stateProtocol, "message over the size limit", "send less at once"},
+	BadPassword:       {"BadPassword", statePassword, "wrong name or password", "check the credentials"},
+	BadToken:          {"BadToken", stateToken, "session token forged, of another session's user, or of an unknown key", "connect without a token"},
+	UnknownDatabase:   {"UnknownDatabase", stateDatabase, "no such database group", "check the name"},
+	NotSupported:      {"NotSupported", stateNotSupported, "this feature cannot be pooled", "see docs/OPERATORS.md"},
+	SlowCaller:        {"SlowCaller", stateConnections, "the caller does not read its answer", "read answers as they come"},
+	TooManyCallers:    {"TooManyCallers", stateConnections, "over the host's limit of callers", "connect later or elsewhere"},
 }
 
 // All returns the known codes in no order.
