--- a/cmd/pistachiotray/proxy.go
+++ b/cmd/pistachiotray/proxy.go
@@ -46,7 +46,7 @@
 	// Nothing in the settings may change while the process runs.
 	signal.Ignore(syscall.SIGHUP)
 	if err := node.New(s, log).Run(ctx); err != nil {
-		log.Error("ended", zap.Error(err))
+		log.Error("ended", zap.String("Error", err.Error()))
 		return err
 	}
 	return nil
--- a/connection/lane/lane.go
+++ b/connection/lane/lane.go
@@ -12,6 +12,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/wrap"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -29,6 +31,8 @@
 	// Run sends statements together and returns a reply to each. After an
 	// error the connection is of no more use.
 	Run(ctx context.Context, batch []stmt.Stmt) ([]reply.Reply, error)
+	// Report runs a command and returns what the target tells of itself.
+	Report(ctx context.Context, s stmt.Stmt) (report.Report, error)
 	// Broken tells whether the connection was closed from either end.
 	Broken() bool
 	// Close ends the connection; the target rolls back what is open.
@@ -150,6 +154,12 @@
 	return prefix + shape
 }
 
+// Report runs a command and returns what the target tells of itself.
+func (l *Lane) Report(ctx context.Context, s stmt.Stmt) (report.Report, error) {
+	r, err := l.link.Report(ctx, s)
+	return r.WithMember(l.Target), wrap.If(err, "Lane.Report")
+}
+
 // Broken tells whether the connection is of no more use.
 func (l *Lane) Broken() bool {
 	return l.link.Broken()
--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -64,13 +64,14 @@
 		r.note(zap.String("Target", t.ID), zap.Int("Try", try))
 		if err != nil {
 			c.Drop(l)
-			r.note(zap.Error(err))
+			r.stall(ctx, c, t.ID)
+			r.note(zap.String("Error", err.Error()))
 			return reply.Refuse(code.OutcomeUnknown, "the answer of the target was lost")
 		}
 		c.Put(l)
 		last = replies[0]
 		if last.OK() {
-			r.committed(c, last, sent)
+			r.committed(c, t.ID, last, sent)
 			return last
 		}
 		if !r.again(ctx, c, t, last) {
@@ -80,11 +81,19 @@
 }
 
 // committed takes the acknowledgement of a commit that wrote.
-func (r *Runner) committed(c *crew.Crew, out reply.Reply, sent time.Duration) {
+func (r *Runner) committed(c *crew.Crew, target string, out reply.Reply, sent time.Duration) {
+	c.Wrote(target)
 	c.Add(out.Mark, sent)
 	r.caller = r.caller.WithFloor(out.Mark, r.now())
 }
 
+// stall tells the group where a write ran out of time.
+func (r *Runner) stall(ctx context.Context, c *crew.Crew, target string) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.Stall(target)
+	}
+}
+
 // again tells whether a statement that was refused may be tried once more, after a pause.
 func (r *Runner) again(ctx context.Context, c *crew.Crew, t target.Target, out reply.Reply) bool {
 	if out.Code == code.NotRunNoPrimary {
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -45,7 +45,7 @@
 	for {
 		replies, err := r.tx.crew.Run(ctx, r.tx.lane, r.caller, s)
 		if err != nil {
-			r.note(zap.Error(err))
+			r.note(zap.String("Error", err.Error()))
 			r.lose()
 			return reply.Refuse(code.TransactionLost, "the connection of the transaction was lost, which rolls it back")
 		}
@@ -150,7 +150,10 @@
 	sent := r.now()
 	out, err := r.sendCommit(ctx, s)
 	if err != nil {
-		r.note(zap.Error(err))
+		r.note(zap.String("Error", err.Error()))
+		if tx.wrote {
+			r.stall(ctx, tx.crew, tx.lane.Target)
+		}
 		r.lose()
 		r.caller = r.caller.WithStatus(reply.Idle)
 		return reply.Refuse(code.OutcomeUnknown, "the answer to the commit was lost")
@@ -168,7 +171,7 @@
 	// A commit without writes succeeds also where the target lost the lead,
 	// so it proves nothing.
 	if tx.wrote {
-		r.committed(tx.crew, out, sent)
+		r.committed(tx.crew, tx.lane.Target, out, sent)
 	}
 	return out
 }
--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -24,6 +24,9 @@
 // ErrGone tells that a target is not registered any more.
 var ErrGone = errors.New("the target is not registered")
 
+// ErrFails tells that a target doesn't answer at present.
+var ErrFails = errors.New("the target does not answer")
+
 // dialer opens connections to targets.
 type dialer interface {
 	// Open opens a connection; stock.ErrFull tells that the target takes no more.
@@ -48,9 +51,16 @@
 	leader   string
 	// claimed is the target whose registration last made it the leader, and
 	// since which revision.
-	claimed   string
-	since     uint64
-	denied    bool
+	claimed string
+	since   uint64
+	// lost is since when nobody is known to lead, or 0.
+	lost time.Duration
+	// stalled is since when writes at the leader go unanswered, stalls how
+	// many did.
+	stalled   time.Duration
+	stalls    int
+	size      int
+	term      uint64
 	searching bool
 	changed   chan struct{}
 	fresh     *fresh.Fresh
@@ -69,10 +79,8 @@
 	// heard is when the target last answered.
 	heard time.Duration
 	// failing is since when it doesn't, or 0.
-	failing  time.Duration
-	probing  bool
-	mark     mark.Mark
-	refusals int
+	failing time.Duration
+	probing bool
 }
 
 // New returns a group without targets. Distance tells how much longer a
@@ -105,6 +113,13 @@
 		c.claimed, c.since = leader.ID, leader.LedSince
 		c.lead(leader.ID, "registration")
 	}
+	staying := 0
+	for _, s := range c.seats {
+		if !s.target.Leaving {
+			staying++
+		}
+	}
+	c.size = max(c.size, staying)
 	if l, ok := c.seats[c.leader]; !ok || l.target.Leaving {
 		c.alarm()
 	}
@@ -166,13 +181,16 @@
 	return found
 }
 
-// Lead takes what a target proved: that it led the group.
-func (c *Crew) Lead(id, why string) {
+// Lead takes that a target leads the group. It reports false where that was
+// known or the target is not.
+func (c *Crew) Lead(id, why string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.seats[id]; ok && c.leader != id {
-		c.lead(id, why)
+	if _, ok := c.seats[id]; !ok || c.leader == id {
+		return false
 	}
+	c.lead(id, why)
+	return true
 }
 
 // Deny takes a target's word that it does not lead the group.
@@ -191,6 +209,11 @@
 	}
 	c.log.Info("leader changed", zap.String("Group", c.Name), zap.String("From", c.leader), zap.String("To", id), zap.String("Why", why))
 	c.leader = id
+	c.lost = 0
+	if id == "" {
+		c.lost = c.now()
+	}
+	c.stalled, c.stalls = 0, 0
 	c.wake()
 }
 
@@ -213,8 +236,8 @@
 	return c.trouble
 }
 
-// Await returns the leader, and waits for one until the context ends. Where
-// nothing is known it asks the targets.
+// Await returns the leader, and waits for one that answers until the context
+// ends. Where nothing is known it asks the targets.
 func (c *Crew) Await(ctx context.Context) (target.Target, error) {
 	for {
 		c.mu.Lock()
@@ -223,8 +246,9 @@
 		if !ok {
 			c.search()
 		}
+		usable := ok && s.failing == 0
 		c.mu.Unlock()
-		if ok {
+		if usable {
 			return s.target, nil
 		}
 		select {
@@ -239,10 +263,14 @@
 func (c *Crew) Take(ctx context.Context, id string, who caller.Caller, priority int) (*lane.Lane, error) {
 	c.mu.Lock()
 	s, ok := c.seats[id]
+	failing := ok && s.failing != 0
 	c.mu.Unlock()
 	if !ok {
 		return nil, ErrGone
 	}
+	if failing {
+		return nil, ErrFails
+	}
 	return s.stock.Take(ctx, who, priority)
 }
 
--- a/process/crew/health.go
+++ b/process/crew/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
@@ -12,8 +13,6 @@
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
-
-	"github.com/go-faster/errors"
 )
 
 const (
@@ -68,9 +67,7 @@
 	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
 	c.hear(s)
 	for _, r := range replies {
-		if !r.Mark.IsZero() {
-			s.mark = r.Mark
-		}
+		c.term = max(c.term, r.Mark.Term)
 	}
 }
 
@@ -105,8 +102,7 @@
 		c.hear(s)
 		return
 	}
-	c.log.Info("no connection", zap.String("Group", c.Name), zap.String("Target", id), zap.Error(err))
-	c.fail(s)
+	c.fail(s, err)
 }
 
 // suspect probes a target that left a statement unanswered since a time.
@@ -118,10 +114,11 @@
 	}
 }
 
-func (c *Crew) fail(s *seat) {
+func (c *Crew) fail(s *seat, err error) {
 	if s.failing == 0 {
 		s.failing = c.now()
-		c.log.Info("target fails", zap.String("Group", c.Name), zap.String("Target", s.target.ID), zap.Bool("Leads", s.target.ID == c.leader), zap.Duration("Heard", c.now()-s.heard))
+		c.log.Info("target fails", zap.String("Group", c.Name), zap.String("Target", s.target.ID), zap.Bool("Leads", s.target.ID == c.leader),
+			zap.Duration("Heard", c.now()-s.heard), zap.String("Error", err.Error()))
 	}
 	c.probe(s)
 }
@@ -160,10 +157,7 @@
 		c.hear(s)
 		return false
 	}
-	if s.failing == 0 {
-		s.failing = asked
-		c.log.Info("target fails", zap.String("Group", c.Name), zap.String("Target", id), zap.Bool("Leads", id == c.leader), zap.Error(err), zap.Duration("Heard", asked-s.heard))
-	}
+	c.fail(s, err)
 	if c.down(s) {
 		s.stock.Abort(err)
 		if id == c.leader {
--- a/process/crew/prove.go
+++ b/process/crew/prove.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
@@ -79,6 +80,29 @@
 	return nil
 }
 
+// Report runs a command at a target.
+func (c *Crew) Report(ctx context.Context, t target.Target, s stmt.Stmt) (report.Report, error) {
+	var nobody caller.Caller
+	l, err := c.Take(ctx, t.ID, nobody, 0)
+	if err != nil {
+		return report.Report{}, err
+	}
+	r, err := l.Report(ctx, s)
+	if err != nil {
+		c.Drop(l)
+		return r, err
+	}
+	c.Put(l)
+	return r.WithLeaving(t.Leaving), nil
+}
+
+// Ask tells whether a target accepts a transaction that may write, as only
+// the leader does.
+func (c *Crew) Ask(ctx context.Context, t target.Target) (bool, error) {
+	r, err := c.ask(ctx, t)
+	return err == nil && r.OK(), err
+}
+
 // ask begins and rolls back a transaction that may write, which only the
 // leader accepts and which takes no slot.
 func (c *Crew) ask(ctx context.Context, t target.Target) (reply.Reply, error) {
--- /dev/null
+++ b/process/crew/wrong.go
@@ -0,0 +1,85 @@
+package crew
+
+import "time"
+
+// What may be wrong with a group's leader.
+const (
+	// Leaving tells that the leader was told to stop.
+	Leaving = "leaving"
+	// Silent tells that the leader does not answer.
+	Silent = "silent"
+	// Lost tells that nobody is known to lead.
+	Lost = "lost"
+	// Stalled tells that the leader answers but its writes do not end.
+	Stalled = "stalled"
+)
+
+const (
+	// lostAfter is how long nobody may be known to lead: registrations are
+	// that late, and a search takes some rounds.
+	lostAfter = 1200 * time.Millisecond
+	// stalledAfter and stallsNeeded are for how long and how often writes must
+	// go unanswered.
+	stalledAfter = time.Second
+	stallsNeeded = 2
+)
+
+// Wrong tells what is wrong with the leader, and whether it is due to be
+// replaced for that.
+func (c *Crew) Wrong() (why string, due, trouble bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	s, ok := c.seats[c.leader]
+	switch {
+	case !ok && len(c.seats) > 0:
+		c.search()
+		return Lost, c.lost != 0 && now-c.lost >= lostAfter, true
+	case !ok:
+		return "", false, false
+	case s.target.Leaving:
+		return Leaving, true, true
+	case s.failing != 0:
+		return Silent, c.down(s), true
+	case c.stalled != 0:
+		return Stalled, c.stalls >= stallsNeeded && now-c.stalled >= stalledAfter, true
+	}
+	return "", false, false
+}
+
+// Stall notes that a write at a target was not answered in time.
+func (c *Crew) Stall(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if id != c.leader {
+		return
+	}
+	if c.stalls++; c.stalled == 0 {
+		c.stalled = c.now()
+	}
+	c.alarm()
+}
+
+// Wrote notes that a write at a target was acknowledged.
+func (c *Crew) Wrote(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if id == c.leader {
+		c.stalled, c.stalls = 0, 0
+	}
+}
+
+// Size returns the most targets that the group had at once, without those
+// that were leaving.
+func (c *Crew) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.size
+}
+
+// Term returns the highest term that a target reported.
+func (c *Crew) Term() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term
+}
--- /dev/null
+++ b/process/promo/promo.go
@@ -0,0 +1,344 @@
+// Package promo replaces the primary of a database group.
+package promo
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/crew"
+	"github.com/pistachiotray/pistachiotray/process/lease"
+	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+)
+
+const (
+	// hold is how long another host's claim is respected: the time that a
+	// replacement takes with some retries.
+	hold = 3 * time.Second
+	// look is the pause between two looks at a group in trouble.
+	look = 100 * time.Millisecond
+	// jitter spreads the hosts that notice a trouble together.
+	jitter = 120 * time.Millisecond
+	// stepTimeout bounds one command to a target: its connection may wait for a slot.
+	stepTimeout = 600 * time.Millisecond
+	// gatherLimit bounds the wait for all replicas to stop receiving.
+	gatherLimit = 1500 * time.Millisecond
+	// followLimit bounds the wait for a promoted target to lead, followPause
+	// is the pause between two questions.
+	followLimit = 5 * time.Second
+	followPause = 40 * time.Millisecond
+	// orderLimit bounds the tries to have an order carried out.
+	orderLimit = 20 * time.Second
+)
+
+// ErrTaken tells that another host changed the lease.
+var ErrTaken = errors.New("another host holds the lease")
+
+// ErrFenced tells that the platform refused an order.
+var ErrFenced = errors.New("the order was refused")
+
+// orders are what the platform does.
+type orders interface {
+	// Read returns a group's lease and the store's clock.
+	Read(ctx context.Context, group string) (lease.Lease, time.Duration, error)
+	// Write stores a lease where nobody changed it.
+	Write(ctx context.Context, l lease.Lease) (lease.Lease, error)
+	// Promote orders the lease's target to lead.
+	Promote(ctx context.Context, l lease.Lease) error
+}
+
+// Promo watches over one group's leader and replaces it.
+type Promo struct {
+	host   string
+	log    *zap.Logger
+	crew   *crew.Crew
+	orders orders
+}
+
+// New returns the watch of one host over one group.
+func New(host string, log *zap.Logger, c *crew.Crew, o orders) *Promo {
+	return &Promo{host: host, log: log.With(zap.String("Group", c.Name)), crew: c, orders: o}
+}
+
+// Run watches until the context ends.
+func (p *Promo) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.crew.Trouble():
+		}
+		for ctx.Err() == nil {
+			why, due, trouble := p.crew.Wrong()
+			if !trouble {
+				break
+			}
+			if due {
+				p.sleep(ctx, rand.N(jitter))
+				p.replace(ctx, why)
+			}
+			p.sleep(ctx, look)
+		}
+	}
+}
+
+func (p *Promo) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// replace claims the lease and replaces the leader, unless another host does.
+func (p *Promo) replace(ctx context.Context, why string) {
+	l, ok := p.claim(ctx, why)
+	if !ok {
+		return
+	}
+	leader, _ := p.crew.Leader()
+	began := time.Now()
+	chosen, ok := "", false
+	if why == crew.Leaving {
+		chosen, ok = p.handover(ctx, leader)
+	} else {
+		chosen, ok = p.takeover(ctx, leader)
+	}
+	if !ok {
+		p.log.Warn("replacement not safe", zap.String("Why", why), zap.Uint64("Token", l.Token))
+		p.resume(ctx, "")
+		return
+	}
+	p.order(ctx, l, chosen, why, began)
+}
+
+// handover prepares the replacement of a leader that still serves. One replica
+// goes on receiving and the others stop, so that each commit that is
+// acknowledged from then on is on that one; it takes the lead once it holds
+// what the others held. Writes are served meanwhile.
+func (p *Promo) handover(ctx context.Context, leader target.Target) (string, bool) {
+	ctx, stop := context.WithTimeout(ctx, gatherLimit)
+	defer stop()
+	next, ok := p.heir(leader.ID)
+	if !ok {
+		return "", false
+	}
+	reports, complete := p.gather(ctx, leader.ID, next.ID)
+	if !complete {
+		return "", false
+	}
+	for ctx.Err() == nil {
+		r, err := p.crew.Report(ctx, next, stmt.New(stmt.Own, stmt.Resume, ""))
+		if err == nil && holdsAll(r, reports) {
+			p.log.Info("handover ready", zap.Any("Heir", r), zap.Any("Others", reports))
+			return next.ID, true
+		}
+		p.sleep(ctx, look)
+	}
+	return "", false
+}
+
+// heir returns the replica that takes the lead from one that leaves.
+func (p *Promo) heir(leader string) (target.Target, bool) {
+	var best target.Target
+	for _, t := range p.crew.Targets() {
+		if _, down := p.crew.Down(t.ID); t.ID == leader || t.Leaving || down {
+			continue
+		}
+		if best.ID == "" || t.ID < best.ID {
+			best = t
+		}
+	}
+	return best, best.ID != ""
+}
+
+func holdsAll(r report.Report, others []report.Report) bool {
+	for _, o := range others {
+		if !r.Received.AtLeast(o.Received) {
+			return false
+		}
+	}
+	return true
+}
+
+// takeover prepares the replacement of a leader that does not serve: all
+// others stop receiving, and the one that holds most takes the lead.
+func (p *Promo) takeover(ctx context.Context, leader target.Target) (string, bool) {
+	ctx, stop := context.WithTimeout(ctx, gatherLimit)
+	defer stop()
+	reports, complete := p.gather(ctx, leader.ID)
+	if !complete {
+		return "", false
+	}
+	p.log.Info("takeover ready", zap.Any("Reports", reports))
+	return choose(reports)
+}
+
+// claim takes the lease, or learns from whoever holds it.
+func (p *Promo) claim(ctx context.Context, why string) (lease.Lease, bool) {
+	l, now, err := p.orders.Read(ctx, p.crew.Name)
+	if err != nil {
+		p.log.Warn("lease not read", zap.String("Why", why), zap.String("Error", err.Error()))
+		return l, false
+	}
+	if l.Done && now-l.At < hold && p.crew.Lead(l.Target, "lease") {
+		return l, false
+	}
+	if l.Held(p.host, now, hold) {
+		return l, false
+	}
+	if _, due, trouble := p.crew.Wrong(); !due || !trouble {
+		return l, false
+	}
+	claimed, err := p.orders.Write(ctx, l.WithClaim(p.host, now))
+	if err != nil {
+		p.log.Info("lease not claimed", zap.String("Why", why), zap.Uint64("Token", claimed.Token), zap.String("Error", err.Error()))
+		return claimed, false
+	}
+	p.log.Info("lease claimed", zap.String("Why", why), zap.Uint64("Token", claimed.Token), zap.String("Before", l.Holder))
+	return claimed, true
+}
+
+// gather stops all targets but the given ones from receiving and returns their
+// reports. Complete tells that none is missing.
+func (p *Promo) gather(ctx context.Context, but ...string) (reports []report.Report, complete bool) {
+	term := p.crew.Term() + 1
+	for {
+		var highest uint64
+		reports, complete, highest = p.pauseAll(ctx, but, term)
+		if complete || ctx.Err() != nil {
+			return reports, complete
+		}
+		term = max(term, highest+1)
+		p.sleep(ctx, look)
+	}
+}
+
+func (p *Promo) pauseAll(ctx context.Context, but []string, term uint64) ([]report.Report, bool, uint64) {
+	type outcome struct {
+		report report.Report
+		err    error
+	}
+	targets := p.crew.Targets()
+	results := make(chan outcome, len(targets))
+	pause := stmt.New(stmt.Own, stmt.Pause, "").WithName("", strconv.FormatUint(term, 10))
+	asked := 0
+	for _, t := range targets {
+		if slices.Contains(but, t.ID) {
+			continue
+		}
+		asked++
+		go func() {
+			ctx, stop := context.WithTimeout(ctx, stepTimeout)
+			defer stop()
+			r, err := p.crew.Report(ctx, t, pause)
+			results <- outcome{r, err}
+		}()
+	}
+	var reports []report.Report
+	var highest uint64
+	for range asked {
+		o := <-results
+		if o.err != nil {
+			p.log.Info("target not paused", zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
+			continue
+		}
+		highest = max(highest, o.report.Term)
+		if o.report.Held >= term {
+			reports = append(reports, o.report)
+		} else {
+			p.log.Info("target not held", zap.Uint64("Term", term), zap.Any("Report", o.report))
+		}
+	}
+	return reports, len(reports) == asked && asked >= p.crew.Size()-len(but), highest
+}
+
+// choose returns the target that holds most, one that leaves only where no
+// other holds as much.
+func choose(reports []report.Report) (string, bool) {
+	var best report.Report
+	found := false
+	for _, r := range reports {
+		c := r.Received.Compare(best.Received)
+		if !found || c > 0 || c == 0 && (best.Leaving && !r.Leaving || best.Leaving == r.Leaving && r.Member < best.Member) {
+			best, found = r, true
+		}
+	}
+	return best.Member, found
+}
+
+// order has the chosen target lead. Once an order was sent it may be carried
+// out at any time, so it is followed by others under higher tokens until one
+// is answered: nothing may receive in the old term before that.
+func (p *Promo) order(ctx context.Context, l lease.Lease, chosen, why string, began time.Time) {
+	ctx, stop := context.WithTimeout(ctx, orderLimit)
+	defer stop()
+	ordered, err := p.orders.Write(ctx, l.WithOrder(chosen))
+	if err != nil {
+		p.log.Warn("order not noted", zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
+		return
+	}
+	err = p.orders.Promote(ctx, ordered)
+	p.log.Info("promotion ordered", zap.String("Why", why), zap.String("Target", chosen), zap.Uint64("Token", ordered.Token),
+		zap.Duration("Took", time.Since(began)), zap.Bool("Done", err == nil))
+	if err != nil {
+		p.log.Warn("promotion not confirmed", zap.Uint64("Token", ordered.Token), zap.String("Error", err.Error()))
+		return
+	}
+	if !p.follow(ctx, chosen) {
+		p.log.Warn("promotion not followed by a lead", zap.Uint64("Token", ordered.Token), zap.String("Target", chosen))
+		return
+	}
+	p.log.Info("promotion done", zap.String("Target", chosen), zap.Uint64("Token", ordered.Token), zap.Duration("Took", time.Since(began)))
+	p.crew.Lead(chosen, "promoted")
+	p.resume(ctx, chosen)
+	if _, err := p.orders.Write(ctx, ordered.WithDone()); err != nil {
+		p.log.Info("lease not closed", zap.Uint64("Token", ordered.Token), zap.String("Error", err.Error()))
+	}
+}
+
+// follow waits until the target leads. Before that the others must not
+// receive: the old primary could have a commit acknowledged that the target
+// lacks.
+func (p *Promo) follow(ctx context.Context, id string) bool {
+	ctx, stop := context.WithTimeout(ctx, followLimit)
+	defer stop()
+	for ctx.Err() == nil {
+		for _, t := range p.crew.Targets() {
+			if t.ID != id {
+				continue
+			}
+			if leads, err := p.crew.Ask(ctx, t); leads {
+				return true
+			} else if err != nil {
+				p.log.Info("promoted target not asked", zap.String("Target", id), zap.String("Error", err.Error()))
+			}
+		}
+		p.sleep(ctx, followPause)
+	}
+	return false
+}
+
+// resume lets all targets but one receive again.
+func (p *Promo) resume(ctx context.Context, except string) {
+	for _, t := range p.crew.Targets() {
+		if t.ID == except {
+			continue
+		}
+		go func() {
+			ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), stepTimeout)
+			defer stop()
+			if _, err := p.crew.Report(ctx, t, stmt.New(stmt.Own, stmt.Resume, "")); err != nil {
+				p.log.Info("target not resumed", zap.String("Target", t.ID), zap.String("Error", err.Error()))
+			}
+		}()
+	}
+}
--- a/process/report/report.go
+++ b/process/report/report.go
@@ -17,6 +17,8 @@
 	Applied mark.Mark
 	// Base is the last entry before the one that began Term, on a primary.
 	Base mark.Mark
+	// Held is the term for which the member stopped receiving, 0 for none.
+	Held uint64
 	// Leaving tells that the member wants no new work.
 	Leaving bool
 	// Slots is how many slots the member grants, 0 where it does not say.
--- a/process/watch/watch.go
+++ b/process/watch/watch.go
@@ -91,7 +91,7 @@
 func (w *Watch) lost(err error, version uint64) {
 	if w.failed.IsZero() {
 		w.failed = time.Now()
-		w.log.Warn("store lost", zap.String("Table", w.table), zap.Uint64("Version", version), zap.Error(err))
+		w.log.Warn("store lost", zap.String("Table", w.table), zap.Uint64("Version", version), zap.String("Error", err.Error()))
 	}
 }
 
--- a/request/stmt/stmt.go
+++ b/request/stmt/stmt.go
@@ -33,6 +33,10 @@
 	Deallocate
 	// Reset clears the values and prepared statements of a connection.
 	Reset
+	// Pause stops a target from receiving in terms below Rest.
+	Pause
+	// Resume lets a target receive again.
+	Resume
 )
 
 // Own is the id of statements that the proxy issues itself.
