--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -21,11 +21,18 @@
 	// retryPause is the pause before a statement that was not run is tried
 	// again: a few round trips within a zone, and time for a slot to come free.
 	retryPause = 20 * time.Millisecond
+	// patienceShare is the part of an operation's aim that a statement is kept
+	// waiting for a leader that is not expected: the platform counts a
+	// quarter as held for too long.
+	patienceShare = 6
 	// ageMargin is taken off a route's limit of age: clocks are read a little
 	// after the caller sent its statement.
 	ageMargin = 10 * time.Millisecond
 )
 
+// errNoTarget tells that every target of a group was tried.
+var errNoTarget = errors.New("no target left")
+
 // pause waits before another try. It reports false where the time is over.
 func pause(ctx context.Context) bool {
 	t := time.NewTimer(retryPause)
@@ -38,6 +45,15 @@
 	}
 }
 
+// patience bounds the wait for a leader where none is expected soon: a caller
+// that is refused early can come back in its time.
+func patience(ctx context.Context, c *crew.Crew, rt route.Route) (context.Context, context.CancelFunc) {
+	if !c.Hopeless() {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, rt.Aim/patienceShare)
+}
+
 // notRun is the refusal of a statement that never left this host, or that the
 // last target refused to run.
 func notRun(last reply.Reply) reply.Reply {
@@ -54,7 +70,7 @@
 	for try := 1; ; try++ {
 		t, l, err := r.leaderLane(ctx, c, rt)
 		if err != nil {
-			if ctx.Err() != nil || !pause(ctx) {
+			if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) || !pause(ctx) {
 				return notRun(last)
 			}
 			continue
@@ -103,7 +119,9 @@
 }
 
 func (r *Runner) leaderLane(ctx context.Context, c *crew.Crew, rt route.Route) (target.Target, *lane.Lane, error) {
-	t, err := c.Await(ctx)
+	patient, stop := patience(ctx, c, rt)
+	defer stop()
+	t, err := c.Await(patient)
 	if err != nil {
 		return t, nil, err
 	}
@@ -125,7 +143,7 @@
 		if err == nil && (last.OK() || !last.Code.NotRun()) {
 			return last
 		}
-		if ctx.Err() != nil || !pause(ctx) {
+		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) || !pause(ctx) {
 			return unread(last, sent)
 		}
 	}
@@ -198,7 +216,7 @@
 		if err == nil && (last.OK() || !retried(last)) {
 			return last
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) {
 			return unread(last, sent)
 		}
 	}
@@ -231,7 +249,7 @@
 		clear(w.tried)
 		w.renew = r.now()
 		pause(ctx)
-		return t, nil, need, errors.Wrap(crew.ErrUnsent, "no target left")
+		return t, nil, need, errNoTarget
 	}
 	l, err := w.crew.Take(ctx, t.ID, r.caller, rt.Priority)
 	if err != nil {
@@ -258,7 +276,9 @@
 	since := max(arrived-rt.MaxAge+ageMargin, w.renew)
 	m, covers, newest, ok := w.crew.Since(since)
 	if !ok {
-		if err := w.crew.Prove(ctx, since); err != nil {
+		patient, stop := patience(ctx, w.crew, rt)
+		defer stop()
+		if err := w.crew.Prove(patient, since); err != nil {
 			return m, err
 		}
 		return r.need(ctx, w, rt, arrived)
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/process/crew"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
@@ -93,7 +95,7 @@
 				return out, false
 			}
 		}
-		if ctx.Err() != nil || !pause(ctx) {
+		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) || !pause(ctx) {
 			return notRun(last), false
 		}
 	}
--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -81,6 +81,8 @@
 	// failing is since when it doesn't, or 0.
 	failing time.Duration
 	probing bool
+	// refused tells that the machine refused the last connection.
+	refused bool
 }
 
 // New returns a group without targets. Distance tells how much longer a
@@ -243,10 +245,10 @@
 		c.mu.Lock()
 		s, ok := c.seats[c.leader]
 		changed := c.changed
-		if !ok {
+		usable := ok && s.failing == 0
+		if !ok || c.down(s) {
 			c.search()
 		}
-		usable := ok && s.failing == 0
 		c.mu.Unlock()
 		if usable {
 			return s.target, nil
--- a/process/crew/health.go
+++ b/process/crew/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,8 +25,10 @@
 	// probePause is the pause between the probes of a target that fails.
 	probePause = 150 * time.Millisecond
 	// downAfter is how long a target must fail before nothing more is
-	// expected of it: two probes and a pause.
-	downAfter = 600 * time.Millisecond
+	// expected of it: two probes and a pause. Where its machine refuses
+	// connections, it is certain sooner that no process listens there.
+	downAfter    = 600 * time.Millisecond
+	refusedAfter = 250 * time.Millisecond
 	// latencyWeight is the share of a new measurement in the moving mean.
 	latencyWeight = 0.2
 	// fade is the time in which an old mean counts half.
@@ -115,6 +118,7 @@
 }
 
 func (c *Crew) fail(s *seat, err error) {
+	s.refused = errors.Is(err, syscall.ECONNREFUSED)
 	if s.failing == 0 {
 		s.failing = c.now()
 		c.log.Info("target fails", zap.String("Group", c.Name), zap.String("Target", s.target.ID), zap.Bool("Leads", s.target.ID == c.leader),
@@ -168,7 +172,11 @@
 }
 
 func (c *Crew) down(s *seat) bool {
-	return s.failing != 0 && c.now()-s.failing >= downAfter
+	limit := downAfter
+	if s.refused {
+		limit = refusedAfter
+	}
+	return s.failing != 0 && c.now()-s.failing >= limit
 }
 
 // Down tells whether nothing is expected of a target any more, and since when
--- a/process/crew/prove.go
+++ b/process/crew/prove.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -136,25 +137,32 @@
 func (c *Crew) searchLoop() {
 	ctx, stop := context.WithTimeout(context.Background(), searchLimit)
 	defer stop()
-	for ctx.Err() == nil {
-		if _, ok := c.Leader(); ok {
-			break
-		}
+	for ctx.Err() == nil && !c.led() {
 		c.searchRound(ctx)
-		if _, ok := c.Leader(); ok {
-			break
+		if !c.led() {
+			time.Sleep(searchPause)
 		}
-		time.Sleep(searchPause)
 	}
 	c.mu.Lock()
 	c.searching = false
 	c.mu.Unlock()
 }
 
+// led tells whether there is a leader that answers.
+func (c *Crew) led() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.seats[c.leader]
+	return ok && s.failing == 0
+}
+
 func (c *Crew) searchRound(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, proveTimeout)
 	defer stop()
-	targets := c.Targets()
+	targets := slices.DeleteFunc(c.Targets(), func(t target.Target) bool {
+		_, down := c.Down(t.ID)
+		return down
+	})
 	done := make(chan struct{}, len(targets))
 	for _, t := range targets {
 		go func() {
--- a/process/crew/wrong.go
+++ b/process/crew/wrong.go
@@ -22,6 +22,9 @@
 	// go unanswered.
 	stalledAfter = time.Second
 	stallsNeeded = 2
+	// hopeAfter is how long a replacement takes at most as a rule. A leader
+	// that is missing for longer is not expected within a statement's time.
+	hopeAfter = 2500 * time.Millisecond
 )
 
 // Wrong tells what is wrong with the leader, and whether it is due to be
@@ -47,6 +50,18 @@
 	return "", false, false
 }
 
+// Hopeless tells that the leader has been missing for so long that nobody
+// should be kept waiting for the next.
+func (c *Crew) Hopeless() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.lost
+	if s, ok := c.seats[c.leader]; ok {
+		since = s.failing
+	}
+	return since != 0 && c.now()-since > hopeAfter
+}
+
 // Stall notes that a write at a target was not answered in time.
 func (c *Crew) Stall(id string) {
 	c.mu.Lock()
