Tell a slow leader from a stalled one, and stop using one that leaves in time

Ruled out: a late registration (known within 20 ms). An order that was noted and not answered is followed by one for the same target.

--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -18,6 +18,9 @@
 	"github.com/pistachiotray/pistachiotray/request/mark"
 )
 
+// defaultDrain is how long a leaving leader gets work where no option tells.
+const defaultDrain = 5 * time.Second
+
 // ErrUnsent tells that a statement did not leave this host.
 var ErrUnsent = errors.New("not sent")
 
@@ -63,9 +66,11 @@
 	term      uint64
 	searching bool
 	changed   chan struct{}
-	fresh     *fresh.Fresh
-	proving   *proving
-	trouble   chan struct{}
+	// drain is how long a leaving leader still gets work.
+	drain   time.Duration
+	fresh   *fresh.Fresh
+	proving *proving
+	trouble chan struct{}
 }
 
 // seat is one target of the group with what this host saw of it.
@@ -81,18 +86,30 @@
 	// failing is since when it doesn't, or 0.
 	failing time.Duration
 	probing bool
+	// leaves is when the target gets no more work, 0 while it stays.
+	leaves time.Duration
 	// refused tells that the machine refused the last connection.
 	refused bool
 }
 
 // New returns a group without targets. Distance tells how much longer a
 // statement takes to a zone than within this one.
-func New(name string, log *zap.Logger, d dialer, now func() time.Duration, distance func(zone string) time.Duration) *Crew {
-	return &Crew{
+func New(name string, log *zap.Logger, d dialer, now func() time.Duration, distance func(zone string) time.Duration, options ...func(*Crew)) *Crew {
+	c := &Crew{
 		Name: name, log: log, dialer: d, now: now, distance: distance,
 		seats: map[string]*seat{}, changed: make(chan struct{}), fresh: fresh.New(),
-		trouble: make(chan struct{}, 1),
+		trouble: make(chan struct{}, 1), drain: defaultDrain,
+	}
+	for _, o := range options {
+		o(c)
 	}
+	return c
+}
+
+// WithDrain returns an option that sets how long a leader that was told to
+// stop still gets work.
+func WithDrain(d time.Duration) func(*Crew) {
+	return func(c *Crew) { c.drain = d }
 }
 
 // Update takes the group's registered targets and the number of connections
@@ -145,6 +162,15 @@
 		c.seats[t.ID] = s
 		c.log.Info("target added", zap.String("Group", c.Name), zap.String("Target", t.ID), zap.String("Address", t.Address), zap.Uint64("Revision", t.Revision))
 	}
+	switch {
+	case !t.Leaving:
+		s.leaves = 0
+	case s.target.ID == "":
+		// It may have said so long ago.
+		s.leaves = c.now() + c.drain/2
+	case !s.target.Leaving:
+		s.leaves = c.now() + c.drain
+	}
 	if s.target.Leaving != t.Leaving {
 		c.log.Info("target changed", zap.String("Group", c.Name), zap.String("Target", t.ID), zap.Bool("Leaving", t.Leaving), zap.Uint64("Revision", t.Revision))
 	}
@@ -245,7 +271,7 @@
 		c.mu.Lock()
 		s, ok := c.seats[c.leader]
 		changed := c.changed
-		usable := ok && s.failing == 0
+		usable := ok && c.usable(s)
 		if !ok || c.down(s) {
 			c.search()
 		}
@@ -261,6 +287,12 @@
 	}
 }
 
+// usable tells whether a target gets new work: it answers, and has not been
+// leaving for too long.
+func (c *Crew) usable(s *seat) bool {
+	return s.failing == 0 && (s.leaves == 0 || c.now() < s.leaves)
+}
+
 // Take returns a connection to a target.
 func (c *Crew) Take(ctx context.Context, id string, who caller.Caller, priority int) (*lane.Lane, error) {
 	c.mu.Lock()
--- a/process/crew/wrong.go
+++ b/process/crew/wrong.go
@@ -58,6 +58,9 @@
 	since := c.lost
 	if s, ok := c.seats[c.leader]; ok {
 		since = s.failing
+		if !c.usable(s) && since == 0 {
+			return true
+		}
 	}
 	return since != 0 && c.now()-since > hopeAfter
 }
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -29,11 +29,14 @@
 	return Lease{Group: group}
 }
 
-// WithClaim returns the lease claimed by a host at a time.
+// WithClaim returns the lease claimed by a host at a time. An order that was
+// noted and not done stays noted: it may still be carried out.
 func (l Lease) WithClaim(host string, at time.Duration) Lease {
 	l.Holder = host
 	l.Token++
-	l.Target = ""
+	if l.Done {
+		l.Target = ""
+	}
 	l.Done = false
 	l.At = at
 	return l
--- a/process/promo/promo.go
+++ b/process/promo/promo.go
@@ -2,6 +2,7 @@
 package promo
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -30,6 +31,9 @@
 	stepTimeout = 600 * time.Millisecond
 	// gatherLimit bounds the wait for all replicas to stop receiving.
 	gatherLimit = 1500 * time.Millisecond
+	// stalledTime is how long replicas may take to receive what the leader
+	// wrote before: several times the way between regions.
+	stalledTime = 400 * time.Millisecond
 	// followLimit bounds the wait for a promoted target to lead, followPause
 	// is the pause between two questions.
 	followLimit = 5 * time.Second
@@ -100,21 +104,29 @@
 
 // replace claims the lease and replaces the leader, unless another host does.
 func (p *Promo) replace(ctx context.Context, why string) {
+	leader, _ := p.crew.Leader()
+	if why == crew.Stalled && !p.stalled(ctx, leader) {
+		p.crew.Wrote(leader.ID)
+		return
+	}
 	l, ok := p.claim(ctx, why)
 	if !ok {
 		return
 	}
-	leader, _ := p.crew.Leader()
 	began := time.Now()
 	chosen, ok := "", false
 	if why == crew.Leaving {
 		chosen, ok = p.handover(ctx, leader)
 	} else {
-		chosen, ok = p.takeover(ctx, leader)
+		chosen, ok = p.takeover(ctx, leader, l.Target, why)
 	}
 	if !ok {
-		p.log.Warn("replacement not safe", zap.String("Why", why), zap.Uint64("Token", l.Token))
-		p.resume(ctx, "")
+		p.log.Warn("replacement not safe", zap.String("Why", why), zap.Uint64("Token", l.Token), zap.String("Noted", l.Target))
+		// An order that was noted may still be carried out: until another one
+		// is answered, nothing may receive that its target would lack.
+		if l.Target == "" {
+			p.resume(ctx, "")
+		}
 		return
 	}
 	p.order(ctx, l, chosen, why, began)
@@ -169,17 +181,45 @@
 	return true
 }
 
+// stalled tells whether the replicas don't get what the leader writes: its log
+// is longer than all of theirs were a while later. Writes that take long for
+// want of slots are no reason to replace it.
+func (p *Promo) stalled(ctx context.Context, leader target.Target) bool {
+	ctx, stop := context.WithTimeout(ctx, stalledTime+stepTimeout)
+	defer stop()
+	end, err := p.crew.Position(ctx, leader)
+	if err != nil {
+		return false
+	}
+	p.sleep(ctx, stalledTime)
+	for _, t := range p.crew.Targets() {
+		if t.ID == leader.ID {
+			continue
+		}
+		received, err := p.crew.Position(ctx, t)
+		if err == nil && received.AtLeast(end) {
+			p.log.Info("leader is slow and not stalled", zap.Stringer("Leader", end), zap.Stringer("Received", received), zap.String("Target", t.ID))
+			return false
+		}
+	}
+	return true
+}
+
 // takeover prepares the replacement of a leader that does not serve: all
-// others stop receiving, and the one that holds most takes the lead.
-func (p *Promo) takeover(ctx context.Context, leader target.Target) (string, bool) {
+// others stop receiving, and the one that holds most takes the lead. Where
+// the holder of the lease before noted a target, that one goes first among
+// those that hold as much, so that two orders name the same.
+func (p *Promo) takeover(ctx context.Context, leader target.Target, noted, why string) (string, bool) {
 	ctx, stop := context.WithTimeout(ctx, gatherLimit)
 	defer stop()
 	reports, complete := p.gather(ctx, leader.ID)
 	if !complete {
 		return "", false
 	}
-	p.log.Info("takeover ready", zap.Any("Reports", reports))
-	return choose(reports)
+	best, ok := choose(reports, noted)
+	p.log.Info("takeover ready", zap.Any("Reports", reports), zap.String("Chosen", best.Member))
+	// A leader that lives is not replaced by one that leaves.
+	return best.Member, ok && !(why == crew.Stalled && best.Leaving)
 }
 
 // claim takes the lease, or learns from whoever holds it.
@@ -261,18 +301,32 @@
 	return reports, len(reports) == asked && asked >= p.crew.Size()-len(but), highest
 }
 
-// choose returns the target that holds most, one that leaves only where no
-// other holds as much.
-func choose(reports []report.Report) (string, bool) {
-	var best report.Report
-	found := false
-	for _, r := range reports {
-		c := r.Received.Compare(best.Received)
-		if !found || c > 0 || c == 0 && (best.Leaving && !r.Leaving || best.Leaving == r.Leaving && r.Member < best.Member) {
-			best, found = r, true
-		}
+// choose returns the report of the target that holds most; among those that
+// hold as much the noted one, then one that stays, then the first by name. The
+// same reports always give the same target.
+func choose(reports []report.Report, noted string) (report.Report, bool) {
+	if len(reports) == 0 {
+		return report.Report{}, false
+	}
+	return slices.MaxFunc(reports, func(a, b report.Report) int {
+		return cmp.Or(
+			a.Received.Compare(b.Received),
+			first(a.Member == noted, b.Member == noted),
+			first(!a.Leaving, !b.Leaving),
+			cmp.Compare(b.Member, a.Member),
+		)
+	}), true
+}
+
+// first orders what holds before what does not.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
-	return best.Member, found
+	return -1
 }
 
 // order has the chosen target lead. Once an order was sent it may be carried
--- a/process/watch/watch.go
+++ b/process/watch/watch.go
@@ -16,7 +16,9 @@
 const (
 	// feedWait is how long the store holds a question while nothing changes.
 	// A connection that fell silent is noticed this much later.
-	feedWait = 1500 * time.Millisecond
+	// Configurations must be in force 4 s after their acceptance, on hosts
+	// whose connections held for 5 s.
+	feedWait = 3 * time.Second
 	// firstPause and longestPause bound the pause after a failure.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
