--- a/process/stock/stock.go
+++ b/process/stock/stock.go
@@ -18,6 +18,14 @@
 	openTimeout = 2 * time.Second
 	// fullPause is how long no connection is opened after the target took no more.
 	fullPause = 300 * time.Millisecond
+	// baseShare is the part of a target's connections that one host opens as
+	// soon as statements wait. Beyond it a host opens one at a time, after a
+	// pause, so that hosts that begin together all get some.
+	baseShare = 8
+	// growPause is that pause.
+	growPause = 60 * time.Millisecond
+	// spareIdle is how long a connection beyond the base is kept idle.
+	spareIdle = 300 * time.Millisecond
 	// idleKept is how many idle connections are kept whatever their age.
 	idleKept = 1
 )
@@ -48,12 +56,13 @@
 	mu      sync.Mutex
 	open    opener
 	now     func() time.Duration
-	limit   int
 	most    int
 	count   int
 	opening int
 	pause   time.Duration
 	retry   bool
+	// next is when the next connection beyond the base may be opened.
+	next    time.Duration
 	idle    []*lane.Lane
 	out     map[*lane.Lane]struct{}
 	waiting []*waiter
@@ -62,17 +71,14 @@
 
 // New returns an empty stock of at most most connections.
 func New(most int, now func() time.Duration, open func(ctx context.Context) (*lane.Lane, error)) *Stock {
-	return &Stock{open: open, now: now, limit: most, most: most, out: map[*lane.Lane]struct{}{}}
+	return &Stock{open: open, now: now, most: most, out: map[*lane.Lane]struct{}{}}
 }
 
 // SetMost changes how many connections may be open.
 func (s *Stock) SetMost(most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if most != s.most {
-		s.most = most
-		s.limit = most
-	}
+	s.most = most
 }
 
 // Take returns a connection, if possible one that carries the caller's values
@@ -161,19 +167,31 @@
 
 // grow opens connections for those that wait.
 func (s *Stock) grow() {
-	if s.closed {
+	if s.closed || len(s.waiting) == 0 {
 		return
 	}
-	if wait := s.pause - s.now(); wait > 0 && len(s.waiting) > 0 {
-		s.later(wait)
+	now := s.now()
+	if now < s.pause {
+		s.later(s.pause - now)
 		return
 	}
-	for s.opening < len(s.waiting) && s.count+s.opening < s.limit {
+	for s.opening < len(s.waiting) && s.count+s.opening < s.most {
+		if s.count+s.opening >= s.base() {
+			if now < s.next || s.opening > 0 {
+				s.later(max(s.next-now, growPause/2))
+				return
+			}
+			s.next = now + growPause
+		}
 		s.opening++
 		go s.add()
 	}
 }
 
+func (s *Stock) base() int {
+	return max(s.most/baseShare, 1)
+}
+
 func (s *Stock) later(wait time.Duration) {
 	if s.retry {
 		return
@@ -199,15 +217,13 @@
 		l.Close()
 	case err == nil:
 		s.count++
-		s.limit = min(s.most, max(s.limit, s.count+1))
 		s.hand(l)
+		s.grow()
 	case errors.Is(err, ErrFull):
-		s.limit = max(s.count, 1)
 		s.pause = s.now() + fullPause
 		if s.count == 0 {
 			s.fail(err)
 		}
-		s.limit++
 		s.grow()
 	default:
 		s.fail(err)
@@ -272,8 +288,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep()
-	before := s.now() - d
-	for len(s.idle) > idleKept && s.idle[0].Used < before {
+	for len(s.idle) > idleKept {
+		if s.count > s.base() {
+			d = spareIdle
+		}
+		if s.idle[0].Used >= s.now()-d {
+			return
+		}
 		s.count--
 		s.idle[0].Close()
 		s.idle = slices.Delete(s.idle, 0, 1)
