Check the promises on the new path under random courses

A stand-in of a group whose members queue and are promoted by an order; courses with crashes, dark, deaf and leaving members, lost answers and late orders on a virtual clock.

--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -275,16 +275,14 @@
 func (r *Runner) need(ctx context.Context, w *walk, rt route.Route, arrived time.Duration) (mark.Mark, error) {
 	since := max(arrived-rt.MaxAge+ageMargin, w.renew)
 	m, covers, newest, ok := w.crew.Since(since)
-	if !ok {
-		patient, stop := patience(ctx, w.crew, rt)
-		defer stop()
-		if err := w.crew.Prove(patient, since); err != nil {
+	for !ok {
+		if err := r.prove(ctx, w.crew, rt, since); err != nil {
 			return m, err
 		}
-		return r.need(ctx, w, rt, arrived)
+		m, covers, newest, ok = w.crew.Since(since)
 	}
 	if arrived-newest > rt.MaxAge/2 {
-		go func() { _ = w.crew.Prove(context.WithoutCancel(ctx), newest+1) }()
+		w.crew.Renew()
 	}
 	// A proof begun after the commit was acknowledged covers it, also where a
 	// change of leader renumbered the log.
@@ -293,3 +291,9 @@
 	}
 	return m, nil
 }
+
+func (r *Runner) prove(ctx context.Context, c *crew.Crew, rt route.Route, since time.Duration) error {
+	ctx, stop := patience(ctx, c, rt)
+	defer stop()
+	return c.Prove(ctx, since)
+}
--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -275,9 +275,13 @@
 		if !ok || c.down(s) {
 			c.search()
 		}
+		var t target.Target
+		if ok {
+			t = s.target
+		}
 		c.mu.Unlock()
 		if usable {
-			return s.target, nil
+			return t, nil
 		}
 		select {
 		case <-changed:
--- a/process/crew/prove.go
+++ b/process/crew/prove.go
@@ -34,17 +34,11 @@
 	err   error
 }
 
-// Prove asks the leader for a proof that was begun after a time, together with others that need one.
+// Prove asks the leader for a proof that was begun after a time, together
+// with others that need one.
 func (c *Crew) Prove(ctx context.Context, after time.Duration) error {
 	for {
-		c.mu.Lock()
-		p := c.proving
-		if p == nil {
-			p = &proving{done: make(chan struct{}), began: c.now()}
-			c.proving = p
-			go c.prove(p)
-		}
-		c.mu.Unlock()
+		p := c.Renew()
 		select {
 		case <-p.done:
 		case <-ctx.Done():
@@ -56,6 +50,17 @@
 	}
 }
 
+// Renew begins a proof, unless one is under way, and doesn't wait for it.
+func (c *Crew) Renew() *proving {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.proving == nil {
+		c.proving = &proving{done: make(chan struct{}), began: c.now()}
+		go c.prove(c.proving)
+	}
+	return c.proving
+}
+
 func (c *Crew) prove(p *proving) {
 	ctx, stop := context.WithTimeout(context.Background(), proveTimeout)
 	defer stop()
--- a/process/fresh/fresh.go
+++ b/process/fresh/fresh.go
@@ -33,10 +33,11 @@
 	return &Fresh{}
 }
 
-// Add takes a proof. Proofs older than the newest are dropped.
+// Add takes a proof. The zero Mark stands for an empty log. Proofs older than
+// the newest are dropped.
 func (f *Fresh) Add(m mark.Mark, at time.Duration) {
 	n := len(f.proofs)
-	if m.IsZero() || n > 0 && at <= f.proofs[n-1].at {
+	if n > 0 && at <= f.proofs[n-1].at {
 		return
 	}
 	if n > 1 && at-f.proofs[n-2].at < spacing {
--- /dev/null
+++ b/standin/band/band.go
@@ -0,0 +1,431 @@
+// Package band is a stand-in for a database group whose members queue for
+// themselves and are promoted by an order: it keeps their logs in memory and
+// has switches for faults.
+package band
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/process/stock"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+const (
+	// defaultDelay is the time in which a commit reaches a replica.
+	defaultDelay = 20 * time.Millisecond
+	// defaultPromote is the time from an order to the new lead.
+	defaultPromote = 300 * time.Millisecond
+	// defaultWork is the time of one read, write or commit.
+	defaultWork = 5 * time.Millisecond
+	// defaultConnections is how many connections a member takes.
+	defaultConnections = 32
+	// connectTime is the time of a new connection.
+	connectTime = 12 * time.Millisecond
+)
+
+// The ways in which members can break what they promise, to see that a check
+// notices.
+const (
+	// LieHolds ignores the position that a read asks for.
+	LieHolds = "holds"
+	// LiePause reports to have stopped receiving and goes on.
+	LiePause = "pause"
+	// LieReset answers a reset and keeps the values.
+	LieReset = "reset"
+	// LieBusy answers that a write did not run although it did.
+	LieBusy = "busy"
+	// LieAcks acknowledges a commit that no replica holds.
+	LieAcks = "acks"
+	// LieLead accepts transactions that may write at replicas.
+	LieLead = "lead"
+)
+
+// entry is one commit in a log.
+type entry struct {
+	mark   mark.Mark
+	writes []write
+}
+
+type write struct {
+	item, data string
+}
+
+// member is one member of the group.
+type member struct {
+	target  target.Target
+	log     []entry
+	term    uint64
+	held    uint64
+	leads   bool
+	up      bool
+	dark    bool
+	deaf    bool
+	links   int
+	changed chan struct{}
+}
+
+// Band is a group of members, the first of which leads at the start.
+type Band struct {
+	// Seen is called for each statement that a member runs, with the values
+	// and the owner of the transaction of its connection.
+	Seen func(id string, values map[string]string, shape string)
+
+	mu      sync.Mutex
+	name    string
+	members []*member
+	term    uint64
+	delay   time.Duration
+	promote time.Duration
+	work    time.Duration
+	most    int
+	fence   uint64
+	// lose is how many of the next answers are lost after their statement ran.
+	lose int
+	// late delays the next orders and leaves them without an answer.
+	late   []time.Duration
+	orders []string
+	lie    string
+}
+
+// WithLie returns an option that has the members break one promise.
+func WithLie(lie string) func(*Band) {
+	return func(b *Band) { b.lie = lie }
+}
+
+// New returns a group of n members.
+func New(name string, n int, options ...func(*Band)) *Band {
+	b := &Band{
+		Seen: func(string, map[string]string, string) {}, name: name, term: 1,
+		delay: defaultDelay, promote: defaultPromote, work: defaultWork, most: defaultConnections,
+	}
+	for _, o := range options {
+		o(b)
+	}
+	for i := range n {
+		t := target.New(fmt.Sprintf("%s-%d", name, i), name, fmt.Sprintf("10.0.0.%d:1", i+1), fmt.Sprintf("zone-%d", i)).
+			WithSlots(5).WithRole(i == 0).WithStarted(1)
+		b.members = append(b.members, &member{target: t, term: 1, leads: i == 0, up: true, changed: make(chan struct{})})
+	}
+	return b
+}
+
+// WithDelay returns an option that sets the time in which a commit reaches a
+// replica.
+func WithDelay(d time.Duration) func(*Band) {
+	return func(b *Band) { b.delay = d }
+}
+
+// WithConnections returns an option that sets how many connections a member takes.
+func WithConnections(n int) func(*Band) {
+	return func(b *Band) { b.most = n }
+}
+
+// Targets returns what the members registered, those that are up.
+func (b *Band) Targets() []target.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []target.Target
+	for _, m := range b.members {
+		if m.up {
+			found = append(found, m.target.WithRole(m.leads))
+		}
+	}
+	return found
+}
+
+// Leader returns the index of the member that leads.
+func (b *Band) Leader() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, m := range b.members {
+		if m.leads {
+			return i
+		}
+	}
+	return -1
+}
+
+// Open opens a connection to a member.
+func (b *Band) Open(ctx context.Context, t target.Target) (*lane.Lane, error) {
+	if err := b.Reach(ctx, t); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, connectTime); err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.member(t.ID)
+	switch {
+	case m == nil || !m.up:
+		return nil, syscall.ECONNREFUSED
+	case m.links >= b.most:
+		return nil, stock.ErrFull
+	}
+	m.links++
+	return lane.New(t.ID, newLink(b, m)), nil
+}
+
+// Reach tells whether a member's machine accepts connections.
+func (b *Band) Reach(ctx context.Context, t target.Target) error {
+	b.mu.Lock()
+	m := b.member(t.ID)
+	dark := m != nil && m.dark
+	up := m != nil && m.up
+	b.mu.Unlock()
+	if dark {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if !up {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+func (b *Band) member(id string) *member {
+	for _, m := range b.members {
+		if m.target.ID == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (m *member) end() mark.Mark {
+	if len(m.log) == 0 {
+		return mark.Mark{}
+	}
+	return m.log[len(m.log)-1].mark
+}
+
+func (m *member) holds(at mark.Mark) bool {
+	for i := len(m.log) - 1; i >= 0; i-- {
+		if m.log[i].mark == at {
+			return true
+		}
+	}
+	return at.IsZero()
+}
+
+// notify wakes those that wait for a change of the member.
+func (m *member) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Crash stops a member; its log stays.
+func (b *Band) Crash(i int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].up = false
+	b.members[i].held = 0
+	b.members[i].notify()
+}
+
+// Start starts a member that was stopped. It leads on where nobody was
+// promoted meanwhile.
+func (b *Band) Start(i int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].up = true
+	b.members[i].target.Started++
+	b.ship()
+}
+
+// Rebirth starts a member that was stopped with an empty log.
+func (b *Band) Rebirth(i int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.members[i]
+	m.up, m.log, m.leads = true, nil, false
+	m.target.Started++
+	b.ship()
+}
+
+// Dark makes a member's machine answer nothing, or answer again.
+func (b *Band) Dark(i int, dark bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].dark = dark
+	b.members[i].notify()
+	b.ship()
+}
+
+// Deaf keeps a member from receiving, or lets it receive again.
+func (b *Band) Deaf(i int, deaf bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].deaf = deaf
+	b.ship()
+}
+
+// Leave has a member report that it was told to stop, or take that back.
+func (b *Band) Leave(i int, leaving bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].target = b.members[i].target.WithLeaving(leaving)
+}
+
+// Lose has the next n answers lost after their statements ran.
+func (b *Band) Lose(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lose = n
+}
+
+// Delay leaves the next order without an answer and carries it out later.
+func (b *Band) Delay(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.late = append(b.late, d)
+}
+
+// Orders returns whom orders named, in the order in which they were accepted.
+func (b *Band) Orders() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.orders...)
+}
+
+// Data returns what the members' logs say of an item, by member: how often
+// each data was written.
+func (b *Band) Data(i int) map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found := map[string]int{}
+	for _, e := range b.members[i].log {
+		for _, w := range e.writes {
+			found[w.item+" "+w.data]++
+		}
+	}
+	return found
+}
+
+// ErrFenced tells that an order came with a lower token than one before.
+var ErrFenced = errors.New("the order's token is too low")
+
+// Order has a member lead after a while. The answer comes at once, or never
+// where a delay was set.
+func (b *Band) Order(ctx context.Context, id string, token uint64) error {
+	b.mu.Lock()
+	if len(b.late) > 0 {
+		d := b.late[0]
+		b.late = b.late[1:]
+		b.mu.Unlock()
+		time.AfterFunc(d, func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			// Nobody hears whether a late order was refused.
+			_ = b.accept(id, token)
+		})
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	defer b.mu.Unlock()
+	return b.accept(id, token)
+}
+
+func (b *Band) accept(id string, token uint64) error {
+	m := b.member(id)
+	if token < b.fence || m == nil || !m.up {
+		return ErrFenced
+	}
+	b.fence = token
+	b.orders = append(b.orders, id)
+	if !m.leads {
+		time.AfterFunc(b.promote, func() { b.lead(m) })
+	}
+	return nil
+}
+
+// lead makes a member lead the next term with what it received. Others that
+// were ahead are cut back.
+func (b *Band) lead(m *member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !m.up || m.leads {
+		return
+	}
+	b.term++
+	for _, o := range b.members {
+		o.leads = o == m
+		o.held = 0
+		o.term = b.term
+		if o != m && !isPrefix(o.log, m.log) {
+			o.log = append([]entry(nil), m.log[:min(len(m.log), common(o.log, m.log))]...)
+		}
+		o.notify()
+	}
+	b.ship()
+}
+
+func common(a, b []entry) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n].mark == b[n].mark {
+		n++
+	}
+	return n
+}
+
+func isPrefix(a, b []entry) bool {
+	return common(a, b) == len(a)
+}
+
+// ship sends the leader's log to the replicas; the caller holds the lock.
+func (b *Band) ship() {
+	for _, m := range b.members {
+		if term := m.term; m.leads {
+			time.AfterFunc(b.delay, func() { b.receive(m, term) })
+		}
+	}
+}
+
+func (b *Band) receive(leader *member, term uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !leader.leads || leader.term != term || !leader.up || leader.dark {
+		return
+	}
+	for _, m := range b.members {
+		if m == leader || !m.up || m.dark || m.deaf || m.held > term && b.lie != LiePause {
+			continue
+		}
+		if n := common(m.log, leader.log); n < len(leader.log) {
+			m.log = append(m.log[:n:n], leader.log[n:]...)
+		}
+	}
+	leader.notify()
+}
+
+// acknowledged tells whether a replica holds an entry; the caller holds the lock.
+func (b *Band) acknowledged(leader *member, at mark.Mark) bool {
+	if b.lie == LieAcks {
+		return true
+	}
+	for _, m := range b.members {
+		if m != leader && m.holds(at) {
+			return true
+		}
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
