--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -86,6 +86,8 @@
 	// failing is since when it doesn't, or 0.
 	failing time.Duration
 	probing bool
+	// mute tells that the machine accepts connections on which nothing answers.
+	mute bool
 	// leaves is when the target gets no more work, 0 while it stays.
 	leaves time.Duration
 	// refused tells that the machine refused the last connection.
--- a/process/crew/health.go
+++ b/process/crew/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"syscall"
 	"time"
 
@@ -22,6 +23,11 @@
 	silentAfter = 300 * time.Millisecond
 	// probeTimeout bounds one probe: some round trips between regions.
 	probeTimeout = 250 * time.Millisecond
+	// muteAfter is how long a target must be silent on all connections, and
+	// on a new one, before it counts as failing although its machine accepts
+	// connections; muteTimeout bounds each further try.
+	muteAfter   = 1500 * time.Millisecond
+	muteTimeout = time.Second
 	// probePause is the pause between the probes of a target that fails.
 	probePause = 150 * time.Millisecond
 	// downAfter is how long a target must fail before nothing more is
@@ -77,6 +83,7 @@
 // hear notes that a target answered.
 func (c *Crew) hear(s *seat) {
 	s.heard = c.now()
+	s.mute = false
 	if s.failing != 0 {
 		c.log.Info("target answers again", zap.String("Group", c.Name), zap.String("Target", s.target.ID), zap.Duration("Failed", s.heard-s.failing))
 		s.failing = 0
@@ -105,6 +112,9 @@
 		c.hear(s)
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.now()-s.heard > muteAfter {
+		s.mute = true
+	}
 	c.fail(s, err)
 }
 
@@ -139,9 +149,7 @@
 func (c *Crew) probeLoop(s *seat, t target.Target) {
 	for {
 		asked := c.now()
-		ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
-		err := c.dialer.Reach(ctx, t)
-		stop()
+		err := c.probeOnce(s, t)
 		if !c.probed(s, t.ID, asked, err) {
 			return
 		}
@@ -149,6 +157,27 @@
 	}
 }
 
+// probeOnce asks whether the target's machine accepts connections or, where it
+// does and nothing answers on them, whether the target does.
+func (c *Crew) probeOnce(s *seat, t target.Target) error {
+	c.mu.Lock()
+	mute := s.mute
+	c.mu.Unlock()
+	if !mute {
+		ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
+		defer stop()
+		return c.dialer.Reach(ctx, t)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), muteTimeout)
+	defer stop()
+	l, err := c.dialer.Open(ctx, t)
+	if err == nil {
+		l.Close()
+		c.opened(t.ID, nil)
+	}
+	return err
+}
+
 // probed takes the outcome of a probe and tells whether another is due.
 func (c *Crew) probed(s *seat, id string, asked time.Duration, err error) bool {
 	c.mu.Lock()
@@ -156,11 +185,15 @@
 	if c.seats[id] != s {
 		return false
 	}
-	if err == nil || s.heard > asked {
+	if err == nil && !s.mute || s.heard > asked {
 		s.probing = false
 		c.hear(s)
 		return false
 	}
+	if err == nil {
+		// What was asked came before the target was found mute.
+		return true
+	}
 	c.fail(s, err)
 	if c.down(s) {
 		s.stock.Abort(err)
--- a/standin/band/band.go
+++ b/standin/band/band.go
@@ -155,6 +155,15 @@
 
 // Open opens a connection to a member.
 func (b *Band) Open(ctx context.Context, t target.Target) (*lane.Lane, error) {
+	l, err := b.Connect(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return lane.New(t.ID, l), nil
+}
+
+// Connect opens a connection to a member, without the state of a session.
+func (b *Band) Connect(ctx context.Context, t target.Target) (*link, error) {
 	if err := b.Reach(ctx, t); err != nil {
 		return nil, err
 	}
@@ -171,7 +180,7 @@
 		return nil, stock.ErrFull
 	}
 	m.links++
-	return lane.New(t.ID, newLink(b, m)), nil
+	return newLink(b, m), nil
 }
 
 // Reach tells whether a member's machine accepts connections.
