--- a/connection/lane/lane.go
+++ b/connection/lane/lane.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -44,15 +45,49 @@
 	// Target is the id of the target that it leads to.
 	Target string
 	// Used is when it was last put back, as time since the machine started.
-	Used     time.Duration
+	Used time.Duration
+	// Away tells that it leads through another host.
+	Away     bool
 	link     link
 	values   map[string]string
 	prepared map[string]bool
 }
 
 // New returns the lane of a fresh connection.
-func New(target string, l link) *Lane {
-	return &Lane{Target: target, link: l, values: map[string]string{}, prepared: map[string]bool{}}
+func New(target string, l link, options ...func(*Lane)) *Lane {
+	made := &Lane{Target: target, link: l, values: map[string]string{}, prepared: map[string]bool{}}
+	for _, o := range options {
+		o(made)
+	}
+	return made
+}
+
+// WithState returns an option for a connection of another host that carries
+// values and prepared statements already.
+func WithState(values map[string]string, prepared map[string]bool) func(*Lane) {
+	return func(l *Lane) {
+		l.Away = true
+		l.SetState(values, prepared)
+	}
+}
+
+// State returns the values and prepared statements that the connection
+// carries. They must not be written to.
+func (l *Lane) State() (values map[string]string, prepared map[string]bool) {
+	return l.values, l.prepared
+}
+
+// SetState takes what another host did to the connection.
+func (l *Lane) SetState(values map[string]string, prepared map[string]bool) {
+	l.values, l.prepared = map[string]string{}, map[string]bool{}
+	maps.Copy(l.values, values)
+	maps.Copy(l.prepared, prepared)
+}
+
+// Pass runs a batch as it stands, for another host that keeps the state.
+func (l *Lane) Pass(ctx context.Context, batch []stmt.Stmt) ([]reply.Reply, error) {
+	replies, err := l.link.Run(ctx, batch)
+	return replies, wrap.If(err, "Lane.Pass")
 }
 
 // Run brings the connection to the caller's values and prepared statements
--- a/process/book/book.go
+++ b/process/book/book.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/crew"
+	"github.com/pistachiotray/pistachiotray/process/gates"
 	"github.com/pistachiotray/pistachiotray/process/roster"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 )
@@ -25,14 +26,15 @@
 	roster roster.Roster
 	listed bool
 	crews  map[string]*crew.Crew
+	gates  gates.Gates
 	first  chan struct{}
 	ready  sync.Once
 }
 
-// New returns an empty book. Open makes a group's table; begin starts what
+// New returns an empty book of a host that knows some hosts. Open makes a group's table; begin starts what
 // watches over a new group.
-func New(log *zap.Logger, open func(group string) *crew.Crew, begin func(c *crew.Crew)) *Book {
-	return &Book{log: log, open: open, begin: begin, crews: map[string]*crew.Crew{}, first: make(chan struct{})}
+func New(log *zap.Logger, g gates.Gates, open func(group string) *crew.Crew, begin func(c *crew.Crew)) *Book {
+	return &Book{log: log, gates: g, open: open, begin: begin, crews: map[string]*crew.Crew{}, first: make(chan struct{})}
 }
 
 // Plan returns the version in force.
@@ -76,6 +78,7 @@
 		c, ok := b.crews[name]
 		if !ok {
 			c = b.open(name)
+			c.SetGates(b.gates)
 			b.crews[name] = c
 			b.begin(c)
 		}
@@ -109,6 +112,16 @@
 	return ok, nil
 }
 
+// SetGates tells all groups which hosts are known.
+func (b *Book) SetGates(g gates.Gates) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gates = g
+	for _, c := range b.crews {
+		c.SetGates(g)
+	}
+}
+
 // Trim closes connections that were idle for longer than d.
 func (b *Book) Trim(d time.Duration) {
 	b.mu.RLock()
--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -12,7 +12,11 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/connection/remote"
+	"github.com/pistachiotray/pistachiotray/process/away"
 	"github.com/pistachiotray/pistachiotray/process/fresh"
+	"github.com/pistachiotray/pistachiotray/process/gates"
+	"github.com/pistachiotray/pistachiotray/process/news"
 	"github.com/pistachiotray/pistachiotray/process/stock"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/mark"
@@ -66,6 +70,9 @@
 	term      uint64
 	searching bool
 	changed   chan struct{}
+	// away takes connections from other hosts, nil where there are none.
+	away  *away.Away
+	gates gates.Gates
 	// drain is how long a leaving leader still gets work.
 	drain   time.Duration
 	fresh   *fresh.Fresh
@@ -77,6 +84,11 @@
 type seat struct {
 	target target.Target
 	stock  *stock.Stock
+	// own tells that this host connects by itself; otherwise it takes the
+	// connections of hosts, beginning with the one at first.
+	own   bool
+	hosts []news.News
+	first int
 	// running counts this host's statements at the target.
 	running int
 	// latency is the moving mean of the answers' times.
@@ -108,6 +120,32 @@
 	return c
 }
 
+// WithAway returns an option that has the group use other hosts' connections
+// where targets take too few for every host.
+func WithAway(a *away.Away) func(*Crew) {
+	return func(c *Crew) { c.away = a }
+}
+
+// SetGates takes the hosts that are known.
+func (c *Crew) SetGates(g gates.Gates) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gates = g
+	for _, s := range c.seats {
+		c.gate(s)
+	}
+}
+
+// gate decides how a target is reached.
+func (c *Crew) gate(s *seat) {
+	if c.away == nil {
+		s.own = true
+		return
+	}
+	s.hosts, s.own = c.gates.Of(s.target, c.most)
+	s.first = c.gates.Start(s.target, len(s.hosts))
+}
+
 // WithDrain returns an option that sets how long a leader that was told to
 // stop still gets work.
 func WithDrain(d time.Duration) func(*Crew) {
@@ -178,6 +216,7 @@
 	}
 	s.target = t
 	s.stock.SetMost(c.most)
+	c.gate(s)
 }
 
 func (c *Crew) remove(id string, s *seat) {
@@ -299,23 +338,56 @@
 	return s.failing == 0 && (s.leaves == 0 || c.now() < s.leaves)
 }
 
-// Take returns a connection to a target.
+// Take returns a connection to a target, its own or another host's.
 func (c *Crew) Take(ctx context.Context, id string, who caller.Caller, priority int) (*lane.Lane, error) {
 	c.mu.Lock()
-	s, ok := c.seats[id]
-	failing := ok && s.failing != 0
+	s, err := c.reachable(id)
+	if err != nil {
+		c.mu.Unlock()
+		return nil, err
+	}
+	t, own, hosts, first := s.target, s.own, s.hosts, s.first
+	c.mu.Unlock()
+	if !own {
+		l, err := c.away.Take(ctx, t, priority, hosts, first)
+		if err == nil || ctx.Err() != nil || errors.Is(err, remote.ErrRefused) {
+			return l, err
+		}
+	}
+	return s.stock.Take(ctx, who, priority)
+}
+
+// TakeOwn returns one of this host's own connections to a target, for another
+// host.
+func (c *Crew) TakeOwn(ctx context.Context, id string, priority int) (*lane.Lane, error) {
+	c.mu.Lock()
+	s, err := c.reachable(id)
 	c.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	var nobody caller.Caller
+	return s.stock.Take(ctx, nobody, priority)
+}
+
+// reachable returns a target's seat; the caller holds the lock.
+func (c *Crew) reachable(id string) (*seat, error) {
+	s, ok := c.seats[id]
 	if !ok {
 		return nil, ErrGone
 	}
-	if failing {
+	if s.failing != 0 {
 		return nil, ErrFails
 	}
-	return s.stock.Take(ctx, who, priority)
+	return s, nil
 }
 
 // Put takes a connection back that is in no transaction.
 func (c *Crew) Put(l *lane.Lane) {
+	if l.Away {
+		c.away.Put(l)
+		return
+	}
 	if s := c.seatOf(l); s != nil {
 		s.stock.Put(l)
 		return
@@ -325,6 +397,10 @@
 
 // Drop closes a connection of no more use.
 func (c *Crew) Drop(l *lane.Lane) {
+	if l.Away {
+		c.away.Drop(l)
+		return
+	}
 	if s := c.seatOf(l); s != nil {
 		s.stock.Drop(l)
 		return
--- a/process/crew/health.go
+++ b/process/crew/health.go
@@ -44,10 +44,19 @@
 // Run runs a batch on a connection, watches over its target meanwhile, and
 // learns from the replies.
 func (c *Crew) Run(ctx context.Context, l *lane.Lane, who caller.Caller, batch ...stmt.Stmt) ([]reply.Reply, error) {
+	return c.watched(l, func() ([]reply.Reply, error) { return l.Run(ctx, who, batch...) })
+}
+
+// Pass runs a batch for another host, which keeps the connection's state.
+func (c *Crew) Pass(ctx context.Context, l *lane.Lane, batch []stmt.Stmt) ([]reply.Reply, error) {
+	return c.watched(l, func() ([]reply.Reply, error) { return l.Pass(ctx, batch) })
+}
+
+func (c *Crew) watched(l *lane.Lane, run func() ([]reply.Reply, error)) ([]reply.Reply, error) {
 	began := c.now()
 	c.began(l.Target)
 	watch := time.AfterFunc(silentAfter, func() { c.suspect(l.Target, began) })
-	replies, err := l.Run(ctx, who, batch...)
+	replies, err := run()
 	watch.Stop()
 	c.ended(l.Target, c.now()-began, replies, err)
 	return replies, err
@@ -197,6 +206,9 @@
 	c.fail(s, err)
 	if c.down(s) {
 		s.stock.Abort(err)
+		if c.away != nil {
+			c.away.Abort(id)
+		}
 		if id == c.leader {
 			c.alarm()
 		}
--- /dev/null
+++ b/process/gates/gates.go
@@ -0,0 +1,90 @@
+// Package gates decides which hosts hold the connections to a target.
+package gates
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiotray/pistachiotray/process/news"
+	"github.com/pistachiotray/pistachiotray/process/target"
+)
+
+const (
+	// ownShare is how many connections to a target a host needs to have for
+	// itself at least; where there are fewer, some hosts hold them for all.
+	ownShare = 2
+	// gateShare is how many connections each such host holds.
+	gateShare = 8
+	// gatesLeast is the least number of such hosts: one may fail.
+	gatesLeast = 2
+)
+
+// Gates is the set of known hosts. Gates are immutable.
+type Gates struct {
+	self    string
+	hosts   map[string]news.News
+	regions map[string]string
+}
+
+// New returns the set that holds only this host. Regions gives each zone's
+// region.
+func New(self news.News, regions map[string]string) Gates {
+	return Gates{self: self.Host, regions: regions}.WithHost(self)
+}
+
+// WithHost returns the set with a host in it.
+func (g Gates) WithHost(n news.News) Gates {
+	g.hosts = maps.Clone(g.hosts)
+	if g.hosts == nil {
+		g.hosts = map[string]news.News{}
+	}
+	g.hosts[n.Host] = n
+	return g
+}
+
+// Without returns the set without a host.
+func (g Gates) Without(host string) Gates {
+	g.hosts = maps.Clone(g.hosts)
+	delete(g.hosts, host)
+	return g
+}
+
+// Of returns the hosts that hold the connections to a target which takes a
+// number of them, nearest first, and whether this host connects by itself: as
+// one of them, or since there are enough for all.
+func (g Gates) Of(t target.Target, connections int) ([]news.News, bool) {
+	hosts := slices.DeleteFunc(slices.Collect(maps.Values(g.hosts)), func(n news.News) bool { return n.State != news.Alive })
+	if connections >= ownShare*len(hosts) {
+		return nil, true
+	}
+	slices.SortFunc(hosts, func(a, b news.News) int {
+		return cmp.Or(cmp.Compare(g.distance(a, t), g.distance(b, t)), cmp.Compare(weight(a, t), weight(b, t)), cmp.Compare(a.Host, b.Host))
+	})
+	hosts = hosts[:min(len(hosts), max(connections/gateShare, gatesLeast))]
+	return hosts, slices.ContainsFunc(hosts, func(n news.News) bool { return n.Host == g.self })
+}
+
+// distance is 0 in the target's zone, 1 in its region, 2 elsewhere.
+func (g Gates) distance(n news.News, t target.Target) int {
+	switch {
+	case n.Zone == t.Zone:
+		return 0
+	case g.regions[n.Zone] == g.regions[t.Zone]:
+		return 1
+	}
+	return 2
+}
+
+// weight spreads targets over hosts, as in rendezvous hashing.
+func weight(n news.News, t target.Target) uint64 {
+	return xxhash.Sum64String(n.Host + "/" + t.ID)
+}
+
+// Start returns where a host begins to look among n gates, so that hosts
+// spread over them.
+func (g Gates) Start(t target.Target, n int) int {
+	return int(xxhash.Sum64String(t.ID+"/"+g.self) % uint64(max(n, 1)))
+}
