Ask for what replicas received before a leader counts as stalled

Now STATUS is asked, which tells what was received, and a target too busy to answer is in want of slots.

--- a/process/crew/prove.go
+++ b/process/crew/prove.go
@@ -11,7 +11,6 @@
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/code"
-	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -110,22 +109,6 @@
 	return err == nil && r.OK(), err
 }
 
-// Position returns the end of a target's log. It takes no slot.
-func (c *Crew) Position(ctx context.Context, t target.Target) (mark.Mark, error) {
-	var nobody caller.Caller
-	l, err := c.Take(ctx, t.ID, nobody, 0)
-	if err != nil {
-		return mark.Mark{}, err
-	}
-	replies, err := c.Run(ctx, l, nobody, stmt.New(stmt.Own, stmt.BeginRead, ""), stmt.New(stmt.Own, stmt.Rollback, ""))
-	if err != nil {
-		c.Drop(l)
-		return mark.Mark{}, err
-	}
-	c.Put(l)
-	return replies[0].Mark, nil
-}
-
 // ask begins and rolls back a transaction that may write, which only the
 // leader accepts and which takes no slot.
 func (c *Crew) ask(ctx context.Context, t target.Target) (reply.Reply, error) {
--- a/process/promo/promo.go
+++ b/process/promo/promo.go
@@ -182,13 +182,16 @@
 }
 
 // stalled tells whether the replicas don't get what the leader writes: its log
-// is longer than all of theirs were a while later. Writes that take long for
-// want of slots are no reason to replace it.
+// is longer than what each of them received a while later. Writes that take
+// long for want of slots are no reason to replace it; a target that is too
+// busy to tell is in want of slots.
 func (p *Promo) stalled(ctx context.Context, leader target.Target) bool {
 	ctx, stop := context.WithTimeout(ctx, stalledTime+stepTimeout)
 	defer stop()
-	end, err := p.crew.Position(ctx, leader)
+	status := stmt.New(stmt.Own, stmt.Status, "")
+	before, err := p.crew.Report(ctx, leader, status)
 	if err != nil {
+		p.log.Info("stall not checked", zap.String("Error", err.Error()))
 		return false
 	}
 	p.sleep(ctx, stalledTime)
@@ -196,9 +199,9 @@
 		if t.ID == leader.ID {
 			continue
 		}
-		received, err := p.crew.Position(ctx, t)
-		if err == nil && received.AtLeast(end) {
-			p.log.Info("leader is slow and not stalled", zap.Stringer("Leader", end), zap.Stringer("Received", received), zap.String("Target", t.ID))
+		after, err := p.crew.Report(ctx, t, status)
+		if err != nil || after.Received.AtLeast(before.Received) {
+			p.log.Info("leader is slow and not stalled", zap.Any("Leader", before), zap.Any("Replica", after), zap.Bool("Asked", err == nil))
 			return false
 		}
 	}
--- a/request/stmt/stmt.go
+++ b/request/stmt/stmt.go
@@ -37,6 +37,8 @@
 	Pause
 	// Resume lets a target receive again.
 	Resume
+	// Status asks a target how it stands; it takes a slot.
+	Status
 )
 
 // Own is the id of statements that the proxy issues itself.
