--- a/process/crew/health.go
+++ b/process/crew/health.go
@@ -131,7 +131,7 @@
 func (c *Crew) suspect(id string, since time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s, ok := c.seats[id]; ok && s.heard < since {
+	if s, ok := c.seats[id]; ok && s.heard <= since {
 		c.probe(s)
 	}
 }
--- a/standin/band/band.go
+++ b/standin/band/band.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,8 @@
 	defaultWork = 5 * time.Millisecond
 	// defaultConnections is how many connections a member takes.
 	defaultConnections = 32
+	// connectLimit is how long a host waits for a machine to accept.
+	connectLimit = 400 * time.Millisecond
 	// connectTime is the time of a new connection.
 	connectTime = 12 * time.Millisecond
 )
@@ -68,6 +71,7 @@
 	up      bool
 	dark    bool
 	deaf    bool
+	hidden  bool
 	links   int
 	changed chan struct{}
 }
@@ -187,12 +191,14 @@
 func (b *Band) Reach(ctx context.Context, t target.Target) error {
 	b.mu.Lock()
 	m := b.member(t.ID)
-	dark := m != nil && m.dark
+	dark := m != nil && (m.dark || m.hidden)
 	up := m != nil && m.up
 	b.mu.Unlock()
 	if dark {
-		<-ctx.Done()
-		return ctx.Err()
+		if err := sleep(ctx, connectLimit); err != nil {
+			return err
+		}
+		return os.ErrDeadlineExceeded
 	}
 	if !up {
 		return syscall.ECONNREFUSED
@@ -277,6 +283,29 @@
 	b.ship()
 }
 
+// Hide keeps hosts from reaching a member, which goes on serving replicas, or
+// lets them reach it again.
+func (b *Band) Hide(i int, hidden bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].hidden = hidden
+	b.members[i].notify()
+}
+
+// Slow sets the time of each read, write and commit.
+func (b *Band) Slow(work time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work = work
+}
+
+// Held tells whether a member stopped receiving.
+func (b *Band) Held(i int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members[i].held != 0
+}
+
 // Leave has a member report that it was told to stop, or take that back.
 func (b *Band) Leave(i int, leaving bool) {
 	b.mu.Lock()
--- a/standin/band/course_test.go
+++ b/standin/band/course_test.go
@@ -100,8 +100,10 @@
 	history *history
 	now     func() time.Duration
 	hosts   []tables
-	stop    context.Context
-	served  atomic.Int64
+	// deaf hosts are not told of registrations.
+	deaf   []*atomic.Bool
+	stop   context.Context
+	served atomic.Int64
 }
 
 func newCourse(ctx context.Context, t *testing.T, hosts int, options ...func(*band.Band)) *course {
@@ -121,16 +123,21 @@
 			return 100 * time.Millisecond
 		})
 		c.hosts = append(c.hosts, tables{k})
-		go c.register(ctx, k)
+		c.deaf = append(c.deaf, &atomic.Bool{})
+		go c.register(ctx, k, c.deaf[i])
 		go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), k, registry).Run(ctx)
 	}
 	return c
 }
 
 // register tells a host of the registrations, as the platform's store would.
-func (c *course) register(ctx context.Context, k *crew.Crew) {
+func (c *course) register(ctx context.Context, k *crew.Crew, deaf *atomic.Bool) {
 	r := roster.New()
 	for revision := uint64(1); ctx.Err() == nil; revision++ {
+		if deaf.Load() {
+			time.Sleep(time.Second)
+			continue
+		}
 		known := map[string]bool{}
 		for _, t := range c.band.Targets() {
 			known[t.ID] = true
--- a/standin/band/link.go
+++ b/standin/band/link.go
@@ -87,7 +87,7 @@
 	for {
 		l.band.mu.Lock()
 		up := l.member.up && l.member.target.Started == l.started && !l.broken.Load()
-		dark, changed := l.member.dark, l.member.changed
+		dark, changed := l.member.dark || l.member.hidden, l.member.changed
 		l.band.mu.Unlock()
 		if !up {
 			return errLost
@@ -126,7 +126,10 @@
 func (l *link) one(ctx context.Context, s stmt.Stmt) (reply.Reply, error) {
 	works := s.Kind == stmt.Read || s.Kind == stmt.Write || s.Kind == stmt.Execute || s.Kind == stmt.Commit
 	if works {
-		if err := sleep(ctx, l.band.work); err != nil {
+		l.band.mu.Lock()
+		work := l.band.work
+		l.band.mu.Unlock()
+		if err := sleep(ctx, work); err != nil {
 			return reply.Reply{}, err
 		}
 	}
--- /dev/null
+++ b/standin/band/takeover_test.go
@@ -0,0 +1,249 @@
+package band_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/runner"
+	"github.com/pistachiotray/pistachiotray/process/meter"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+	"github.com/pistachiotray/pistachiotray/standin/band"
+)
+
+// play runs f on a virtual clock with a group and two hosts.
+func play(t *testing.T, f func(t *testing.T, c *course)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		c := newCourse(ctx, t, 2)
+		c.band.Seen = func(string, map[string]string, string) {}
+		time.Sleep(time.Second)
+		defer func() {
+			stop()
+			for _, h := range c.hosts {
+				h.crew.Update(nil, target.Target{}, 1)
+			}
+			time.Sleep(time.Minute)
+		}()
+		f(t, c)
+	})
+}
+
+// client is a session at one host.
+type client struct {
+	course *course
+	runner *runner.Runner
+	n      int
+}
+
+func (c *course) client(host int, database string) *client {
+	return &client{course: c, runner: runner.New(caller.New(fmt.Sprintf("c%d", host), database), c.hosts[host], meter.New(zap.NewNop()), c.now)}
+}
+
+func (k *client) run(kind int, name, rest string) reply.Reply {
+	k.n++
+	s := stmt.New(fmt.Sprintf("q%d", k.n), kind, "").WithName(name, rest).WithArrived(k.course.now())
+	return k.runner.Run(context.Background(), s)
+}
+
+// until runs a write until one succeeds and returns how long that took.
+func (k *client) until(most time.Duration) (time.Duration, bool) {
+	began := k.course.now()
+	for k.course.now()-began < most {
+		if k.run(stmt.Write, "a", "b").OK() {
+			return k.course.now() - began, true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return 0, false
+}
+
+// gapLimit is the stated target from the last answered write of a primary
+// that goes dark to the first of the next.
+const gapLimit = 3 * time.Second
+
+func TestGapOfATakeover(t *testing.T) {
+	for name, fail := range map[string]func(b *band.Band){
+		"dark":    func(b *band.Band) { b.Dark(0, true) },
+		"crashed": func(b *band.Band) { b.Crash(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, c *course) {
+				is := is.New(t)
+				k := c.client(0, "primary")
+				is.True(k.run(stmt.Write, "a", "a").OK())
+				fail(c.band)
+				gap, ok := k.until(2 * gapLimit)
+				is.True(ok)
+				if gap > gapLimit {
+					t.Errorf("no write for %v, want %v or less", gap, gapLimit)
+				}
+			})
+		})
+	}
+}
+
+func TestHandoverIsNotNoticed(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(0, "primary")
+		is.True(k.run(stmt.Write, "a", "a").OK())
+		c.band.Leave(0, true)
+		for end := c.now() + 3*time.Second; c.now() < end; time.Sleep(15 * time.Millisecond) {
+			if r := k.run(stmt.Write, "a", "b"); !r.OK() && r.Code != code.OutcomeUnknown {
+				t.Errorf("a write during the handover: %s", r.Code.Name())
+			}
+		}
+		is.True(c.band.Leader() != 0)
+	})
+}
+
+// The named target leads only some time after its order was accepted, with
+// what it has then. Nobody may receive in between.
+func TestNobodyReceivesBeforeTheLead(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(0, "primary")
+		is.True(k.run(stmt.Write, "a", "a").OK())
+		// The leader lives and is cut off from both hosts only.
+		c.band.Hide(0, true)
+		go k.until(4 * time.Second)
+		for end := c.now() + 5*time.Second; c.now() < end && c.band.Leader() == 0; time.Sleep(time.Millisecond) {
+			if len(c.band.Orders()) == 0 {
+				continue
+			}
+			for i := 1; i < 3; i++ {
+				if !c.band.Held(i) && c.band.Leader() == 0 {
+					t.Fatalf("member %d receives at %v although the order is under way", i, c.now())
+				}
+			}
+		}
+		is.True(c.band.Leader() != 0)
+	})
+}
+
+// An order without an answer may still be carried out, so the next one names
+// the same target, and nobody receives meanwhile.
+func TestUnansweredOrderIsRepeated(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(0, "primary")
+		is.True(k.run(stmt.Write, "a", "a").OK())
+		c.band.Delay(4 * time.Second)
+		c.band.Dark(0, true)
+		_, ok := k.until(10 * time.Second)
+		is.True(ok)
+		time.Sleep(6 * time.Second)
+		orders := slices.Compact(c.band.Orders())
+		is.Equal(len(orders), 1) // one target, however often it was named
+	})
+}
+
+func TestSlowWritesAreNoStall(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		c.band.Slow(1200 * time.Millisecond) // longer than the route's timeout
+		k := c.client(0, "primary")
+		for end := c.now() + 8*time.Second; c.now() < end; {
+			is.True(!k.run(stmt.Write, "a", "b").OK())
+		}
+		is.Equal(len(c.band.Orders()), 0)
+	})
+}
+
+func TestStallIsEnded(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(0, "primary")
+		is.True(k.run(stmt.Write, "a", "a").OK())
+		c.band.Deaf(1, true)
+		c.band.Deaf(2, true)
+		_, ok := k.until(10 * time.Second)
+		is.True(ok) // the old leader receives what the new one writes
+	})
+}
+
+// A host that nobody tells of a new leader asks the targets.
+func TestLeaderIsFoundWithoutRegistrations(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(1, "primary")
+		is.True(k.run(stmt.Write, "a", "a").OK())
+		c.deaf[1].Store(true)
+		c.band.Dark(0, true)
+		gap, ok := k.until(2 * gapLimit)
+		is.True(ok)
+		is.True(gap <= gapLimit)
+	})
+}
+
+func TestRefusedEarlyWhereNoLeaderIsExpected(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(0, "primary")
+		for i := range 3 {
+			c.band.Dark(i, true)
+		}
+		for end := c.now() + 4*time.Second; c.now() < end; {
+			k.run(stmt.Write, "a", "b")
+		}
+		const aim = 800 * time.Millisecond
+		began := c.now()
+		r := k.run(stmt.Write, "a", "b")
+		is.True(r.Code.NotRun())
+		is.True(c.now()-began < aim/4) // the platform counts a quarter as held for too long
+	})
+}
+
+func TestLeavingLeaderGetsNoWorkAfterItsTime(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		// The others leave as well, so that nobody can take over.
+		for i := range 3 {
+			c.band.Leave(i, true)
+		}
+		time.Sleep(6 * time.Second)
+		k := c.client(0, "primary")
+		r := k.run(stmt.Write, "a", "b")
+		is.True(r.Code.NotRun())
+	})
+}
+
+func TestReadOfAnEmptyLog(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		for _, database := range []string{"primary", "bounded", "session"} {
+			r := c.client(0, database).run(stmt.Read, "a", "")
+			is.True(r.OK())
+			is.True(strings.HasPrefix(r.Signature, "g-"))
+		}
+	})
+}
+
+func TestIdleTransactionIsEnded(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(0, "primary")
+		is.True(k.run(stmt.Begin, "", "").OK())
+		is.True(k.run(stmt.Write, "a", "b").OK())
+		time.Sleep(2 * time.Second)
+		r := k.run(stmt.Read, "a", "")
+		is.Equal(r.Status, reply.Failed)
+		r = k.run(stmt.Commit, "", "")
+		is.Equal(r.Code, code.TransactionLost)
+		is.Equal(r.Status, reply.Idle)
+		is.Equal(len(c.band.Data(0)), 0)
+	})
+}
