--- /dev/null
+++ b/connection/relay/relay_test.go
@@ -0,0 +1,190 @@
+package relay_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/relay"
+	"github.com/pistachiotray/pistachiotray/connection/remote"
+	"github.com/pistachiotray/pistachiotray/process/away"
+	"github.com/pistachiotray/pistachiotray/process/crew"
+	"github.com/pistachiotray/pistachiotray/process/gates"
+	"github.com/pistachiotray/pistachiotray/process/news"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+	"github.com/pistachiotray/pistachiotray/standin/band"
+)
+
+// pipes is a network of hosts that listen in memory.
+type pipes struct {
+	hosts map[string]*host
+	conns []net.Conn
+}
+
+// host is one host's relay and group.
+type host struct {
+	crew  *crew.Crew
+	relay *relay.Relay
+	in    chan net.Conn
+	down  bool
+}
+
+func (h *host) Crew(string) (*crew.Crew, bool) { return h.crew, true }
+func (h *host) Accept() (net.Conn, error) {
+	c, ok := <-h.in
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (h *host) Close() error   { return nil }
+func (h *host) Addr() net.Addr { return nil }
+
+// Host opens a connection to a host, as a dialer does.
+func (p *pipes) Host(_ context.Context, n news.News) (*remote.Remote, error) {
+	h, ok := p.hosts[n.Host]
+	if !ok || h.down {
+		return nil, errors.New("refused")
+	}
+	near, far := net.Pipe()
+	p.conns = append(p.conns, near)
+	h.in <- far
+	return remote.New(n.Host, near), nil
+}
+
+// network is a caller's host before two that hold the connections.
+func network(t *testing.T, f func(t *testing.T, p *pipes, c *crew.Crew, b *band.Band)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		now := func() time.Duration { return time.Hour + time.Since(began) }
+		// So few connections that not every host has its own.
+		b := band.New("g", 3, band.WithConnections(3))
+		p := &pipes{hosts: map[string]*host{}}
+		zero := func(string) time.Duration { return 0 }
+		var set gates.Gates
+		for i, name := range []string{"far", "gate-1", "gate-2"} {
+			zone := "zone-0"
+			if i == 0 {
+				zone = "elsewhere"
+			}
+			n := news.New(name, "10.0.0.1:1", zone, 0)
+			if i == 0 {
+				set = gates.New(n, map[string]string{"zone-0": "a", "zone-1": "a", "zone-2": "a", "elsewhere": "b"})
+			}
+			set = set.WithHost(n)
+			h := &host{crew: crew.New("g", zap.NewNop(), b, now, zero), in: make(chan net.Conn)}
+			h.relay = relay.New(zap.NewNop(), h)
+			p.hosts[name] = h
+			go h.relay.Serve(h)
+		}
+		c := crew.New("g", zap.NewNop(), b, now, zero, crew.WithAway(away.New(p, now)))
+		c.SetGates(set)
+		all := []*crew.Crew{c, p.hosts["gate-1"].crew, p.hosts["gate-2"].crew}
+		for _, k := range all {
+			k.Update(b.Targets(), b.Targets()[0], 3)
+		}
+		defer func() {
+			for _, one := range p.conns {
+				_ = one.Close()
+			}
+			for _, k := range all {
+				k.Update(nil, target.Target{}, 3)
+			}
+			for _, h := range p.hosts {
+				close(h.in)
+			}
+			time.Sleep(time.Minute)
+		}()
+		f(t, p, c, b)
+	})
+}
+
+func run(t *testing.T, c *crew.Crew, who caller.Caller, batch ...stmt.Stmt) []reply.Reply {
+	t.Helper()
+	is := is.New(t)
+	ctx, stop := context.WithTimeout(t.Context(), time.Second)
+	defer stop()
+	l, err := c.Take(ctx, "g-0", who, 0)
+	is.NoErr(err)
+	is.True(l.Away)
+	replies, err := c.Run(ctx, l, who, batch...)
+	is.NoErr(err)
+	c.Put(l)
+	return replies
+}
+
+func TestStatementsThroughAnotherHost(t *testing.T) {
+	network(t, func(t *testing.T, p *pipes, c *crew.Crew, b *band.Band) {
+		is := is.New(t)
+		var values []map[string]string
+		b.Seen = func(_ string, v map[string]string, _ string) { values = append(values, v) }
+		who := caller.New("s1", "orders").WithValue("colour", "red")
+		is.True(run(t, c, who, stmt.New("1", stmt.Write, "").WithName("a", "b"))[0].OK())
+		// Another session on the same connection must not see the values.
+		got := run(t, c, caller.New("s2", "orders"), stmt.New("2", stmt.Read, "").WithName("a", ""))[0]
+		is.Equal(got.Rows, []string{"b"})
+		is.Equal(values, []map[string]string{{"colour": "red"}, {}})
+		is.Equal(len(p.conns), 1) // kept between statements
+	})
+}
+
+func TestLostHostRollsBack(t *testing.T) {
+	network(t, func(t *testing.T, p *pipes, c *crew.Crew, b *band.Band) {
+		is := is.New(t)
+		var nobody caller.Caller
+		l, err := c.Take(t.Context(), "g-0", nobody, 0)
+		is.NoErr(err)
+		_, err = c.Run(t.Context(), l, nobody, stmt.New(stmt.Own, stmt.Begin, ""), stmt.New("1", stmt.Write, "").WithName("a", "b"))
+		is.NoErr(err)
+		_ = p.conns[0].Close() // this host is gone
+		synctest.Wait()
+		is.Equal(p.hosts["gate-1"].relay.Taken()+p.hosts["gate-2"].relay.Taken(), int64(0))
+		is.Equal(len(b.Data(0)), 0)
+		_, err = c.Run(t.Context(), l, nobody, stmt.New("2", stmt.Commit, ""))
+		is.True(err != nil)
+		c.Drop(l)
+	})
+}
+
+func TestNextHostWhereOneRefuses(t *testing.T) {
+	for name, fail := range map[string]func(h *host){
+		"stopping": func(h *host) { h.relay.Stop() },
+		"down":     func(h *host) { h.down = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			network(t, func(t *testing.T, p *pipes, c *crew.Crew, _ *band.Band) {
+				is := is.New(t)
+				read := stmt.New("1", stmt.Read, "").WithName("a", "")
+				is.True(run(t, c, caller.Caller{}, read)[0].OK())
+				for _, one := range p.conns {
+					_ = one.Close()
+				}
+				fail(p.hosts["gate-1"])
+				is.True(run(t, c, caller.Caller{}, read)[0].OK())
+				p.hosts["gate-1"].down, p.hosts["gate-2"].down = true, true
+			})
+		})
+	}
+}
+
+// Where no other host can be reached, this one connects by itself.
+func TestOwnConnectionWhereNoHostAnswers(t *testing.T) {
+	network(t, func(t *testing.T, p *pipes, c *crew.Crew, _ *band.Band) {
+		is := is.New(t)
+		p.hosts["gate-1"].down, p.hosts["gate-2"].down = true, true
+		l, err := c.Take(t.Context(), "g-0", caller.Caller{}, 0)
+		is.NoErr(err)
+		is.True(!l.Away)
+		c.Put(l)
+	})
+}
--- /dev/null
+++ b/process/fresh/fresh_test.go
@@ -0,0 +1,73 @@
+package fresh_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachiotray/pistachiotray/process/fresh"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+)
+
+func ExampleFresh_Since() {
+	f := fresh.New()
+	f.Add(mark.New(1, 10), 1*time.Second)
+	f.Add(mark.New(1, 20), 2*time.Second)
+	// A log that holds 1/20 has all commits acknowledged before 1.5 s.
+	m, covers, ok := f.Since(1500 * time.Millisecond)
+	fmt.Println(m, covers, ok)
+	_, _, ok = f.Since(3 * time.Second)
+	fmt.Println(ok)
+	// Output:
+	// 1/20 2s true
+	// false
+}
+
+func TestOldestThatSuffices(t *testing.T) {
+	is := is.New(t)
+	f := fresh.New()
+	for i := range 1000 {
+		f.Add(mark.New(1, uint64(i)), time.Duration(i)*100*time.Millisecond)
+	}
+	// The oldest are forgotten, what is kept is exact.
+	m, covers, ok := f.Since(90 * time.Second)
+	is.True(ok)
+	is.Equal(m, mark.New(1, 900))
+	is.Equal(covers, 90*time.Second)
+	is.Equal(f.Newest(), 99900*time.Millisecond)
+}
+
+func TestALaterProofReplacesAHigherMark(t *testing.T) {
+	is := is.New(t)
+	f := fresh.New()
+	// The old leader told of an entry that was never acknowledged.
+	f.Add(mark.New(1, 50), time.Second)
+	f.Add(mark.New(2, 49), 2*time.Second)
+	m, _, ok := f.Since(1500 * time.Millisecond)
+	is.True(ok)
+	is.Equal(m, mark.New(2, 49))
+	f.Add(mark.New(1, 51), 1700*time.Millisecond) // came late
+	is.Equal(f.Newest(), 2*time.Second)
+}
+
+func TestEmptyLogIsAProof(t *testing.T) {
+	is := is.New(t)
+	f := fresh.New()
+	f.Add(mark.Mark{}, time.Second)
+	_, _, ok := f.Since(time.Second)
+	is.True(ok)
+}
+
+func TestCloseProofsAreJoined(t *testing.T) {
+	is := is.New(t)
+	f := fresh.New()
+	for i := range 100_000 {
+		f.Add(mark.New(1, uint64(i)), time.Duration(i)*100*time.Microsecond)
+	}
+	// Ten seconds of proofs each 0.1 ms still cover the last five.
+	_, covers, ok := f.Since(5 * time.Second)
+	is.True(ok)
+	is.True(covers-5*time.Second < 50*time.Millisecond)
+}
--- /dev/null
+++ b/process/gates/gates_test.go
@@ -0,0 +1,67 @@
+package gates_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachiotray/pistachiotray/process/gates"
+	"github.com/pistachiotray/pistachiotray/process/news"
+	"github.com/pistachiotray/pistachiotray/process/target"
+)
+
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+func set(self string, n int) gates.Gates {
+	zones := []string{"a1", "a2", "b1", "b2"}
+	host := func(i int) news.News { return news.New(fmt.Sprintf("h%d", i), "10.0.0.1:1", zones[i%4], 0) }
+	g := gates.New(news.New(self, "10.0.0.1:1", "a1", 0), regions)
+	for i := range n {
+		g = g.WithHost(host(i))
+	}
+	return g
+}
+
+func TestFewHostsConnectThemselves(t *testing.T) {
+	is := is.New(t)
+	_, own := set("h0", 8).Of(target.New("t", "g", "", "a1"), 32)
+	is.True(own)
+}
+
+func TestManyHostsShare(t *testing.T) {
+	is := is.New(t)
+	const hosts, connections = 80, 58
+	for _, zone := range []string{"a1", "b2"} {
+		t := target.New("t-"+zone, "g", "", zone)
+		want, _ := set("h0", hosts).Of(t, connections)
+		is.Equal(len(want), connections/8)
+		own := 0
+		for i := range hosts {
+			got, o := set(fmt.Sprintf("h%d", i), hosts).Of(t, connections)
+			is.Equal(got, want) // all hosts agree
+			if o {
+				own++
+			}
+		}
+		is.Equal(own, len(want))
+		for _, n := range want {
+			is.Equal(n.Zone, zone)
+		}
+	}
+}
+
+func TestHostsThatLeftAreNoGates(t *testing.T) {
+	is := is.New(t)
+	tg := target.New("t", "g", "", "a1")
+	g := set("h0", 80)
+	before, _ := g.Of(tg, 58)
+	after, _ := g.WithHost(before[0].WithState(news.Left)).Of(tg, 58)
+	for _, n := range after {
+		is.True(n.Host != before[0].Host)
+	}
+	after, _ = g.Without(before[1].Host).Of(tg, 58)
+	for _, n := range after {
+		is.True(n.Host != before[1].Host)
+	}
+}
