Claim leases ahead, so that a leader is replaced while the store is away

Cause: with the store and a primary down at once nobody could get a token; writes failed for the whole outage. Up to three hosts a group now hold one claimed ahead; all name the same target from the same reports.

--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -82,12 +82,12 @@
 				set = gates.New(n, map[string]string{"zone-0": "a", "zone-1": "a", "zone-2": "a", "elsewhere": "b"})
 			}
 			set = set.WithHost(n)
-			h := &host{crew: crew.New("g", zap.NewNop(), b, now, zero), in: make(chan net.Conn)}
+			h := &host{crew: crew.New("g", zap.NewNop(), b.From(i), now, zero), in: make(chan net.Conn)}
 			h.relay = relay.New(zap.NewNop(), h)
 			p.hosts[name] = h
 			go h.relay.Serve(h)
 		}
-		c := crew.New("g", zap.NewNop(), b, now, zero, crew.WithAway(away.New(p, now)))
+		c := crew.New("g", zap.NewNop(), b.From(0), now, zero, crew.WithAway(away.New(p, now)))
 		c.SetGates(set)
 		all := []*crew.Crew{c, p.hosts["gate-1"].crew, p.hosts["gate-2"].crew}
 		for _, k := range all {
--- a/process/crew/prove.go
+++ b/process/crew/prove.go
@@ -37,7 +37,7 @@
 // with others that need one.
 func (c *Crew) Prove(ctx context.Context, after time.Duration) error {
 	for {
-		p := c.Renew()
+		p := c.renew()
 		select {
 		case <-p.done:
 		case <-ctx.Done():
@@ -50,7 +50,11 @@
 }
 
 // Renew begins a proof, unless one is under way, and doesn't wait for it.
-func (c *Crew) Renew() *proving {
+func (c *Crew) Renew() {
+	c.renew()
+}
+
+func (c *Crew) renew() *proving {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.proving == nil {
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -20,6 +20,10 @@
 	Done bool
 	// At is when it was claimed, by the store's clock.
 	At time.Duration
+	// Reserve tells that it was claimed ahead, for an outage of the store;
+	// Reserves counts those since the last order.
+	Reserve  bool
+	Reserves int
 	// Version is that of the stored row, 0 where there is none.
 	Version uint64
 }
@@ -38,10 +42,28 @@
 		l.Target = ""
 	}
 	l.Done = false
+	l.Reserve = false
+	l.Reserves = 0
 	l.At = at
 	return l
 }
 
+// WithReserve returns the lease claimed ahead by a host. Nobody waits for it.
+func (l Lease) WithReserve(host string) Lease {
+	l.Holder = host
+	l.Token++
+	l.Target = ""
+	l.Done = true
+	l.Reserve = true
+	l.Reserves++
+	return l
+}
+
+// Free tells whether no order is under way.
+func (l Lease) Free() bool {
+	return l.Token == 0 || l.Done
+}
+
 // WithOrder returns the lease with the target that its holder will order to
 // lead.
 func (l Lease) WithOrder(target string) Lease {
--- a/process/promo/promo.go
+++ b/process/promo/promo.go
@@ -2,11 +2,8 @@
 package promo
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,6 +31,11 @@
 	// stalledTime is how long replicas may take to receive what the leader
 	// wrote before: several times the way between regions.
 	stalledTime = 400 * time.Millisecond
+	// reservePause and reserveLongest bound the pause before a lease is claimed
+	// ahead; reservesMost is how many hosts do.
+	reservePause   = time.Second
+	reserveLongest = time.Minute
+	reservesMost   = 3
 	// followLimit bounds the wait for a promoted target to lead, followPause
 	// is the pause between two questions.
 	followLimit = 5 * time.Second
@@ -64,6 +66,9 @@
 	log    *zap.Logger
 	crew   *crew.Crew
 	orders orders
+	// reserve is a lease claimed ahead, for when the store can't be reached.
+	reserve lease.Lease
+	pause   time.Duration
 }
 
 // New returns the watch of one host over one group.
@@ -74,10 +79,16 @@
 // Run watches until the context ends.
 func (p *Promo) Run(ctx context.Context) {
 	for {
+		renew, stop := p.renewal()
 		select {
 		case <-ctx.Done():
+			stop()
 			return
+		case <-renew:
+			p.prepare(ctx)
+			continue
 		case <-p.crew.Trouble():
+			stop()
 		}
 		for ctx.Err() == nil {
 			why, due, trouble := p.crew.Wrong()
@@ -102,6 +113,38 @@
 	}
 }
 
+// renewal returns a channel that receives when a lease should be claimed
+// ahead, and what ends the wait.
+func (p *Promo) renewal() (<-chan time.Time, func()) {
+	if p.reserve.Token != 0 {
+		return nil, func() {}
+	}
+	p.pause = min(max(2*p.pause, reservePause), reserveLongest)
+	t := time.NewTimer(p.pause/2 + rand.N(p.pause))
+	return t.C, func() { t.Stop() }
+}
+
+// prepare claims the lease ahead, where this host connects to the leader
+// itself and few others hold one. All tokens differ, and the first order
+// counts; in an outage of the store that is enough.
+func (p *Promo) prepare(ctx context.Context) {
+	if leader, ok := p.crew.Leader(); !ok || !p.crew.Owns(leader.ID) {
+		return
+	}
+	l, _, err := p.orders.Read(ctx, p.crew.Name)
+	if err != nil || !l.Free() || l.Reserves >= reservesMost {
+		return
+	}
+	claimed, err := p.orders.Write(ctx, l.WithReserve(p.host))
+	if err != nil {
+		p.log.Info("lease not claimed ahead", zap.String("Error", err.Error()))
+		return
+	}
+	p.reserve = claimed
+	p.pause = 0
+	p.log.Info("lease claimed ahead", zap.Uint64("Token", claimed.Token))
+}
+
 // replace claims the lease and replaces the leader, unless another host does.
 func (p *Promo) replace(ctx context.Context, why string) {
 	leader, _ := p.crew.Leader()
@@ -124,7 +167,7 @@
 		p.log.Warn("replacement not safe", zap.String("Why", why), zap.Uint64("Token", l.Token), zap.String("Noted", l.Target))
 		// An order that was noted may still be carried out: until another one
 		// is answered, nothing may receive that its target would lack.
-		if l.Target == "" {
+		if l.Target == "" && !l.Reserve {
 			p.resume(ctx, "")
 		}
 		return
@@ -229,8 +272,8 @@
 func (p *Promo) claim(ctx context.Context, why string) (lease.Lease, bool) {
 	l, now, err := p.orders.Read(ctx, p.crew.Name)
 	if err != nil {
-		p.log.Warn("lease not read", zap.String("Why", why), zap.String("Error", err.Error()))
-		return l, false
+		p.log.Warn("lease not read", zap.String("Why", why), zap.String("Error", err.Error()), zap.Uint64("Reserve", p.reserve.Token))
+		return p.reserve, p.reserve.Token != 0 && why != crew.Leaving
 	}
 	if l.Done && now-l.At < hold && p.crew.Lead(l.Target, "lease") {
 		return l, false
@@ -250,100 +293,25 @@
 	return claimed, true
 }
 
-// gather stops all targets but the given ones from receiving and returns their
-// reports. Complete tells that none is missing.
-func (p *Promo) gather(ctx context.Context, but ...string) (reports []report.Report, complete bool) {
-	term := p.crew.Term() + 1
-	for {
-		var highest uint64
-		reports, complete, highest = p.pauseAll(ctx, but, term)
-		if complete || ctx.Err() != nil {
-			return reports, complete
-		}
-		term = max(term, highest+1)
-		p.sleep(ctx, look)
-	}
-}
-
-func (p *Promo) pauseAll(ctx context.Context, but []string, term uint64) ([]report.Report, bool, uint64) {
-	type outcome struct {
-		report report.Report
-		err    error
-	}
-	targets := p.crew.Targets()
-	results := make(chan outcome, len(targets))
-	pause := stmt.New(stmt.Own, stmt.Pause, "").WithName("", strconv.FormatUint(term, 10))
-	asked := 0
-	for _, t := range targets {
-		if slices.Contains(but, t.ID) {
-			continue
-		}
-		asked++
-		go func() {
-			ctx, stop := context.WithTimeout(ctx, stepTimeout)
-			defer stop()
-			r, err := p.crew.Report(ctx, t, pause)
-			results <- outcome{r, err}
-		}()
-	}
-	var reports []report.Report
-	var highest uint64
-	for range asked {
-		o := <-results
-		if o.err != nil {
-			p.log.Info("target not paused", zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
-			continue
-		}
-		highest = max(highest, o.report.Term)
-		if o.report.Held >= term {
-			reports = append(reports, o.report)
-		} else {
-			p.log.Info("target not held", zap.Uint64("Term", term), zap.Any("Report", o.report))
-		}
-	}
-	return reports, len(reports) == asked && asked >= p.crew.Size()-len(but), highest
-}
-
-// choose returns the report of the target that holds most; among those that
-// hold as much the noted one, then one that stays, then the first by name. The
-// same reports always give the same target.
-func choose(reports []report.Report, noted string) (report.Report, bool) {
-	if len(reports) == 0 {
-		return report.Report{}, false
-	}
-	return slices.MaxFunc(reports, func(a, b report.Report) int {
-		return cmp.Or(
-			a.Received.Compare(b.Received),
-			first(a.Member == noted, b.Member == noted),
-			first(!a.Leaving, !b.Leaving),
-			cmp.Compare(b.Member, a.Member),
-		)
-	}), true
-}
-
-// first orders what holds before what does not.
-func first(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // order has the chosen target lead. Once an order was sent it may be carried
 // out at any time, so it is followed by others under higher tokens until one
 // is answered: nothing may receive in the old term before that.
 func (p *Promo) order(ctx context.Context, l lease.Lease, chosen, why string, began time.Time) {
 	ctx, stop := context.WithTimeout(ctx, orderLimit)
 	defer stop()
-	ordered, err := p.orders.Write(ctx, l.WithOrder(chosen))
-	if err != nil {
-		p.log.Warn("order not noted", zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
-		return
+	ordered := l.WithOrder(chosen)
+	var err error
+	if !l.Reserve {
+		if ordered, err = p.orders.Write(ctx, ordered); err != nil {
+			p.log.Warn("order not noted", zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
+			return
+		}
 	}
 	err = p.orders.Promote(ctx, ordered)
+	if l.Reserve && (err == nil || errors.Is(err, ErrFenced)) {
+		// A token that was used up or refused is never sent again.
+		p.reserve = lease.Lease{}
+	}
 	p.log.Info("promotion ordered", zap.String("Why", why), zap.String("Target", chosen), zap.Uint64("Token", ordered.Token),
 		zap.Duration("Took", time.Since(began)), zap.Bool("Done", err == nil))
 	if err != nil {
@@ -357,6 +325,9 @@
 	p.log.Info("promotion done", zap.String("Target", chosen), zap.Uint64("Token", ordered.Token), zap.Duration("Took", time.Since(began)))
 	p.crew.Lead(chosen, "promoted")
 	p.resume(ctx, chosen)
+	if l.Reserve {
+		return
+	}
 	if _, err := p.orders.Write(ctx, ordered.WithDone()); err != nil {
 		p.log.Info("lease not closed", zap.Uint64("Token", ordered.Token), zap.String("Error", err.Error()))
 	}
--- a/standin/band/band.go
+++ b/standin/band/band.go
@@ -6,15 +6,11 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"github.com/pistachiotray/pistachiotray/connection/lane"
-	"github.com/pistachiotray/pistachiotray/process/stock"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/mark"
 )
@@ -30,6 +26,8 @@
 	defaultConnections = 32
 	// connectLimit is how long a host waits for a machine to accept.
 	connectLimit = 400 * time.Millisecond
+	// Everyone stands for all hosts.
+	Everyone = -1
 	// connectTime is the time of a new connection.
 	connectTime = 12 * time.Millisecond
 )
@@ -39,7 +37,7 @@
 const (
 	// LieHolds ignores the position that a read asks for.
 	LieHolds = "holds"
-	// LiePause reports to have stopped receiving and goes on.
+	// LiePause has one member report to have stopped receiving and go on.
 	LiePause = "pause"
 	// LieReset answers a reset and keeps the values.
 	LieReset = "reset"
@@ -63,15 +61,17 @@
 
 // member is one member of the group.
 type member struct {
-	target  target.Target
-	log     []entry
-	term    uint64
-	held    uint64
-	leads   bool
-	up      bool
-	dark    bool
-	deaf    bool
-	hidden  bool
+	target target.Target
+	log    []entry
+	term   uint64
+	held   uint64
+	leads  bool
+	up     bool
+	dark   bool
+	deaf   bool
+	// hidden are the hosts that don't reach the member, all where it holds
+	// everyone.
+	hidden  map[int]bool
 	links   int
 	changed chan struct{}
 }
@@ -157,55 +157,6 @@
 	return -1
 }
 
-// Open opens a connection to a member.
-func (b *Band) Open(ctx context.Context, t target.Target) (*lane.Lane, error) {
-	l, err := b.Connect(ctx, t)
-	if err != nil {
-		return nil, err
-	}
-	return lane.New(t.ID, l), nil
-}
-
-// Connect opens a connection to a member, without the state of a session.
-func (b *Band) Connect(ctx context.Context, t target.Target) (*link, error) {
-	if err := b.Reach(ctx, t); err != nil {
-		return nil, err
-	}
-	if err := sleep(ctx, connectTime); err != nil {
-		return nil, err
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	m := b.member(t.ID)
-	switch {
-	case m == nil || !m.up:
-		return nil, syscall.ECONNREFUSED
-	case m.links >= b.most:
-		return nil, stock.ErrFull
-	}
-	m.links++
-	return newLink(b, m), nil
-}
-
-// Reach tells whether a member's machine accepts connections.
-func (b *Band) Reach(ctx context.Context, t target.Target) error {
-	b.mu.Lock()
-	m := b.member(t.ID)
-	dark := m != nil && (m.dark || m.hidden)
-	up := m != nil && m.up
-	b.mu.Unlock()
-	if dark {
-		if err := sleep(ctx, connectLimit); err != nil {
-			return err
-		}
-		return os.ErrDeadlineExceeded
-	}
-	if !up {
-		return syscall.ECONNREFUSED
-	}
-	return nil
-}
-
 func (b *Band) member(id string) *member {
 	for _, m := range b.members {
 		if m.target.ID == id {
@@ -237,96 +188,6 @@
 	m.changed = make(chan struct{})
 }
 
-// Crash stops a member; its log stays.
-func (b *Band) Crash(i int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.members[i].up = false
-	b.members[i].held = 0
-	b.members[i].notify()
-}
-
-// Start starts a member that was stopped. It leads on where nobody was
-// promoted meanwhile.
-func (b *Band) Start(i int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.members[i].up = true
-	b.members[i].target.Started++
-	b.ship()
-}
-
-// Rebirth starts a member that was stopped with an empty log.
-func (b *Band) Rebirth(i int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	m := b.members[i]
-	m.up, m.log, m.leads = true, nil, false
-	m.target.Started++
-	b.ship()
-}
-
-// Dark makes a member's machine answer nothing, or answer again.
-func (b *Band) Dark(i int, dark bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.members[i].dark = dark
-	b.members[i].notify()
-	b.ship()
-}
-
-// Deaf keeps a member from receiving, or lets it receive again.
-func (b *Band) Deaf(i int, deaf bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.members[i].deaf = deaf
-	b.ship()
-}
-
-// Hide keeps hosts from reaching a member, which goes on serving replicas, or
-// lets them reach it again.
-func (b *Band) Hide(i int, hidden bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.members[i].hidden = hidden
-	b.members[i].notify()
-}
-
-// Slow sets the time of each read, write and commit.
-func (b *Band) Slow(work time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.work = work
-}
-
-// Held tells whether a member stopped receiving.
-func (b *Band) Held(i int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.members[i].held != 0
-}
-
-// Leave has a member report that it was told to stop, or take that back.
-func (b *Band) Leave(i int, leaving bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.members[i].target = b.members[i].target.WithLeaving(leaving)
-}
-
-// Lose has the next n answers lost after their statements ran.
-func (b *Band) Lose(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.lose = n
-}
-
-// Delay leaves the next order without an answer and carries it out later.
-func (b *Band) Delay(d time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.late = append(b.late, d)
-}
-
 // Orders returns whom orders named, in the order in which they were accepted.
 func (b *Band) Orders() []string {
 	b.mu.Lock()
@@ -434,7 +295,7 @@
 		return
 	}
 	for _, m := range b.members {
-		if m == leader || !m.up || m.dark || m.deaf || m.held > term && b.lie != LiePause {
+		if m == leader || !m.up || m.dark || m.deaf || m.held > term && !b.lies(m) {
 			continue
 		}
 		if n := common(m.log, leader.log); n < len(leader.log) {
@@ -444,6 +305,12 @@
 	leader.notify()
 }
 
+// lies tells whether a member goes on receiving although it said to stop. One
+// does: where all did, the next leader would miss nothing.
+func (b *Band) lies(m *member) bool {
+	return b.lie == LiePause && m == b.members[len(b.members)-1]
+}
+
 // acknowledged tells whether a replica holds an entry; the caller holds the lock.
 func (b *Band) acknowledged(leader *member, at mark.Mark) bool {
 	if b.lie == LieAcks {
--- a/standin/band/course_test.go
+++ b/standin/band/course_test.go
@@ -26,6 +26,7 @@
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 	"github.com/pistachiotray/pistachiotray/standin/band"
+	"github.com/pistachiotray/pistachiotray/standin/deed"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 	"github.com/pistachiotray/pistachiotray/version/route"
 )
@@ -100,6 +101,8 @@
 	history *history
 	now     func() time.Duration
 	hosts   []tables
+	// down has the store refuse calls.
+	down func(bool)
 	// deaf hosts are not told of registrations.
 	deaf   []*atomic.Bool
 	stop   context.Context
@@ -114,9 +117,10 @@
 		history: &history{acked: map[string][]ack{}, values: map[string]map[string]string{}},
 	}
 	c.band.Seen = c.seen
-	registry := c.band.Registry(now)
+	registry := deed.New("g", c.band, now)
+	c.down = registry.Down
 	for i := range hosts {
-		k := crew.New("g", zap.NewNop(), c.band, now, func(zone string) time.Duration {
+		k := crew.New("g", zap.NewNop(), c.band.From(i), now, func(zone string) time.Duration {
 			if zone == fmt.Sprintf("zone-%d", i) {
 				return 0
 			}
@@ -349,7 +353,7 @@
 	for c.stop.Err() == nil {
 		time.Sleep(time.Duration(500+random.IntN(2500)) * time.Millisecond)
 		i, span := random.IntN(3), time.Duration(300+random.IntN(3000))*time.Millisecond
-		switch random.IntN(8) {
+		switch random.IntN(10) {
 		case 0:
 			c.band.Crash(i)
 			time.Sleep(span)
@@ -372,6 +376,15 @@
 			time.Sleep(span)
 			c.band.Leave(i, false)
 		case 7:
+			c.down(true)
+			time.AfterFunc(span+2*time.Second, func() { c.down(false) })
+		case 8:
+			leader := max(c.band.Leader(), 0)
+			host := random.IntN(3) - 1 // one of the two, or everyone
+			c.band.Hide(leader, host, true)
+			time.Sleep(span)
+			c.band.Hide(leader, host, false)
+		case 9:
 			for j := range 3 {
 				c.band.Deaf(j, true)
 			}
--- /dev/null
+++ b/standin/band/fault.go
@@ -0,0 +1,96 @@
+package band
+
+import "time"
+
+// Crash stops a member; its log stays.
+func (b *Band) Crash(i int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].up = false
+	b.members[i].held = 0
+	b.members[i].notify()
+}
+
+// Start starts a member that was stopped. It leads on where nobody was
+// promoted meanwhile.
+func (b *Band) Start(i int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].up = true
+	b.members[i].target.Started++
+	b.ship()
+}
+
+// Rebirth starts a member that was stopped with an empty log.
+func (b *Band) Rebirth(i int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.members[i]
+	m.up, m.log, m.leads = true, nil, false
+	m.target.Started++
+	b.ship()
+}
+
+// Dark makes a member's machine answer nothing, or answer again.
+func (b *Band) Dark(i int, dark bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].dark = dark
+	b.members[i].notify()
+	b.ship()
+}
+
+// Deaf keeps a member from receiving, or lets it receive again.
+func (b *Band) Deaf(i int, deaf bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].deaf = deaf
+	b.ship()
+}
+
+// Hide keeps a host, or everyone, from reaching a member, which goes on serving
+// replicas and others, or ends that.
+func (b *Band) Hide(i, host int, hidden bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.members[i].hidden == nil {
+		b.members[i].hidden = map[int]bool{}
+	}
+	b.members[i].hidden[host] = hidden
+	b.members[i].notify()
+}
+
+// Slow sets the time of each read, write and commit.
+func (b *Band) Slow(work time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.work = work
+}
+
+// Held tells whether a member stopped receiving.
+func (b *Band) Held(i int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members[i].held != 0
+}
+
+// Leave has a member report that it was told to stop, or take that back.
+func (b *Band) Leave(i int, leaving bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members[i].target = b.members[i].target.WithLeaving(leaving)
+}
+
+// Lose has the next n answers lost after their statements ran.
+func (b *Band) Lose(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lose = n
+}
+
+// Delay leaves the next order without an answer and carries it out later.
+func (b *Band) Delay(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.late = append(b.late, d)
+}
--- a/standin/band/link.go
+++ b/standin/band/link.go
@@ -23,6 +23,7 @@
 type link struct {
 	band     *Band
 	member   *member
+	host     int
 	started  int64
 	broken   atomic.Bool
 	values   map[string]string
@@ -38,8 +39,8 @@
 	writes []write
 }
 
-func newLink(b *Band, m *member) *link {
-	return &link{band: b, member: m, started: m.target.Started, values: map[string]string{}, prepared: map[string]string{}}
+func newLink(b *Band, m *member, host int) *link {
+	return &link{band: b, member: m, host: host, started: m.target.Started, values: map[string]string{}, prepared: map[string]string{}}
 }
 
 // Broken tells whether the connection is closed.
@@ -87,7 +88,7 @@
 	for {
 		l.band.mu.Lock()
 		up := l.member.up && l.member.target.Started == l.started && !l.broken.Load()
-		dark, changed := l.member.dark || l.member.hidden, l.member.changed
+		dark, changed := l.member.silent(l.host), l.member.changed
 		l.band.mu.Unlock()
 		if !up {
 			return errLost
--- a/standin/band/takeover_test.go
+++ b/standin/band/takeover_test.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// Leases that were claimed ahead serve while the store can't be reached.
+func TestTakeoverWithoutTheStore(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(0, "primary")
+		time.Sleep(5 * time.Second)
+		is.True(k.run(stmt.Write, "a", "a").OK())
+		c.down(true)
+		c.band.Dark(0, true)
+		gap, ok := k.until(2 * gapLimit)
+		is.True(ok)
+		if gap > gapLimit {
+			t.Errorf("no write for %v, want %v or less", gap, gapLimit)
+		}
+		is.Equal(len(slices.Compact(c.band.Orders())), 1) // all holders name the same target
+	})
+}
+
 func TestHandoverIsNotNoticed(t *testing.T) {
 	play(t, func(t *testing.T, c *course) {
 		is := is.New(t)
@@ -118,7 +136,7 @@
 		k := c.client(0, "primary")
 		is.True(k.run(stmt.Write, "a", "a").OK())
 		// The leader lives and is cut off from both hosts only.
-		c.band.Hide(0, true)
+		c.band.Hide(0, band.Everyone, true)
 		go k.until(4 * time.Second)
 		for end := c.now() + 5*time.Second; c.now() < end && c.band.Leader() == 0; time.Sleep(time.Millisecond) {
 			if len(c.band.Orders()) == 0 {
--- /dev/null
+++ b/standin/band/view.go
@@ -0,0 +1,81 @@
+package band
+
+import (
+	"context"
+	"os"
+	"syscall"
+
+	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/process/stock"
+	"github.com/pistachiotray/pistachiotray/process/target"
+)
+
+// view is the group as one host reaches it.
+type view struct {
+	band *Band
+	host int
+}
+
+// From returns the group as one host reaches it.
+func (b *Band) From(host int) interface {
+	Open(ctx context.Context, t target.Target) (*lane.Lane, error)
+	Connect(ctx context.Context, t target.Target) (*link, error)
+	Reach(ctx context.Context, t target.Target) error
+} {
+	return &view{b, host}
+}
+
+// silent tells whether a member answers a host nothing; the caller holds the lock.
+func (m *member) silent(host int) bool {
+	return m.dark || m.hidden[host] || m.hidden[Everyone]
+}
+
+// Open opens a connection to a member.
+func (v *view) Open(ctx context.Context, t target.Target) (*lane.Lane, error) {
+	l, err := v.Connect(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return lane.New(t.ID, l), nil
+}
+
+// Connect opens a connection to a member, without the state of a session.
+func (v *view) Connect(ctx context.Context, t target.Target) (*link, error) {
+	if err := v.Reach(ctx, t); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, connectTime); err != nil {
+		return nil, err
+	}
+	b := v.band
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.member(t.ID)
+	switch {
+	case m == nil || !m.up:
+		return nil, syscall.ECONNREFUSED
+	case m.links >= b.most:
+		return nil, stock.ErrFull
+	}
+	m.links++
+	return newLink(b, m, v.host), nil
+}
+
+// Reach tells whether a member's machine accepts connections.
+func (v *view) Reach(ctx context.Context, t target.Target) error {
+	v.band.mu.Lock()
+	m := v.band.member(t.ID)
+	silent := m != nil && m.silent(v.host)
+	up := m != nil && m.up
+	v.band.mu.Unlock()
+	if silent {
+		if err := sleep(ctx, connectLimit); err != nil {
+			return err
+		}
+		return os.ErrDeadlineExceeded
+	}
+	if !up {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
--- a/standin/wired/member.go
+++ b/standin/wired/member.go
@@ -5,11 +5,15 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pistachiotray/pistachiotray/platform/lines"
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/stock"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
@@ -101,11 +105,18 @@
 		_, _ = c.Write(lines.AppendError(nil, code.NotRunWrongTarget, t.ID))
 		return
 	}
-	// A dark member's machine still accepts connections here.
-	m, err := b.Connect(ctx, t)
-	if err != nil {
+	m, err := b.From(0).Connect(ctx, t)
+	switch {
+	case errors.Is(err, stock.ErrFull):
 		_, _ = c.Write(lines.AppendError(nil, code.TooManyCallers, t.ID))
 		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// A dark member's machine still accepts connections here, and nothing
+		// answers on them.
+		r.Scan()
+		return
+	case err != nil:
+		return
 	}
 	defer m.Close()
 	at, err := m.Report(ctx, stmt.New(stmt.Own, stmt.Unknown, ""))
