--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -21,7 +21,7 @@
 	// At is when it was claimed, by the store's clock.
 	At time.Duration
 	// Reserve tells that it was claimed ahead, for an outage of the store;
-	// Reserves counts those since the last order.
+	// Reserves counts those since Target leads.
 	Reserve  bool
 	Reserves int
 	// Version is that of the stored row, 0 where there is none.
@@ -48,11 +48,15 @@
 	return l
 }
 
-// WithReserve returns the lease claimed ahead by a host. Nobody waits for it.
-func (l Lease) WithReserve(host string) Lease {
+// WithReserve returns the lease claimed ahead by a host while a leader leads.
+// Nobody waits for it.
+func (l Lease) WithReserve(host, leader string) Lease {
+	if l.Target != leader {
+		l.Reserves = 0
+	}
 	l.Holder = host
 	l.Token++
-	l.Target = ""
+	l.Target = leader
 	l.Done = true
 	l.Reserve = true
 	l.Reserves++
@@ -64,6 +68,14 @@
 	return l.Token == 0 || l.Done
 }
 
+// Reserved returns how many hosts claimed it ahead while a leader leads.
+func (l Lease) Reserved(leader string) int {
+	if l.Target != leader {
+		return 0
+	}
+	return l.Reserves
+}
+
 // WithOrder returns the lease with the target that its holder will order to
 // lead.
 func (l Lease) WithOrder(target string) Lease {
--- a/process/promo/promo.go
+++ b/process/promo/promo.go
@@ -36,6 +36,10 @@
 	reservePause   = time.Second
 	reserveLongest = time.Minute
 	reservesMost   = 3
+	// storeShort and storeLong bound a claim: several times an ordinary answer
+	// from another region, and what a slow store takes.
+	storeShort = 350 * time.Millisecond
+	storeLong  = 2 * time.Second
 	// followLimit bounds the wait for a promoted target to lead, followPause
 	// is the pause between two questions.
 	followLimit = 5 * time.Second
@@ -101,6 +105,10 @@
 			}
 			p.sleep(ctx, look)
 		}
+		// A token that was claimed under another leader is too low by now.
+		if leader, ok := p.crew.Leader(); ok && leader.ID != p.reserve.Target {
+			p.reserve, p.pause = lease.Lease{}, 0
+		}
 	}
 }
 
@@ -128,14 +136,15 @@
 // itself and few others hold one. All tokens differ, and the first order
 // counts; in an outage of the store that is enough.
 func (p *Promo) prepare(ctx context.Context) {
-	if leader, ok := p.crew.Leader(); !ok || !p.crew.Owns(leader.ID) {
+	leader, ok := p.crew.Leader()
+	if !ok || !p.crew.Owns(leader.ID) {
 		return
 	}
 	l, _, err := p.orders.Read(ctx, p.crew.Name)
-	if err != nil || !l.Free() || l.Reserves >= reservesMost {
+	if err != nil || !l.Free() || l.Reserved(leader.ID) >= reservesMost {
 		return
 	}
-	claimed, err := p.orders.Write(ctx, l.WithReserve(p.host))
+	claimed, err := p.orders.Write(ctx, l.WithReserve(p.host, leader.ID))
 	if err != nil {
 		p.log.Info("lease not claimed ahead", zap.String("Error", err.Error()))
 		return
@@ -270,7 +279,9 @@
 
 // claim takes the lease, or learns from whoever holds it.
 func (p *Promo) claim(ctx context.Context, why string) (lease.Lease, bool) {
-	l, now, err := p.orders.Read(ctx, p.crew.Name)
+	reading, stop := context.WithTimeout(ctx, p.storeTime())
+	defer stop()
+	l, now, err := p.orders.Read(reading, p.crew.Name)
 	if err != nil {
 		p.log.Warn("lease not read", zap.String("Why", why), zap.String("Error", err.Error()), zap.Uint64("Reserve", p.reserve.Token))
 		return p.reserve, p.reserve.Token != 0 && why != crew.Leaving
@@ -284,7 +295,10 @@
 	if _, due, trouble := p.crew.Wrong(); !due || !trouble {
 		return l, false
 	}
-	claimed, err := p.orders.Write(ctx, l.WithClaim(p.host, now))
+	claimed, err := p.orders.Write(reading, l.WithClaim(p.host, now))
+	if err != nil && !errors.Is(err, ErrTaken) && p.reserve.Token != 0 && why != crew.Leaving {
+		return p.reserve, true
+	}
 	if err != nil {
 		p.log.Info("lease not claimed", zap.String("Why", why), zap.Uint64("Token", claimed.Token), zap.String("Error", err.Error()))
 		return claimed, false
@@ -293,6 +307,15 @@
 	return claimed, true
 }
 
+// storeTime returns how long the store may take for a claim: it is short where
+// the host can do without.
+func (p *Promo) storeTime() time.Duration {
+	if p.reserve.Token != 0 {
+		return storeShort
+	}
+	return storeLong
+}
+
 // order has the chosen target lead. Once an order was sent it may be carried
 // out at any time, so it is followed by others under higher tokens until one
 // is answered: nothing may receive in the old term before that.
