--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -4,7 +4,6 @@
 
 import (
 	"github.com/pistachiotray/pistachiotray/process/report"
-	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -30,7 +29,7 @@
 	Target string
 	// Priority orders those that wait, as of a route.
 	Priority int
-	// WaitMs bounds Take, in milliseconds.
+	// WaitMs is how long the question's answer is waited for, in milliseconds.
 	WaitMs int64
 	// Batch are the statements of Run, or the one of Report.
 	Batch []stmt.Stmt
@@ -45,8 +44,4 @@
 	// Fault is why the question failed, empty where it did not. After a fault
 	// of Take nothing was sent; after one of Run it may have run.
 	Fault string
-	// Full tells that the target takes no more connections.
-	Full bool
-	// Refusal is the result code of a command that was refused.
-	Refusal code.Code
 }
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -18,11 +18,8 @@
 )
 
 const (
-	// runLimit bounds a statement that another host sent: the host itself
-	// closes the connection when the statement's time is over.
-	runLimit = time.Minute
-	// takeLimit bounds what another host may ask to wait for a connection.
-	takeLimit = 10 * time.Second
+	// longest bounds the time that another host may ask for.
+	longest = 30 * time.Second
 )
 
 // tables are what the process knows.
@@ -75,6 +72,8 @@
 	relay *Relay
 	crew  *crew.Crew
 	lane  *lane.Lane
+	// used tells that something was sent on it.
+	used bool
 }
 
 func (r *Relay) serve(c net.Conn) {
@@ -105,12 +104,14 @@
 	case p.Verb == parcel.Take && k.lane == nil:
 		return k.take(p)
 	case p.Verb == parcel.Run && k.lane != nil:
-		ctx, stop := context.WithTimeout(context.Background(), runLimit)
+		k.used = true
+		ctx, stop := within(p)
 		defer stop()
 		replies, err := k.crew.Pass(ctx, k.lane, p.Batch)
 		return parcel.Parcel{Replies: replies, Fault: faultOf(err)}
 	case p.Verb == parcel.Report && k.lane != nil && len(p.Batch) == 1:
-		ctx, stop := context.WithTimeout(context.Background(), runLimit)
+		k.used = true
+		ctx, stop := within(p)
 		defer stop()
 		found, err := k.lane.Report(ctx, p.Batch[0])
 		return parcel.Parcel{Report: found, Fault: faultOf(err)}
@@ -118,6 +119,12 @@
 	return parcel.Parcel{Fault: "question out of turn"}
 }
 
+// within returns a context that ends with the time of the other host's
+// statement: nobody waits for an answer after it.
+func within(p parcel.Parcel) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), min(time.Duration(p.WaitMs)*time.Millisecond, longest))
+}
+
 func faultOf(err error) string {
 	if err == nil {
 		return ""
@@ -131,15 +138,14 @@
 	if !ok || k.relay.stopping.Load() {
 		return parcel.Parcel{Fault: "the host does not serve the group"}
 	}
-	wait := min(time.Duration(p.WaitMs)*time.Millisecond, takeLimit)
-	ctx, stop := context.WithTimeout(context.Background(), wait)
+	ctx, stop := within(p)
 	defer stop()
 	l, err := c.TakeOwn(ctx, p.Target, p.Priority)
 	if err != nil {
 		return parcel.Parcel{Fault: err.Error()}
 	}
 	k.relay.taken.Add(1)
-	k.crew, k.lane = c, l
+	k.crew, k.lane, k.used = c, l, false
 	values, prepared := l.State()
 	return parcel.Parcel{Values: values, Prepared: prepared}
 }
@@ -155,12 +161,17 @@
 }
 
 // drop closes a connection that was not given back: its transaction is rolled
-// back by the target.
+// back by the target. One that the other host no longer waited for is kept.
 func (k *loan) drop() {
-	if k.lane != nil {
+	switch {
+	case k.lane == nil:
+		return
+	case k.used:
 		k.crew.Drop(k.lane)
-		k.end()
+	default:
+		k.crew.Put(k.lane)
 	}
+	k.end()
 }
 
 func (k *loan) end() {
--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -188,3 +188,23 @@
 		c.Put(l)
 	})
 }
+
+// A statement whose time is over must not keep the connection of the host that
+// lent it: its target may never answer.
+func TestConnectionOfALostStatementIsFreed(t *testing.T) {
+	network(t, func(t *testing.T, p *pipes, c *crew.Crew, b *band.Band) {
+		is := is.New(t)
+		var nobody caller.Caller
+		ctx, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		l, err := c.Take(ctx, "g-0", nobody, 0)
+		is.NoErr(err)
+		b.Dark(0, true)
+		_, err = c.Run(ctx, l, nobody, stmt.New("1", stmt.Write, "").WithName("a", "b"))
+		is.True(err != nil)
+		c.Drop(l)
+		time.Sleep(time.Second)
+		is.Equal(p.hosts["gate-1"].relay.Taken()+p.hosts["gate-2"].relay.Taken(), int64(0))
+		b.Dark(0, false)
+	})
+}
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -23,6 +23,9 @@
 // one waits for its answer: some round trips between regions.
 const slack = 200 * time.Millisecond
 
+// unlimited is asked for where a context has no end; the other host has a limit.
+const unlimited = time.Hour
+
 // ErrRefused tells that the other host gave no connection; nothing was sent
 // to the target.
 var ErrRefused = errors.New("the other host gave no connection")
@@ -47,7 +50,7 @@
 func (r *Remote) Take(ctx context.Context, group, target string, priority int, wait time.Duration) (*lane.Lane, error) {
 	limited, stop := context.WithTimeout(ctx, wait+slack)
 	defer stop()
-	answer, err := r.ask(limited, parcel.Parcel{Verb: parcel.Take, Group: group, Target: target, Priority: priority, WaitMs: wait.Milliseconds()})
+	answer, err := r.ask(limited, parcel.Parcel{Verb: parcel.Take, Group: group, Target: target, Priority: priority}, wait)
 	if err != nil {
 		return nil, errors.Wrap(err, "Remote.Take")
 	}
@@ -59,7 +62,7 @@
 
 // Run sends statements together and returns a reply to each.
 func (r *Remote) Run(ctx context.Context, batch []stmt.Stmt) ([]reply.Reply, error) {
-	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Run, Batch: batch})
+	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Run, Batch: batch}, timeLeft(ctx))
 	if err == nil && (answer.Fault != "" || len(answer.Replies) != len(batch)) {
 		r.Close()
 		err = errors.Errorf("Remote.Run: host %s: %s", r.Host, answer.Fault)
@@ -69,7 +72,7 @@
 
 // Report runs a command and returns what the target tells of itself.
 func (r *Remote) Report(ctx context.Context, s stmt.Stmt) (report.Report, error) {
-	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Report, Batch: []stmt.Stmt{s}})
+	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Report, Batch: []stmt.Stmt{s}}, timeLeft(ctx))
 	if err == nil && answer.Fault != "" {
 		r.Close()
 		err = errors.Errorf("Remote.Report: host %s: %s", r.Host, answer.Fault)
@@ -87,9 +90,19 @@
 	return nil
 }
 
+// timeLeft returns how long the context goes on.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return unlimited
+	}
+	return max(time.Until(deadline), 0)
+}
+
 // ask sends a question and waits for its answer. After an error the
 // connection is of no more use.
-func (r *Remote) ask(ctx context.Context, p parcel.Parcel) (parcel.Parcel, error) {
+func (r *Remote) ask(ctx context.Context, p parcel.Parcel, wait time.Duration) (parcel.Parcel, error) {
+	p.WaitMs = wait.Milliseconds()
 	stop := context.AfterFunc(ctx, r.Close)
 	defer stop()
 	if err := r.out.Encode(p); err != nil {
--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -56,7 +56,10 @@
 
 // notRun is the refusal of a statement that never left this host, or that the
 // last target refused to run.
-func notRun(last reply.Reply) reply.Reply {
+func (r *Runner) notRun(last reply.Reply, err error) reply.Reply {
+	if err != nil {
+		r.note(zap.String("Error", err.Error()))
+	}
 	if last.Code.NotRun() {
 		return last
 	}
@@ -71,7 +74,7 @@
 		t, l, err := r.leaderLane(ctx, c, rt)
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) || !pause(ctx) {
-				return notRun(last)
+				return r.notRun(last, err)
 			}
 			continue
 		}
@@ -144,17 +147,17 @@
 			return last
 		}
 		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) || !pause(ctx) {
-			return unread(last, sent)
+			return r.unread(last, sent, err)
 		}
 	}
 }
 
 // unread is the reply to a read that got no answer.
-func unread(last reply.Reply, sent bool) reply.Reply {
+func (r *Runner) unread(last reply.Reply, sent bool, err error) reply.Reply {
 	if sent && !last.Code.NotRun() {
 		return reply.Refuse(code.DeadlinePassed, "no answer in time")
 	}
-	return notRun(last)
+	return r.notRun(last, err)
 }
 
 func (r *Runner) provedRead(ctx context.Context, c *crew.Crew, t target.Target, l *lane.Lane, s stmt.Stmt, sent *bool) (reply.Reply, error) {
@@ -217,7 +220,7 @@
 			return last
 		}
 		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) {
-			return unread(last, sent)
+			return r.unread(last, sent, err)
 		}
 	}
 }
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -96,7 +96,7 @@
 			}
 		}
 		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) || !pause(ctx) {
-			return notRun(last), false
+			return r.notRun(last, err), false
 		}
 	}
 }
--- a/process/stock/stock.go
+++ b/process/stock/stock.go
@@ -26,6 +26,8 @@
 	growPause = 60 * time.Millisecond
 	// spareIdle is how long a connection beyond the base is kept idle.
 	spareIdle = 300 * time.Millisecond
+	// heldWeight is the share of a new measurement in the mean of use.
+	heldWeight = 0.05
 	// idleKept is how many idle connections are kept whatever their age.
 	idleKept = 1
 )
@@ -33,6 +35,9 @@
 // ErrFull tells that the target takes no more connections.
 var ErrFull = errors.New("the target takes no more connections")
 
+// ErrBusy tells that a connection would not come free in time.
+var ErrBusy = errors.New("no connection comes free in time")
+
 // ErrClosed tells that the target is gone.
 var ErrClosed = errors.New("the target is gone")
 
@@ -62,16 +67,19 @@
 	pause   time.Duration
 	retry   bool
 	// next is when the next connection beyond the base may be opened.
-	next    time.Duration
-	idle    []*lane.Lane
-	out     map[*lane.Lane]struct{}
+	next time.Duration
+	idle []*lane.Lane
+	// out holds since when each connection is in use.
+	out map[*lane.Lane]time.Duration
+	// held is the moving mean of the time that a connection is in use.
+	held    time.Duration
 	waiting []*waiter
 	closed  bool
 }
 
 // New returns an empty stock of at most most connections.
 func New(most int, now func() time.Duration, open func(ctx context.Context) (*lane.Lane, error)) *Stock {
-	return &Stock{open: open, now: now, most: most, out: map[*lane.Lane]struct{}{}}
+	return &Stock{open: open, now: now, most: most, out: map[*lane.Lane]time.Duration{}}
 }
 
 // SetMost changes how many connections may be open.
@@ -95,6 +103,10 @@
 		s.mu.Unlock()
 		return l, nil
 	}
+	if !s.hopeful(ctx, priority) {
+		s.mu.Unlock()
+		return nil, ErrBusy
+	}
 	w := &waiter{caller: c, priority: priority, granted: make(chan grant, 1)}
 	s.insert(w)
 	s.grow()
@@ -107,6 +119,22 @@
 	}
 }
 
+// hopeful tells whether a connection is expected to come free before the
+// context ends: those ahead take their turns on what is open, or may be.
+func (s *Stock) hopeful(ctx context.Context, priority int) bool {
+	deadline, ok := ctx.Deadline()
+	if !ok || s.count == 0 {
+		return true
+	}
+	ahead := 1
+	for _, w := range s.waiting {
+		if w.priority <= priority {
+			ahead++
+		}
+	}
+	return time.Duration(ahead)*s.held/time.Duration(s.count) < time.Until(deadline)
+}
+
 // leave takes a waiter out; a connection granted meanwhile goes back.
 func (s *Stock) leave(w *waiter, err error) error {
 	s.mu.Lock()
@@ -149,7 +177,7 @@
 	}
 	l := s.idle[best]
 	s.idle = slices.Delete(s.idle, best, best+1)
-	s.out[l] = struct{}{}
+	s.out[l] = s.now()
 	return l
 }
 
@@ -238,8 +266,16 @@
 	s.waiting = nil
 }
 
+// learn takes how long a connection was in use.
+func (s *Stock) learn(l *lane.Lane) {
+	if since, ok := s.out[l]; ok {
+		s.held += time.Duration(heldWeight * float64(s.now()-since-s.held))
+	}
+}
+
 // hand gives a connection to the first that waits, or keeps it.
 func (s *Stock) hand(l *lane.Lane) {
+	s.learn(l)
 	if len(s.waiting) == 0 {
 		delete(s.out, l)
 		l.Used = s.now()
@@ -248,7 +284,7 @@
 	}
 	w := s.waiting[0]
 	s.waiting = slices.Delete(s.waiting, 0, 1)
-	s.out[l] = struct{}{}
+	s.out[l] = s.now()
 	w.granted <- grant{lane: l}
 }
 
@@ -277,6 +313,7 @@
 
 func (s *Stock) forget(l *lane.Lane) {
 	if _, ok := s.out[l]; ok {
+		s.learn(l)
 		delete(s.out, l)
 		s.count--
 	}
--- a/process/stock/stock_test.go
+++ b/process/stock/stock_test.go
@@ -176,3 +176,42 @@
 		is.Equal(idle, 1)
 	})
 }
+
+// Who would wait beyond its time is told so at once.
+func TestRefusedAtOnceWhereTheWaitIsTooLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var opened atomic.Int64
+		s := stock.New(1, clock(), opens(0, &opened))
+		const use = 200 * time.Millisecond
+		for range 100 { // learn how long a connection is in use
+			l, err := s.Take(context.Background(), nobody, 0)
+			is.NoErr(err)
+			time.Sleep(use)
+			s.Put(l)
+		}
+		var served, refused atomic.Int64
+		for range 20 {
+			go func() {
+				ctx, stop := context.WithTimeout(context.Background(), time.Second)
+				defer stop()
+				began := time.Now()
+				l, err := s.Take(ctx, nobody, 0)
+				if err != nil {
+					if time.Since(began) > 10*time.Millisecond {
+						t.Errorf("refused after %v", time.Since(began))
+					}
+					refused.Add(1)
+					return
+				}
+				served.Add(1)
+				time.Sleep(use)
+				s.Put(l)
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(served.Load()+refused.Load(), int64(20))
+		is.True(served.Load() >= 4) // 5 uses of 200 ms fit into a second
+	})
+}
