--- a/cmd/pistachiotray/proxy.go
+++ b/cmd/pistachiotray/proxy.go
@@ -16,7 +16,8 @@
 )
 
 const proxyUsage = `Proxy runs one host on the users' platform until SIGTERM or SIGINT, which stop
-it in order within the grace period of the settings.
+it in order within the grace period of the settings. SIGHUP reads the settings file
+again.
 
 The settings file is the one that the platform writes; the environment variable
 PISTACHIOTRAY_CONFIG names it. It is checked before anything is started. Log
@@ -43,9 +44,15 @@
 	defer func() { _ = out.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// Nothing in the settings may change while the process runs.
-	signal.Ignore(syscall.SIGHUP)
-	if err := node.New(s, log).Run(ctx); err != nil {
+	n := node.New(s, log)
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	go func() {
+		for range changed {
+			n.Reload(sets.Load())
+		}
+	}()
+	if err := n.Run(ctx); err != nil {
 		log.Error("ended", zap.String("Error", err.Error()))
 		return err
 	}
--- a/cmd/pistachiotray/root.go
+++ b/cmd/pistachiotray/root.go
@@ -17,7 +17,7 @@
 		SilenceErrors: false,
 	}
 	c.AddCommand(serveCommand(), proxyCommand(), demoCommand(), standinCommand(), replayCommand(), compareCommand(), loadCommand(), checkCommand(), publishCommand(), historyCommand(), diffCommand(),
-		rollbackCommand(), statusCommand(), explainCommand(), drainCommand(), switchCommand(), auditCommand(), pagesCommand(), versionCommand())
+		rollbackCommand(), statusCommand(), explainCommand(), drainCommand(), switchCommand(), auditCommand(), storyCommand(), pagesCommand(), versionCommand())
 	return c
 }
 
--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -157,6 +157,7 @@
 	if !ok {
 		return rt, nil, reply.Refuse(code.UnknownDatabase, r.caller.Database)
 	}
+	r.note(zap.String("Group", rt.Group))
 	c, ok := r.tables.Crew(rt.Group)
 	if !ok {
 		return rt, nil, reply.Refuse(code.NotRunNoPrimary, "the group has no targets")
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -43,7 +43,7 @@
 // step runs a statement on the transaction's connection. A statement that the
 // target was too busy for is tried again there.
 func (r *Runner) step(ctx context.Context, s stmt.Stmt) reply.Reply {
-	r.note(zap.String("Target", r.tx.lane.Target))
+	r.note(zap.String("Group", r.tx.route.Group), zap.String("Target", r.tx.lane.Target))
 	for {
 		replies, err := r.tx.crew.Run(ctx, r.tx.lane, r.caller, s)
 		if err != nil {
--- /dev/null
+++ b/standin/faulty/faulty.go
@@ -0,0 +1,143 @@
+// Package faulty holds a TCP proxy on loopback that misbehaves on demand.
+package faulty
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// The ways in which a proxy treats its connections.
+const (
+	// Passes sends on what comes.
+	Passes = iota
+	// Delays sends it on after a while.
+	Delays
+	// Deafens drops what callers send.
+	Deafens
+	// Silences drops what is sent to callers.
+	Silences
+	// Refuses resets new connections.
+	Refuses
+)
+
+const (
+	delay = 150 * time.Millisecond
+	chunk = 32 << 10
+)
+
+// Faulty is one proxy.
+type Faulty struct {
+	to       string
+	listener net.Listener
+	mu       sync.Mutex
+	mode     int
+	conns    map[net.Conn]struct{}
+}
+
+// New returns a proxy on loopback before an address.
+func New(to string) (*Faulty, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f := &Faulty{to: to, listener: l, conns: map[net.Conn]struct{}{}}
+	go f.accept()
+	return f, nil
+}
+
+// Address returns where the proxy listens.
+func (f *Faulty) Address() string {
+	return f.listener.Addr().String()
+}
+
+// Set changes how connections are treated, open ones too.
+func (f *Faulty) Set(mode int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mode = mode
+}
+
+func (f *Faulty) current() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mode
+}
+
+// Reset breaks every open connection.
+func (f *Faulty) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		breakOff(c)
+	}
+}
+
+// Close ends the proxy.
+func (f *Faulty) Close() {
+	_ = f.listener.Close()
+	f.Reset()
+}
+
+// breakOff closes a connection with a reset.
+func breakOff(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (f *Faulty) accept() {
+	for {
+		near, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		if f.current() == Refuses {
+			breakOff(near)
+			continue
+		}
+		far, err := net.Dial("tcp", f.to)
+		if err != nil {
+			breakOff(near)
+			continue
+		}
+		f.mu.Lock()
+		f.conns[near], f.conns[far] = struct{}{}, struct{}{}
+		f.mu.Unlock()
+		go f.pass(near, far, Deafens)
+		go f.pass(far, near, Silences)
+	}
+}
+
+// pass sends on one direction; what comes while the mode drops it is lost.
+func (f *Faulty) pass(from, to net.Conn, drops int) {
+	defer func() {
+		f.mu.Lock()
+		delete(f.conns, from)
+		f.mu.Unlock()
+		_ = from.Close()
+		_ = to.Close()
+	}()
+	b := make([]byte, chunk)
+	lost := false
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		switch f.current() {
+		case drops:
+			lost = true
+		case Delays:
+			time.Sleep(delay)
+		}
+		// After a gap the stream makes no sense to its reader any more.
+		if lost {
+			continue
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
--- a/standin/wired/member.go
+++ b/standin/wired/member.go
@@ -31,16 +31,25 @@
 	Close()
 }
 
+// WithProxy returns an option for Serve that has each member registered at
+// another address, behind which it is reached.
+func WithProxy(before func(address string) string) func(*Wired) {
+	return func(w *Wired) { w.proxy = before }
+}
+
 // Serve serves a group's members on loopback and registers them until the
 // context ends.
-func (w *Wired) Serve(ctx context.Context, name string, b *band.Band) error {
+func (w *Wired) Serve(ctx context.Context, name string, b *band.Band, options ...func(*Wired)) error {
+	for _, o := range options {
+		o(w)
+	}
 	for _, t := range b.Targets() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
 		w.listeners = append(w.listeners, l)
-		w.addresses[t.ID] = l.Addr().String()
+		w.addresses[t.ID] = w.proxy(l.Addr().String())
 		go w.accept(ctx, l, b, t)
 	}
 	w.mu.Lock()
--- a/standin/wired/wired.go
+++ b/standin/wired/wired.go
@@ -42,13 +42,14 @@
 	// addresses are those of the members' listeners.
 	addresses map[string]string
 	listeners []net.Listener
+	proxy     func(address string) string
 }
 
 // New returns an empty platform.
 func New() *Wired {
 	return &Wired{
 		began: time.Now(), rows: map[[2]string]row{}, changed: make(chan struct{}),
-		bands: map[string]*band.Band{}, addresses: map[string]string{},
+		bands: map[string]*band.Band{}, addresses: map[string]string{}, proxy: func(address string) string { return address },
 	}
 }
 
