--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -174,7 +174,7 @@
 		return begun, nil
 	}
 	*sent = true
-	replies, err := c.Run(ctx, l, r.caller, s, stmt.New(stmt.Own, stmt.Rollback, ""))
+	replies, err := c.RunRead(ctx, l, r.caller, s, stmt.New(stmt.Own, stmt.Rollback, ""))
 	if err != nil {
 		c.Drop(l)
 		return reply.Reply{}, err
@@ -263,7 +263,7 @@
 
 func (r *Runner) readOnce(ctx context.Context, w *walk, t target.Target, l *lane.Lane, s stmt.Stmt) (reply.Reply, error) {
 	w.tried[t.ID] = true
-	replies, err := w.crew.Run(ctx, l, r.caller, s)
+	replies, err := w.crew.RunRead(ctx, l, r.caller, s)
 	if err != nil {
 		w.crew.Drop(l)
 		return reply.Reply{}, err
--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -71,6 +71,8 @@
 	// away takes connections from other hosts, nil where there are none.
 	away  *away.Away
 	gates gates.Gates
+	// reads numbers the reads that may be ended.
+	reads uint64
 	// drain is how long a leaving leader still gets work.
 	drain   time.Duration
 	fresh   *fresh.Fresh
@@ -98,6 +100,8 @@
 	probing bool
 	// mute tells that the machine accepts connections on which nothing answers.
 	mute bool
+	// reads holds what ends the reads under way.
+	reads map[uint64]func()
 	// leaves is when the target gets no more work, 0 while it stays.
 	leaves time.Duration
 	// refused tells that the machine refused the last connection.
@@ -190,7 +194,7 @@
 		ok = false
 	}
 	if !ok {
-		s = &seat{}
+		s = &seat{reads: map[uint64]func(){}}
 		opened := t
 		s.stock = stock.New(c.most, c.now, func(ctx context.Context) (*lane.Lane, error) {
 			l, err := c.dialer.Open(ctx, opened)
--- a/process/crew/health.go
+++ b/process/crew/health.go
@@ -47,6 +47,33 @@
 	return c.watched(l, func() ([]reply.Reply, error) { return l.Run(ctx, who, batch...) })
 }
 
+// RunRead is Run for a batch that may run anywhere: it ends as soon as the
+// target is found not to answer, so that another one can be asked in time.
+func (c *Crew) RunRead(ctx context.Context, l *lane.Lane, who caller.Caller, batch ...stmt.Stmt) ([]reply.Reply, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer c.onFailure(l.Target, stop)()
+	return c.Run(ctx, l, who, batch...)
+}
+
+// onFailure has stop called when a target fails, until what it returns is called.
+func (c *Crew) onFailure(id string, stop func()) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.seats[id]
+	if !ok {
+		return func() {}
+	}
+	c.reads++
+	n := c.reads
+	s.reads[n] = stop
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(s.reads, n)
+	}
+}
+
 // Pass runs a batch for another host, which keeps the connection's state.
 func (c *Crew) Pass(ctx context.Context, l *lane.Lane, batch []stmt.Stmt) ([]reply.Reply, error) {
 	return c.watched(l, func() ([]reply.Reply, error) { return l.Pass(ctx, batch) })
@@ -141,7 +168,10 @@
 	if s.failing == 0 {
 		s.failing = c.now()
 		c.log.Info("target fails", zap.String("Group", c.Name), zap.String("Target", s.target.ID), zap.Bool("Leads", s.target.ID == c.leader),
-			zap.Duration("Heard", c.now()-s.heard), zap.String("Error", err.Error()))
+			zap.Bool("EverHeard", s.heard != 0), zap.Duration("Heard", c.now()-s.heard), zap.String("Error", err.Error()))
+		for _, stop := range s.reads {
+			stop()
+		}
 	}
 	c.probe(s)
 }
--- a/process/story/story.go
+++ b/process/story/story.go
@@ -115,8 +115,12 @@
 	if l.host != f.host || age < 0 || age > before {
 		return false
 	}
-	group, ok := l.fields["Group"]
-	return !ok || f.fields["Group"] == nil || group == f.fields["Group"]
+	for _, name := range []string{"Group", "Caller"} {
+		if mine, ok := l.fields[name]; ok && f.fields[name] != nil && mine != f.fields[name] {
+			return false
+		}
+	}
+	return true
 }
 
 // String returns the line as it is read best.
--- a/standin/band/takeover_test.go
+++ b/standin/band/takeover_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// A read at a replica that goes silent is answered by another one within the
+// time that the platform grants a statement.
+func TestReadMovesOnFromASilentReplica(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(1, "bounded")
+		r := k.run(stmt.Read, "a", "")
+		is.True(r.OK())
+		is.True(strings.HasPrefix(r.Signature, "g-1")) // the nearest
+		c.band.Dark(1, true)
+		began := c.now()
+		r = k.run(stmt.Read, "a", "")
+		is.True(r.OK())
+		is.True(c.now()-began < time.Second)
+	})
+}
+
 // Leases that were claimed ahead serve while the store can't be reached.
 func TestTakeoverWithoutTheStore(t *testing.T) {
 	play(t, func(t *testing.T, c *course) {
