--- a/process/group/group.go
+++ b/process/group/group.go
@@ -219,7 +219,7 @@
 	return calls == 0 && g.shifting == nil && !g.elect.Busy() && g.wrong == ""
 }
 
-// Count returns a counter by its name; docs/OPERATORS.md lists them.
+// Count returns a counter by its name; docs/OPERATIONS.md lists them.
 func (g *Group) Count(name string) int64 {
 	return g.counters[name]
 }
--- a/process/host/figures.go
+++ b/process/host/figures.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiotray/pistachiotray/process/stand"
 )
 
-// figures are what /debug/vars shows; docs/OPERATORS.md gives their meaning.
+// figures are what /debug/vars shows; docs/OPERATIONS.md gives their meaning.
 type figures struct {
 	Host           string
 	Ready          bool
--- a/request/code/code.go
+++ b/request/code/code.go
@@ -127,7 +127,7 @@
 	BadPassword:       {"BadPassword", statePassword, "wrong name or password", "check the credentials"},
 	BadToken:          {"BadToken", stateToken, "session token forged, of another session's user, or of an unknown key", "connect without a token"},
 	UnknownDatabase:   {"UnknownDatabase", stateDatabase, "no such database group", "check the name"},
-	NotSupported:      {"NotSupported", stateNotSupported, "this feature cannot be pooled", "see docs/OPERATORS.md"},
+	NotSupported:      {"NotSupported", stateNotSupported, "this feature cannot be pooled", "see docs/OPERATIONS.md"},
 	SlowCaller:        {"SlowCaller", stateConnections, "the caller does not read its answer", "read answers as they come"},
 	TooManyCallers:    {"TooManyCallers", stateConnections, "over the host's limit of callers", "connect later or elsewhere"},
 }
