--- a/process/watch/watch.go
+++ b/process/watch/watch.go
@@ -16,7 +16,7 @@
 const (
 	// feedWait is how long the store holds a question while nothing changes:
 	// calls are priced. The source finds dead connections itself.
-	feedWait = 20 * time.Second
+	feedWait = 28 * time.Second
 	// firstPause and longestPause bound the pause after a failure.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
