--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -40,8 +40,10 @@
 	front, settings string
 	store           *faulty.Faulty
 	output          *bytes.Buffer
-	mu              sync.Mutex
-	process         *exec.Cmd
+	// restarting lets one restart of the process end before the next begins.
+	restarting sync.Mutex
+	mu         sync.Mutex
+	process    *exec.Cmd
 }
 
 // soak is one run.
@@ -133,6 +135,8 @@
 
 // restart ends the process with a signal, waits for its end and starts it again.
 func (s *soak) restart(h *host, sig syscall.Signal) {
+	h.restarting.Lock()
+	defer h.restarting.Unlock()
 	h.signal(sig)
 	h.mu.Lock()
 	p := h.process
@@ -481,7 +485,9 @@
 }
 
 // regressions are seeds that failed once, with the cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	117: "two restarts of one process overlapped in the soak itself; one process stayed and the run did not end",
+}
 
 // TestSoak plays a few seeds; more with
 // PISTACHIOTRAY_SOAK=50 PISTACHIOTRAY_SOAK_FROM=100 go test ./standin/soak -timeout 30m.
