--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -28,6 +28,7 @@
 type pipes struct {
 	hosts map[string]*host
 	conns []net.Conn
+	asked int
 }
 
 // host is one host's relay and group.
@@ -51,6 +52,7 @@
 
 // Host opens a connection to a host, as a dialer does.
 func (p *pipes) Host(_ context.Context, n news.News) (*remote.Remote, error) {
+	p.asked++
 	h, ok := p.hosts[n.Host]
 	if !ok || h.down {
 		return nil, errors.New("refused")
@@ -177,6 +179,21 @@
 	}
 }
 
+// A host that is gone for good stays registered; it is asked less and less.
+func TestHostThatIsGoneIsAskedSeldom(t *testing.T) {
+	network(t, func(t *testing.T, p *pipes, c *crew.Crew, _ *band.Band) {
+		is := is.New(t)
+		p.hosts["gate-1"].down, p.hosts["gate-2"].down = true, true
+		for range 600 {
+			l, err := c.Take(t.Context(), "g-0", caller.Caller{}, 0)
+			is.NoErr(err)
+			c.Put(l)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(p.asked <= 14) // two hosts, after 0, 1, 3, 7, 15, 31 and 63 s
+	})
+}
+
 // Where no other host can be reached, this one connects by itself.
 func TestOwnConnectionWhereNoHostAnswers(t *testing.T) {
 	network(t, func(t *testing.T, p *pipes, c *crew.Crew, _ *band.Band) {
--- a/process/away/away.go
+++ b/process/away/away.go
@@ -17,8 +17,11 @@
 const (
 	// idleKept is how many idle connections to a host are kept.
 	idleKept = 4
-	// badTime is how long a host that could not be reached is passed over.
-	badTime = 2 * time.Second
+	// badTime is how long a host that could not be reached is passed over; it
+	// doubles with each further failure up to badLongest, since a host that is
+	// gone for good may stay registered.
+	badTime    = time.Second
+	badLongest = time.Minute
 	// waitLimit bounds the wait for one host's connection.
 	waitLimit = 2 * time.Second
 )
@@ -32,6 +35,12 @@
 	Host(ctx context.Context, n news.News) (*remote.Remote, error)
 }
 
+// bad is what is held against a host that could not be reached.
+type bad struct {
+	until time.Duration
+	span  time.Duration
+}
+
 // Away keeps connections to other hosts. Its lock is taken after that of a
 // group.
 type Away struct {
@@ -39,13 +48,13 @@
 	dialer dialer
 	now    func() time.Duration
 	idle   map[string][]*remote.Remote
-	bad    map[string]time.Duration
+	bad    map[string]bad
 	out    map[*lane.Lane]*remote.Remote
 }
 
 // New returns an empty set.
 func New(d dialer, now func() time.Duration) *Away {
-	return &Away{dialer: d, now: now, idle: map[string][]*remote.Remote{}, bad: map[string]time.Duration{}, out: map[*lane.Lane]*remote.Remote{}}
+	return &Away{dialer: d, now: now, idle: map[string][]*remote.Remote{}, bad: map[string]bad{}, out: map[*lane.Lane]*remote.Remote{}}
 }
 
 // Take returns a connection to a target through one of the hosts, the one at
@@ -72,7 +81,7 @@
 func (a *Away) isBad(host string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.now() < a.bad[host]
+	return a.now() < a.bad[host].until
 }
 
 // from takes a connection through one host. An idle connection to it may be
@@ -91,6 +100,7 @@
 		l, err := r.Take(ctx, t.Group, t.ID, priority, wait)
 		if err == nil {
 			a.mu.Lock()
+			delete(a.bad, h.Host)
 			a.out[l] = r
 			a.mu.Unlock()
 			return l, nil
@@ -122,7 +132,8 @@
 func (a *Away) mark(host string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bad[host] = a.now() + badTime
+	span := min(max(2*a.bad[host].span, badTime), badLongest)
+	a.bad[host] = bad{a.now() + span, span}
 }
 
 func (a *Away) keep(r *remote.Remote) {
