Never call a read not run of which a try was lost

Found by reading: a read whose first answer was lost and whose later tries were refused was answered with the last refusal, which says that it did not run. The test fails with the old rule.

--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -101,7 +101,7 @@
 
 // committed takes the acknowledgement of a commit that wrote.
 func (r *Runner) committed(c *crew.Crew, target string, out reply.Reply, sent time.Duration) {
-	c.Wrote(target)
+	c.Unstall(target)
 	c.Add(out.Mark, sent)
 	r.caller = r.caller.WithFloor(out.Mark, r.now())
 }
@@ -113,7 +113,8 @@
 	}
 }
 
-// again tells whether a statement that was refused may be tried once more, after a pause.
+// again tells whether a statement that was refused may be tried once more,
+// after a pause.
 func (r *Runner) again(ctx context.Context, c *crew.Crew, t target.Target, out reply.Reply) bool {
 	if out.Code == code.NotRunNoPrimary {
 		c.Deny(t.ID)
@@ -136,31 +137,32 @@
 // read fails where the target lost the lead before it.
 func (r *Runner) readAtLeader(ctx context.Context, c *crew.Crew, rt route.Route, s stmt.Stmt) reply.Reply {
 	var last reply.Reply
-	sent := false
+	ran := false
 	for try := 1; ; try++ {
 		t, l, err := r.leaderLane(ctx, c, rt)
 		if err == nil {
-			last, err = r.provedRead(ctx, c, t, l, s, &sent)
+			last, err = r.provedRead(ctx, c, t, l, s, &ran)
 			r.note(zap.String("Target", t.ID), zap.Int("Try", try))
 		}
 		if err == nil && (last.OK() || !last.Code.NotRun()) {
 			return last
 		}
 		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) || !pause(ctx) {
-			return r.unread(last, sent, err)
+			return r.unread(last, ran, err)
 		}
 	}
 }
 
-// unread is the reply to a read that got no answer.
-func (r *Runner) unread(last reply.Reply, sent bool, err error) reply.Reply {
-	if sent && !last.Code.NotRun() {
+// unread is the reply to a read that got no answer. One of which a try may
+// have run is not called not run, whatever later tries were told.
+func (r *Runner) unread(last reply.Reply, ran bool, err error) reply.Reply {
+	if ran {
 		return reply.Refuse(code.DeadlinePassed, "no answer in time")
 	}
 	return r.notRun(last, err)
 }
 
-func (r *Runner) provedRead(ctx context.Context, c *crew.Crew, t target.Target, l *lane.Lane, s stmt.Stmt, sent *bool) (reply.Reply, error) {
+func (r *Runner) provedRead(ctx context.Context, c *crew.Crew, t target.Target, l *lane.Lane, s stmt.Stmt, ran *bool) (reply.Reply, error) {
 	begun, err := r.open(ctx, c, l, stmt.New(stmt.Own, stmt.Begin, ""))
 	if err != nil {
 		c.Drop(l)
@@ -173,9 +175,9 @@
 		}
 		return begun, nil
 	}
-	*sent = true
 	replies, err := c.RunRead(ctx, l, r.caller, s, stmt.New(stmt.Own, stmt.Rollback, ""))
 	if err != nil {
+		*ran = true
 		c.Drop(l)
 		return reply.Reply{}, err
 	}
@@ -207,20 +209,20 @@
 // read runs a read that may be served by any target whose log holds enough.
 func (r *Runner) read(ctx context.Context, c *crew.Crew, rt route.Route, s stmt.Stmt) reply.Reply {
 	var last reply.Reply
-	sent := false
+	ran := false
 	w := walk{crew: c, tried: map[string]bool{}}
 	for try := 1; ; try++ {
 		t, l, need, err := r.freshLane(ctx, &w, rt, s.Arrived)
 		if err == nil {
-			sent = true
 			last, err = r.readOnce(ctx, &w, t, l, s.WithAfter(need))
+			ran = ran || err != nil || !last.Code.NotRun()
 			r.note(zap.String("Target", t.ID), zap.Int("Try", try), zap.Stringer("After", need))
 		}
 		if err == nil && (last.OK() || !retried(last)) {
 			return last
 		}
 		if ctx.Err() != nil || errors.Is(err, crew.ErrUnsent) {
-			return r.unread(last, sent, err)
+			return r.unread(last, ran, err)
 		}
 	}
 }
--- a/process/crew/wrong.go
+++ b/process/crew/wrong.go
@@ -78,8 +78,9 @@
 	c.alarm()
 }
 
-// Wrote notes that a write at a target was acknowledged.
-func (c *Crew) Wrote(id string) {
+// Unstall notes that writes at a target end: one was acknowledged, or they only
+// take long.
+func (c *Crew) Unstall(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if id == c.leader {
--- a/process/promo/promo.go
+++ b/process/promo/promo.go
@@ -158,7 +158,7 @@
 func (p *Promo) replace(ctx context.Context, why string) {
 	leader, _ := p.crew.Leader()
 	if why == crew.Stalled && !p.stalled(ctx, leader) {
-		p.crew.Wrote(leader.ID)
+		p.crew.Unstall(leader.ID)
 		return
 	}
 	l, ok := p.claim(ctx, why)
--- a/standin/band/takeover_test.go
+++ b/standin/band/takeover_test.go
@@ -112,6 +112,23 @@
 	})
 }
 
+// A read that was sent and not answered may have run, whatever later targets
+// say of it.
+func TestLostReadIsNotCalledNotRun(t *testing.T) {
+	play(t, func(t *testing.T, c *course) {
+		is := is.New(t)
+		k := c.client(1, "session")
+		c.band.Deaf(1, true) // the nearest replica lacks what the session writes
+		is.True(k.run(stmt.Write, "a", "b").OK())
+		c.band.Crash(0)
+		c.band.Crash(2)
+		c.band.Lose(1)
+		r := k.run(stmt.Read, "a", "")
+		is.True(!r.OK())
+		is.True(!r.Code.NotRun())
+	})
+}
+
 // Leases that were claimed ahead serve while the store can't be reached.
 func TestTakeoverWithoutTheStore(t *testing.T) {
 	play(t, func(t *testing.T, c *course) {
