--- a/standin/band/takeover_test.go
+++ b/standin/band/takeover_test.go
@@ -120,8 +120,12 @@
 		k := c.client(1, "session")
 		c.band.Deaf(1, true) // the nearest replica lacks what the session writes
 		is.True(k.run(stmt.Write, "a", "b").OK())
-		c.band.Crash(0)
+		// Another one starts with an empty log, and the leader is gone.
 		c.band.Crash(2)
+		c.band.Deaf(2, true)
+		c.band.Rebirth(2)
+		c.band.Crash(0)
+		time.Sleep(300 * time.Millisecond)
 		c.band.Lose(1)
 		r := k.run(stmt.Read, "a", "")
 		is.True(!r.OK())
