Break mechanisms from the tests' side, through lying members

The switches for broken mechanisms in process/group are gone: the checks are seen to fail with members that report what they don't hold, tell that reads see what they don't, or forget keys.

--- a/process/group/group.go
+++ b/process/group/group.go
@@ -99,7 +99,6 @@
 	ticked     time.Time
 	wrong      string
 	wrongSince time.Time
-	broken     breakage
 	tryOrder   []int
 	quorumOpt  []func(*quorum.Quorum)
 	queueOpt   []func(*queue.Queue)
--- a/process/group/member.go
+++ b/process/group/member.go
@@ -121,7 +121,7 @@
 	if !ok || m.misses >= missesToAvoid || m.leaving || r.Primary {
 		return false
 	}
-	if !r.Applied.AtLeast(c.Floor) && !g.broken.floors {
+	if !r.Applied.AtLeast(c.Floor) {
 		return false
 	}
 	age, known := g.quorum.Age(r.Applied, now)
--- a/process/group/ran.go
+++ b/process/group/ran.go
@@ -110,7 +110,7 @@
 }
 
 func (g *Group) replicaAnswer(now time.Time, w *work, r result.Result) {
-	if !r.Mark.IsZero() && !r.Mark.AtLeast(w.call.Floor) && !w.inTx && !g.broken.floors {
+	if !r.Mark.IsZero() && !r.Mark.AtLeast(w.call.Floor) && !w.inTx {
 		g.count("ReadsRepeated")
 		g.requeue(now, w, "the replica's data was older than the session's floor")
 		return
@@ -140,10 +140,6 @@
 	}
 	w.complete = true
 	g.quorum.Wrote(g.members[w.member].name, r.Mark)
-	if g.broken.confirmation {
-		g.reply(w, false)
-		return
-	}
 	if g.recentlyHeard(now) && g.quorum.Await(w.call.ID, r.Mark) {
 		g.reply(w, false)
 		return
--- a/process/group/work.go
+++ b/process/group/work.go
@@ -58,9 +58,6 @@
 
 // Arrive takes a call whose id is new to this host.
 func (g *Group) Arrive(now time.Time, c call.Call) {
-	if g.broken.keys && c.Sent {
-		c = c.WithKey("")
-	}
 	w := &work{call: c, sent: c.Sent}
 	if t, ok := g.open[c.Session]; ok {
 		g.follow(now, t, w)
--- a/standin/replay/replay_test.go
+++ b/standin/replay/replay_test.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotray/pistachiotray/process/group"
 	"github.com/pistachiotray/pistachiotray/process/quorum"
 	"github.com/pistachiotray/pistachiotray/standin/replay"
+	"github.com/pistachiotray/pistachiotray/standin/world"
 )
 
 // testSeeds bounds the seeds of a trace in a test; the command replay plays
@@ -48,30 +49,31 @@
 // TestChecksCatch breaks a mechanism and expects the checks to see it.
 func TestChecksCatch(t *testing.T) {
 	cases := map[string]struct {
-		trace  string
-		option func(*group.Group)
-		want   string
+		trace   string
+		lie     string
+		options []func(*group.Group)
+		want    string
 	}{
 		"confirmation that ignores the term": {
-			"strih-letu-split-owners", group.WithQuorum(quorum.WithoutTermCheck()), "acknowledged",
+			"strih-letu-split-owners", "", []func(*group.Group){group.WithQuorum(quorum.WithoutTermCheck())}, "acknowledged",
 		},
 		"replacement that ignores the marks": {
-			"strih-letu-lagging-replica", group.WithElect(elect.WithoutMarks()), "lost",
+			"strih-letu-lagging-replica", "", []func(*group.Group){group.WithElect(elect.WithoutMarks())}, "lost",
 		},
 		"replies that do not wait for a majority": {
-			"vaahtera-primary-isolated", group.WithoutConfirmation(), "acknowledged",
+			"vaahtera-primary-isolated", world.LieReceived, nil, "acknowledged",
 		},
 		"reads that ignore the session's floor": {
-			"strih-letu-session-moves", group.WithoutFloors(), "own write",
+			"strih-letu-session-moves", world.LieApplied, nil, "own write",
 		},
 		"keys that are not checked": {
-			"vaahtera-owner-crashes", group.WithoutKeys(), "ran",
+			"vaahtera-owner-crashes", world.LieKeys, nil, "ran",
 		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			faults := load(t, "../../testdata/traces/"+c.trace+".jsonl").Faults(c.option)
+			faults := load(t, "../../testdata/traces/"+c.trace+".jsonl").WithLie(c.lie).Faults(c.options...)
 			if len(faults) == 0 || !strings.Contains(strings.Join(faults, "\n"), c.want) {
 				t.Fatalf("the checks saw %d faults, none with %q", len(faults), c.want)
 			}
--- a/standin/replay/run.go
+++ b/standin/replay/run.go
@@ -40,6 +40,14 @@
 	return r.play(func(line) bool { return true }, options...).faults
 }
 
+// WithLie returns the trace played with members that break one promise, as
+// package world names them.
+func (r *Replay) WithLie(lie string) *Replay {
+	lying := *r
+	lying.lie = lie
+	return &lying
+}
+
 // Tallies plays the trace and returns what became of its requests by label.
 func (r *Replay) Tallies(options ...func(*group.Group)) map[string]*tally.Tally {
 	return r.play(func(line) bool { return true }, options...).tallies
@@ -59,7 +67,7 @@
 	all := append(policyOptions(h.Policy, h.LongCap), options...)
 	w := world.New(seed,
 		world.WithSlots(h.Slots, h.Connect.d()), world.WithDelays(h.Zone.d(), h.Client.d()),
-		world.WithLag(h.Ship.d(), h.Apply.d()), world.WithOwners(h.Owners), world.WithGroup(all...))
+		world.WithLag(h.Ship.d(), h.Apply.d()), world.WithOwners(h.Owners), world.WithGroup(all...), world.WithLie(r.lie))
 	for _, l := range r.inputs {
 		if keep(l) {
 			enter(w, l)
--- a/standin/replay/trace.go
+++ b/standin/replay/trace.go
@@ -83,6 +83,7 @@
 	header header
 	inputs []line
 	wanted []line
+	lie    string
 }
 
 // defaultUntil is how long a trace runs where it does not say.
--- a/standin/world/fake.go
+++ b/standin/world/fake.go
@@ -9,6 +9,17 @@
 	"github.com/pistachiotray/pistachiotray/request/result"
 )
 
+// The ways in which members can break what they promise, to see that a check
+// notices.
+const (
+	// LieReceived reports all that any primary holds as received.
+	LieReceived = "received"
+	// LieApplied tells that reads see all that the primary holds.
+	LieApplied = "applied"
+	// LieKeys forgets which idempotency keys ran.
+	LieKeys = "keys"
+)
+
 // entry is one committed write in a member's log.
 type entry struct {
 	term uint64
@@ -76,11 +87,25 @@
 
 func (m *fake) report() report.Report {
 	return report.Report{
-		Member: m.name, Term: m.term, Primary: m.primary, Received: m.markAt(len(m.log)),
-		Applied: m.markAt(m.applied), Base: m.base, Leaving: m.leaving, Slots: m.world.slots,
+		Member: m.name, Term: m.term, Primary: m.primary, Received: m.told(LieReceived, m.markAt(len(m.log))),
+		Applied: m.told(LieApplied, m.markAt(m.applied)), Base: m.base, Leaving: m.leaving, Slots: m.world.slots,
 	}
 }
 
+// told returns a mark, or the newest that any primary holds where the members
+// lie in that way.
+func (m *fake) told(lie string, at mark.Mark) mark.Mark {
+	if m.world.lie != lie {
+		return at
+	}
+	for _, o := range m.world.members {
+		if end := o.markAt(len(o.log)); o.primary {
+			at = at.Max(end)
+		}
+	}
+	return at
+}
+
 func (m *fake) markAt(n int) mark.Mark {
 	if n == 0 {
 		return mark.Mark{}
@@ -286,6 +311,9 @@
 
 // holds returns the kind of a key in the member's log, or an empty text.
 func (m *fake) holds(key string) string {
+	if m.world.lie == LieKeys {
+		return ""
+	}
 	return m.kinds[key]
 }
 
@@ -294,7 +322,7 @@
 	if s.open {
 		status = result.Open
 	}
-	r := result.New(status, m.markAt(m.applied)).WithMember(m.term, m.primary).WithRefused(refused).WithConflict(conflict)
+	r := result.New(status, m.told(LieApplied, m.markAt(m.applied))).WithMember(m.term, m.primary).WithRefused(refused).WithConflict(conflict)
 	return outcome{result: r, seen: m.applied, term: m.term}
 }
 
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -62,6 +62,7 @@
 	size         int
 	ownerCount   int
 	groupOptions []func(*group.Group)
+	lie          string
 
 	members  []*fake
 	owners   []*keeper
@@ -104,6 +105,11 @@
 	return func(w *World) { w.groupOptions = append(w.groupOptions, options...) }
 }
 
+// WithLie returns an option that has the members break one promise.
+func WithLie(lie string) func(*World) {
+	return func(w *World) { w.lie = lie }
+}
+
 // New returns a world whose first member leads term 1 and whose first host
 // owns the group.
 func New(seed uint64, options ...func(*World)) *World {
