--- a/process/elect/elect.go
+++ b/process/elect/elect.go
@@ -66,24 +66,12 @@
 	chosen   string
 	prefer   string
 	leaving  map[string]bool
-	ignore   bool
 }
 
 // New returns an election among members. The jitter is added to each pause
 // and differs between hosts.
-func New(members []string, jitter time.Duration, out duties, options ...func(*Elect)) *Elect {
-	e := &Elect{out: out, members: members, jitter: jitter, leaving: map[string]bool{}}
-	for _, o := range options {
-		o(e)
-	}
-	return e
-}
-
-// WithoutMarks returns an option that promotes the first member to answer,
-// whatever it holds. It exists so that tests can show that the checks catch
-// the fault it makes.
-func WithoutMarks() func(*Elect) {
-	return func(e *Elect) { e.ignore = true }
+func New(members []string, jitter time.Duration, out duties) *Elect {
+	return &Elect{out: out, members: members, jitter: jitter, leaving: map[string]bool{}}
 }
 
 // Seen takes a member's report.
@@ -211,7 +199,7 @@
 }
 
 func (e *Elect) rank(a, b string) int {
-	if c := e.granted[b].Compare(e.granted[a]); c != 0 && !e.ignore {
+	if c := e.granted[b].Compare(e.granted[a]); c != 0 {
 		return c
 	}
 	if (a == e.prefer) != (b == e.prefer) {
--- a/process/group/group.go
+++ b/process/group/group.go
@@ -100,9 +100,7 @@
 	wrong      string
 	wrongSince time.Time
 	tryOrder   []int
-	quorumOpt  []func(*quorum.Quorum)
 	queueOpt   []func(*queue.Queue)
-	electOpt   []func(*elect.Elect)
 }
 
 // New returns a group of at most eight members, not yet active.
@@ -132,8 +130,8 @@
 		g.index[m] = i
 		g.members = append(g.members, &member{name: m, limit: g.slots})
 	}
-	g.quorum = quorum.New(len(members), g.quorumOpt...)
-	g.elect = elect.New(members, g.jitter, g, g.electOpt...)
+	g.quorum = quorum.New(len(members))
+	g.elect = elect.New(members, g.jitter, g)
 	g.queue = queue.New(members, g.queueOpt...)
 	return g
 }
@@ -175,21 +173,11 @@
 	}
 }
 
-// WithQuorum returns an option that passes options to the group's quorum.
-func WithQuorum(options ...func(*quorum.Quorum)) func(*Group) {
-	return func(g *Group) { g.quorumOpt = options }
-}
-
 // WithQueue returns an option that passes options to the group's queue.
 func WithQueue(options ...func(*queue.Queue)) func(*Group) {
 	return func(g *Group) { g.queueOpt = append(g.queueOpt, options...) }
 }
 
-// WithElect returns an option that passes options to the group's election.
-func WithElect(options ...func(*elect.Elect)) func(*Group) {
-	return func(g *Group) { g.electOpt = options }
-}
-
 // Name returns the group's name.
 func (g *Group) Name() string {
 	return g.name
--- a/process/quorum/quorum.go
+++ b/process/quorum/quorum.go
@@ -39,33 +39,22 @@
 // a majority of members holds it in the term in which it was written and
 // follows no higher term. It has no lock and no clock of its own.
 type Quorum struct {
-	size       int
-	primary    string
-	term       uint64
-	base       mark.Mark
-	seen       map[string]observation
-	confirmed  mark.Mark
-	waiting    []waiter
-	indexing   []indexWaiter
-	index      mark.Mark
-	indexedAt  time.Time
-	samples    []sample
-	ignoreTerm bool
+	size      int
+	primary   string
+	term      uint64
+	base      mark.Mark
+	seen      map[string]observation
+	confirmed mark.Mark
+	waiting   []waiter
+	indexing  []indexWaiter
+	index     mark.Mark
+	indexedAt time.Time
+	samples   []sample
 }
 
 // New returns the quorum of a group of size members.
-func New(size int, options ...func(*Quorum)) *Quorum {
-	q := &Quorum{size: size, seen: map[string]observation{}}
-	for _, o := range options {
-		o(q)
-	}
-	return q
-}
-
-// WithoutTermCheck returns an option that counts reports of any term. It
-// exists so that tests can show that the checks catch the fault it makes.
-func WithoutTermCheck() func(*Quorum) {
-	return func(q *Quorum) { q.ignoreTerm = true }
+func New(size int) *Quorum {
+	return &Quorum{size: size, seen: map[string]observation{}}
 }
 
 // Observe takes a member's report that was asked for at the time asked.
@@ -121,9 +110,6 @@
 }
 
 func (q *Quorum) holds(r report.Report) bool {
-	if q.ignoreTerm {
-		return true
-	}
 	return r.Term == q.term && r.Received.Term == q.term
 }
 
@@ -154,7 +140,7 @@
 	}
 	var others []time.Time
 	for name, o := range q.seen {
-		if name != q.primary && (o.report.Term == q.term || q.ignoreTerm) {
+		if name != q.primary && o.report.Term == q.term {
 			others = append(others, o.asked)
 		}
 	}
--- a/standin/replay/replay_test.go
+++ b/standin/replay/replay_test.go
@@ -8,9 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/pistachiotray/pistachiotray/process/elect"
-	"github.com/pistachiotray/pistachiotray/process/group"
-	"github.com/pistachiotray/pistachiotray/process/quorum"
 	"github.com/pistachiotray/pistachiotray/standin/replay"
 	"github.com/pistachiotray/pistachiotray/standin/world"
 )
@@ -49,31 +46,30 @@
 // TestChecksCatch breaks a mechanism and expects the checks to see it.
 func TestChecksCatch(t *testing.T) {
 	cases := map[string]struct {
-		trace   string
-		lie     string
-		options []func(*group.Group)
-		want    string
+		trace string
+		lie   string
+		want  string
 	}{
 		"confirmation that ignores the term": {
-			"strih-letu-split-owners", "", []func(*group.Group){group.WithQuorum(quorum.WithoutTermCheck())}, "acknowledged",
+			"strih-letu-split-owners", world.LieTerm, "acknowledged",
 		},
 		"replacement that ignores the marks": {
-			"strih-letu-lagging-replica", "", []func(*group.Group){group.WithElect(elect.WithoutMarks())}, "lost",
+			"strih-letu-lagging-replica", world.LieMarks, "lost",
 		},
 		"replies that do not wait for a majority": {
-			"vaahtera-primary-isolated", world.LieReceived, nil, "acknowledged",
+			"vaahtera-primary-isolated", world.LieReceived, "acknowledged",
 		},
 		"reads that ignore the session's floor": {
-			"strih-letu-session-moves", world.LieApplied, nil, "own write",
+			"strih-letu-session-moves", world.LieApplied, "own write",
 		},
 		"keys that are not checked": {
-			"vaahtera-owner-crashes", world.LieKeys, nil, "ran",
+			"vaahtera-owner-crashes", world.LieKeys, "ran",
 		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			faults := load(t, "../../testdata/traces/"+c.trace+".jsonl").WithLie(c.lie).Faults(c.options...)
+			faults := load(t, "../../testdata/traces/"+c.trace+".jsonl").WithLie(c.lie).Faults()
 			if len(faults) == 0 || !strings.Contains(strings.Join(faults, "\n"), c.want) {
 				t.Fatalf("the checks saw %d faults, none with %q", len(faults), c.want)
 			}
--- a/standin/world/fake.go
+++ b/standin/world/fake.go
@@ -16,6 +16,10 @@
 	LieReceived = "received"
 	// LieApplied tells that reads see all that the primary holds.
 	LieApplied = "applied"
+	// LieTerm reports in the term of the oldest primary that there is.
+	LieTerm = "term"
+	// LieMarks reports an empty log to whoever fences a member.
+	LieMarks = "marks"
 	// LieKeys forgets which idempotency keys ran.
 	LieKeys = "keys"
 )
@@ -86,12 +90,29 @@
 }
 
 func (m *fake) report() report.Report {
+	if m.world.lie == LieTerm {
+		return m.reportOld()
+	}
 	return report.Report{
 		Member: m.name, Term: m.term, Primary: m.primary, Received: m.told(LieReceived, m.markAt(len(m.log))),
 		Applied: m.told(LieApplied, m.markAt(m.applied)), Base: m.base, Leaving: m.leaving, Slots: m.world.slots,
 	}
 }
 
+// reportOld reports as if the oldest primary still led.
+func (m *fake) reportOld() report.Report {
+	term := m.term
+	for _, o := range m.world.members {
+		if o.primary {
+			term = min(term, o.term)
+		}
+	}
+	return report.Report{
+		Member: m.name, Term: term, Primary: m.primary, Received: mark.New(term, uint64(len(m.log))),
+		Applied: m.markAt(m.applied), Base: m.base, Leaving: m.leaving, Slots: m.world.slots,
+	}
+}
+
 // told returns a mark, or the newest that any primary holds where the members
 // lie in that way.
 func (m *fake) told(lie string, at mark.Mark) mark.Mark {
--- a/standin/world/keeper.go
+++ b/standin/world/keeper.go
@@ -132,7 +132,7 @@
 				k.group.Denied(k.world.now, name, got.r.Term)
 				return
 			}
-			k.group.Granted(k.world.now, name, term, got.r.Received)
+			k.group.Granted(k.world.now, name, term, k.world.granted(got.r))
 		},
 		func() { k.group.Denied(k.world.now, name, 0) })
 }
@@ -289,3 +289,11 @@
 
 // Note does nothing.
 func (k *keeper) Note(string, string, string) {}
+
+// granted returns what a member says that it holds as it is fenced.
+func (w *World) granted(r report.Report) mark.Mark {
+	if w.lie == LieMarks {
+		return mark.Mark{}
+	}
+	return r.Received
+}
