Count a statement's own use when its wait for a connection is judged

Finding: TestRefusedAtOnceWhereTheWaitIsTooLong failed once. Traced: the fifth that waits was expected to get its turn just before its time was over, got it in the same instant, and was refused after a second.

--- a/process/stock/stock.go
+++ b/process/stock/stock.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// hopeful tells whether a connection is expected to come free before the
-// context ends: those ahead take their turns on what is open, or may be.
+// hopeful tells whether a connection is expected to come free in time to be
+// used before the context ends: those ahead take their turns on what is open.
 func (s *Stock) hopeful(ctx context.Context, priority int) bool {
 	deadline, ok := ctx.Deadline()
 	if !ok || s.count == 0 {
@@ -132,7 +132,7 @@
 			ahead++
 		}
 	}
-	return time.Duration(ahead)*s.held/time.Duration(s.count) < time.Until(deadline)
+	return time.Duration(ahead)*s.held/time.Duration(s.count)+s.held < time.Until(deadline)
 }
 
 // leave takes a waiter out; a connection granted meanwhile goes back.
