--- a/process/watch/watch.go
+++ b/process/watch/watch.go
@@ -42,14 +42,26 @@
 	source source
 	table  string
 	pace   time.Duration
+	// second is the pause after the first listing.
+	second time.Duration
 	apply  func(rows []record.Row, version uint64, whole bool)
 	failed time.Time
 }
 
 // New returns a watch of a table that asks at most once in a pace. Apply gets
 // the changed rows, or the whole table.
-func New(log *zap.Logger, s source, table string, pace time.Duration, apply func(rows []record.Row, version uint64, whole bool)) *Watch {
-	return &Watch{log: log, source: s, table: table, pace: pace, apply: apply}
+func New(log *zap.Logger, s source, table string, pace time.Duration, apply func(rows []record.Row, version uint64, whole bool), options ...func(*Watch)) *Watch {
+	w := &Watch{log: log, source: s, table: table, pace: pace, second: pace, apply: apply}
+	for _, o := range options {
+		o(w)
+	}
+	return w
+}
+
+// WithSecond returns an option that asks again sooner after the first listing,
+// for a table to which many write as they start together.
+func WithSecond(pause time.Duration) func(*Watch) {
+	return func(w *Watch) { w.second = pause }
 }
 
 // Run follows the table until the context ends.
@@ -67,7 +79,8 @@
 				w.apply(rows, next, !listed)
 			}
 			version, listed = next, true
-			w.sleep(ctx, w.pace)
+			w.sleep(ctx, w.second)
+			w.second = w.pace
 			continue
 		}
 		if errors.Is(err, ErrHistory) {
--- /dev/null
+++ b/process/watch/watch_test.go
@@ -0,0 +1,81 @@
+package watch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/watch"
+)
+
+// store answers each call with the next of its steps.
+type store struct {
+	began time.Time
+	asked []time.Duration
+	steps []step
+}
+
+type step struct {
+	rows []record.Row
+	next uint64
+	err  error
+}
+
+func (s *store) take() ([]record.Row, uint64, error) {
+	s.asked = append(s.asked, time.Since(s.began).Round(time.Second))
+	if len(s.steps) == 0 {
+		return nil, 0, errors.New("down")
+	}
+	n := s.steps[0]
+	s.steps = s.steps[1:]
+	return n.rows, n.next, n.err
+}
+
+func (s *store) List(context.Context, string) ([]record.Row, uint64, error) { return s.take() }
+func (s *store) Feed(context.Context, string, uint64, time.Duration) ([]record.Row, uint64, error) {
+	return s.take()
+}
+
+func run(t *testing.T, s *store, length time.Duration, f func(version uint64, whole bool), options ...func(*watch.Watch)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s.began = time.Now()
+		ctx, stop := context.WithTimeout(t.Context(), length)
+		defer stop()
+		watch.New(zap.NewNop(), s, "t", 15*time.Second, func(_ []record.Row, version uint64, whole bool) { f(version, whole) }, options...).Run(ctx)
+	})
+}
+
+// A host that starts again must know the others at once, and those that start
+// together must not wait a whole pace for each other.
+func TestListedAtOnceAndAgainSoon(t *testing.T) {
+	is := is.New(t)
+	row := []record.Row{record.New("a", nil)}
+	s := &store{steps: []step{{row, 1, nil}, {row, 2, nil}, {row, 3, nil}}}
+	run(t, s, 20*time.Second, func(uint64, bool) {}, watch.WithSecond(3*time.Second))
+	is.Equal(s.asked[:2], []time.Duration{0, 3 * time.Second})
+	is.True(s.asked[2] >= 15*time.Second)
+}
+
+func TestListedAnewAfterLostHistory(t *testing.T) {
+	is := is.New(t)
+	row := []record.Row{record.New("a", nil)}
+	s := &store{steps: []step{{row, 1, nil}, {nil, 0, watch.ErrHistory}, {row, 9, nil}}}
+	var whole []bool
+	run(t, s, 40*time.Second, func(_ uint64, w bool) { whole = append(whole, w) })
+	is.Equal(whole, []bool{true, true})
+}
+
+func TestFailuresAreFollowedByLongerPauses(t *testing.T) {
+	is := is.New(t)
+	s := &store{}
+	run(t, s, time.Minute, func(uint64, bool) { t.Error("nothing was listed") })
+	is.True(len(s.asked) >= 30) // it goes on asking
+	is.True(len(s.asked) <= 120)
+}
