Don't take a machine that answers for another target as the one that is gone

Opening a connection was refused with NotRunWrongTarget, the probe found that the machine accepts connections, and so on every 0.1 s. Such a target now fails until a connection to it is accepted or its registration changes.

--- /dev/null
+++ b/process/crew/address_test.go
@@ -0,0 +1,54 @@
+package crew_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/lane"
+	"github.com/pistachiotray/pistachiotray/process/crew"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/code"
+)
+
+// reused is a network in which another target has the address.
+type reused struct{ opened atomic.Int64 }
+
+func (r *reused) Open(context.Context, target.Target) (*lane.Lane, error) {
+	r.opened.Add(1)
+	return nil, errors.Wrap(code.NotRunWrongTarget, "i-other")
+}
+func (*reused) Reach(context.Context, target.Target) error { return nil }
+
+// A machine that accepts connections for another target must not make the one
+// that is gone count as answering, over and over.
+func TestReusedAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		n := &reused{}
+		c := crew.New("g", zap.NewNop(), n, func() time.Duration { return time.Hour + time.Since(began) }, func(string) time.Duration { return 0 })
+		gone := target.New("i-gone", "g", "10.0.0.1:1", "z").WithSlots(5)
+		c.Update([]target.Target{gone}, target.Target{}, 32)
+		defer func() {
+			c.Update(nil, target.Target{}, 32)
+			time.Sleep(time.Minute)
+		}()
+		_, err := c.Take(t.Context(), "i-gone", caller.Caller{}, 0)
+		is.True(errors.Is(err, code.NotRunWrongTarget))
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			_, ok := c.Pick(nil)
+			is.True(!ok) // no read is sent there
+			_, err := c.Take(t.Context(), "i-gone", caller.Caller{}, 0)
+			is.True(errors.Is(err, crew.ErrFails))
+		}
+	})
+}
--- a/process/crew/crew.go
+++ b/process/crew/crew.go
@@ -98,7 +98,8 @@
 	// failing is since when it doesn't, or 0.
 	failing time.Duration
 	probing bool
-	// mute tells that the machine accepts connections on which nothing answers.
+	// mute tells that the machine accepts connections on which nothing
+	// answers, or another target.
 	mute bool
 	// reads holds what ends the reads under way.
 	reads map[uint64]func()
--- a/process/crew/health.go
+++ b/process/crew/health.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/lane"
 	"github.com/pistachiotray/pistachiotray/process/stock"
 	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -25,9 +26,11 @@
 	probeTimeout = 250 * time.Millisecond
 	// muteAfter is how long a target must be silent on all connections, and
 	// on a new one, before it counts as failing although its machine accepts
-	// connections; muteTimeout bounds each further try.
+	// connections; muteTimeout bounds each further try, mutePause is the pause
+	// between them.
 	muteAfter   = 1500 * time.Millisecond
 	muteTimeout = time.Second
+	mutePause   = 500 * time.Millisecond
 	// probePause is the pause between the probes of a target that fails.
 	probePause = 150 * time.Millisecond
 	// downAfter is how long a target must fail before nothing more is
@@ -148,7 +151,8 @@
 		c.hear(s)
 		return
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.now()-s.heard > muteAfter {
+	// Another target may have the address by now; its machine answers too.
+	if errors.Is(err, code.NotRunWrongTarget) || errors.Is(err, os.ErrDeadlineExceeded) && c.now()-s.heard > muteAfter {
 		s.mute = true
 	}
 	c.fail(s, err)
@@ -192,10 +196,21 @@
 		if !c.probed(s, t.ID, asked, err) {
 			return
 		}
-		time.Sleep(probePause)
+		time.Sleep(c.pauseOf(s))
 	}
 }
 
+// pauseOf returns the pause before the next probe: one that opens a connection
+// costs the target more.
+func (c *Crew) pauseOf(s *seat) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.mute {
+		return mutePause
+	}
+	return probePause
+}
+
 // probeOnce asks whether the target's machine accepts connections or, where it
 // does and nothing answers on them, whether the target does.
 func (c *Crew) probeOnce(s *seat, t target.Target) error {
