End the stand-in store's held questions with it

Test runs of platform/node took up to 100 s: the stand-in's server waited for questions that it held for 28 s, asked again by the node between the two steps of its end.

--- a/standin/wired/wired.go
+++ b/standin/wired/wired.go
@@ -43,6 +43,9 @@
 	addresses map[string]string
 	listeners []net.Listener
 	proxy     func(address string) string
+	// closed ends the questions that the store holds.
+	closed chan struct{}
+	once   sync.Once
 }
 
 // New returns an empty platform.
@@ -50,6 +53,7 @@
 	return &Wired{
 		began: time.Now(), rows: map[[2]string]row{}, changed: make(chan struct{}),
 		bands: map[string]*band.Band{}, addresses: map[string]string{}, proxy: func(address string) string { return address },
+		closed: make(chan struct{}),
 	}
 }
 
@@ -183,6 +187,9 @@
 			return
 		case <-r.Context().Done():
 			return
+		case <-w.closed:
+			out.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
 	}
 }
@@ -246,8 +253,9 @@
 	}
 }
 
-// Close ends the members' listeners.
+// Close ends the members' listeners and the questions that the store holds.
 func (w *Wired) Close() {
+	w.once.Do(func() { close(w.closed) })
 	for _, l := range w.listeners {
 		_ = l.Close()
 	}
