--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -66,13 +66,6 @@
 	return &Runner{tables: t, trail: tr, now: now, caller: c}
 }
 
-// Busy tells whether the session is inside a transaction.
-func (r *Runner) Busy() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.caller.Status != reply.Idle
-}
-
 // Run runs one statement and returns its reply. The context ends when the
 // caller is gone.
 func (r *Runner) Run(ctx context.Context, s stmt.Stmt) reply.Reply {
--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -9,6 +9,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/lane"
 	"github.com/pistachiotray/pistachiotray/process/crew"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/mark"
@@ -35,14 +36,7 @@
 
 // pause waits before another try. It reports false where the time is over.
 func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, retryPause)
 }
 
 // patience bounds the wait for a leader where none is expected soon: a caller
--- a/process/promo/gather.go
+++ b/process/promo/gather.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
@@ -23,7 +24,7 @@
 			return reports, complete
 		}
 		term = max(term, highest+1)
-		p.sleep(ctx, look)
+		sleep.For(ctx, look)
 	}
 }
 
--- a/process/promo/promo.go
+++ b/process/promo/promo.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotray/pistachiotray/process/crew"
 	"github.com/pistachiotray/pistachiotray/process/lease"
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -100,10 +101,10 @@
 				break
 			}
 			if due {
-				p.sleep(ctx, rand.N(jitter))
+				sleep.For(ctx, rand.N(jitter))
 				p.replace(ctx, why)
 			}
-			p.sleep(ctx, look)
+			sleep.For(ctx, look)
 		}
 		// A token that was claimed under another leader is too low by now.
 		if leader, ok := p.crew.Leader(); ok && leader.ID != p.reserve.Target {
@@ -112,15 +113,6 @@
 	}
 }
 
-func (p *Promo) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // renewal returns a channel that receives when a lease should be claimed
 // ahead, and what ends the wait.
 func (p *Promo) renewal() (<-chan time.Time, func()) {
@@ -205,7 +197,7 @@
 			p.log.Info("handover ready", zap.Any("Heir", r), zap.Any("Others", reports))
 			return next.ID, true
 		}
-		p.sleep(ctx, look)
+		sleep.For(ctx, look)
 	}
 	return "", false
 }
@@ -246,7 +238,7 @@
 		p.log.Info("stall not checked", zap.String("Error", err.Error()))
 		return false
 	}
-	p.sleep(ctx, stalledTime)
+	sleep.For(ctx, stalledTime)
 	for _, t := range p.crew.Targets() {
 		if t.ID == leader.ID {
 			continue
@@ -373,7 +365,7 @@
 				p.log.Info("promoted target not asked", zap.String("Target", id), zap.String("Error", err.Error()))
 			}
 		}
-		p.sleep(ctx, followPause)
+		sleep.For(ctx, followPause)
 	}
 	return false
 }
--- a/process/watch/watch.go
+++ b/process/watch/watch.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 const (
@@ -120,10 +121,5 @@
 	if d <= 0 {
 		return
 	}
-	t := time.NewTimer(d*9/10 + rand.N(d/5+1))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	sleep.For(ctx, d*9/10+rand.N(d/5+1))
 }
--- a/standin/band/band.go
+++ b/standin/band/band.go
@@ -121,12 +121,6 @@
 	return b
 }
 
-// WithDelay returns an option that sets the time in which a commit reaches a
-// replica.
-func WithDelay(d time.Duration) func(*Band) {
-	return func(b *Band) { b.delay = d }
-}
-
 // WithConnections returns an option that sets how many connections a member takes.
 func WithConnections(n int) func(*Band) {
 	return func(b *Band) { b.most = n }
