--- a/standin/deploy/deployment_test.go
+++ b/standin/deploy/deployment_test.go
@@ -262,6 +262,7 @@
 func TestLargeAnswerComesWhole(t *testing.T) {
 	is := is.New(t)
 	d, ctx := startDeployment(t)
+	publishLongDeadline(ctx, t, d)
 	query := `WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 20000)
 		SELECT i, hex(zeroblob(100)) FROM n`
 	for i := range 3 {
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -443,6 +443,24 @@
 	}
 }
 
+// injectForgottenLeaders makes host 1 replace the leader again and again while host
+// 0 gets no registrations, and keeps the replaced leaders from receiving. A read of a
+// primary route at host 0 is fresh only if a replaced leader refuses it.
+func (c *testCluster) injectForgottenLeaders(random *rand.Rand) {
+	for c.ctx.Err() == nil {
+		leader := max(c.group.Leader(), 0)
+		c.registrationsCut[0].Store(true)
+		c.group.SetPartitioned(leader, 1, true)
+		time.Sleep(time.Duration(1500+random.IntN(1500)) * time.Millisecond)
+		c.group.SetReceiveBlocked(leader, true)
+		time.Sleep(time.Duration(500+random.IntN(1000)) * time.Millisecond)
+		c.group.SetReceiveBlocked(leader, false)
+		c.group.SetPartitioned(leader, 1, false)
+		c.registrationsCut[0].Store(false)
+		time.Sleep(time.Second)
+	}
+}
+
 // checkLogs compares the leader's log at the end with the answers that the callers
 // got.
 func (c *testCluster) checkLogs() {
@@ -474,6 +492,11 @@
 // runSeed performs the random run of a seed on a virtual clock. It returns the
 // violations and the number of reads served.
 func runSeed(t *testing.T, seed uint64, options ...func(*qgroup.Group)) (violations []string, readsServed int) {
+	return runFaults(t, seed, (*testCluster).injectFaults, options...)
+}
+
+// runFaults is like runSeed, with the given faults.
+func runFaults(t *testing.T, seed uint64, inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		runCtx, endRun := context.WithCancel(ctx)
@@ -484,7 +507,7 @@
 		for i := range 6 {
 			done.Go(c.newSession(i, rand.New(rand.NewPCG(seed, uint64(i)))).play)
 		}
-		done.Go(func() { c.injectFaults(rand.New(rand.NewPCG(seed, 100))) })
+		done.Go(func() { inject(c, rand.New(rand.NewPCG(seed, 100))) })
 		time.Sleep(runTime)
 		endRun()
 		done.Wait()
@@ -531,6 +554,21 @@
 	}
 }
 
+// TestForgottenLeadersServeNothingStale checks the promises while a host does not
+// learn that its leader was replaced.
+func TestForgottenLeadersServeNothingStale(t *testing.T) {
+	const seeds = 20
+	for seed := uint64(1); seed <= seeds; seed++ {
+		violations, readsServed := runFaults(t, seed, (*testCluster).injectForgottenLeaders)
+		for _, v := range violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		if readsServed == 0 {
+			t.Errorf("seed %d: no read was served", seed)
+		}
+	}
+}
+
 // TestChecksNotice makes the members break one promise at a time. The check of
 // that promise must report the violation in one of at most maxSeeds runs.
 func TestChecksNotice(t *testing.T) {
@@ -540,8 +578,13 @@
 		qgroup.BreakRefusals: "TWICE", qgroup.BreakDurability: "LOST", qgroup.BreakReadOnly: "STALE",
 	} {
 		t.Run(promise, func(t *testing.T) {
+			inject := (*testCluster).injectFaults
+			if promise == qgroup.BreakReadOnly {
+				// Random faults rarely leave a host with a leader that was replaced.
+				inject = (*testCluster).injectForgottenLeaders
+			}
 			for seed := uint64(1); seed <= maxSeeds; seed++ {
-				violations, _ := runSeed(t, seed, qgroup.WithBrokenPromise(promise))
+				violations, _ := runFaults(t, seed, inject, qgroup.WithBrokenPromise(promise))
 				if slices.ContainsFunc(violations, func(v string) bool { return strings.HasPrefix(v, verdict) }) {
 					return
 				}
