Let one host read the store and pass the news on; ask it with short waits

The wait follows from ConfigApplyMs and DrainTimeoutMs now, and one host asks for all: each zone's first host follows it, the others follow the first of their zone. A host whose copy is older than a bound that follows from the same settings reads the store itself. Hosts stop reading a group's lease once enough have reserved it.

--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -7,6 +7,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/batch"
 	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -23,6 +24,9 @@
 	// Put gives back the borrowed connection, on which no transaction may be open. It
 	// has no answer.
 	Put
+	// Follow asks for the changes of the platform's tables that the other host knows.
+	// It waits for a change for up to WaitMs.
+	Follow
 )
 
 // Parcel is a request or an answer. It is encoded by encoding/gob, which writes
@@ -58,6 +62,13 @@
 	Sent bool
 	// Kept means that the connection remains lent after the batch.
 	Kept bool
+	// Known holds, in a request with the verb Follow, the version of each table that
+	// the asking host knows, 0 if it knows nothing of the table.
+	Known map[string]uint64
+	// News is the answer to the verb Follow, and HeldMs the time for which the
+	// question waited, in milliseconds.
+	News   []delta.Delta
+	HeldMs int64
 	// Fault is the reason why the request failed, or empty.
 	Fault string
 }
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
+	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/rset"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -31,18 +32,27 @@
 	ReplicaSet(group string) (*rset.ReplicaSet, bool)
 }
 
-// Relay serves the hosts that borrow connections.
+// news is this host's copy of the platform's tables.
+type news interface {
+	// Next waits until a table has changes after the known version, or until the
+	// context ends, and returns the changes of every table.
+	Next(ctx context.Context, known map[string]uint64) []delta.Delta
+}
+
+// Relay serves the hosts that borrow connections or follow the platform's tables.
 type Relay struct {
 	log    *zap.Logger
 	groups groups
+	news   news
 	// lent counts the connections in use by other hosts.
 	lent     atomic.Int64
 	stopping atomic.Bool
 }
 
-// New returns a relay that lends the connections of the groups.
-func New(log *zap.Logger, g groups) *Relay {
-	return &Relay{log: log, groups: g}
+// New returns a relay that lends the connections of the groups and passes on the
+// changes of the platform's tables.
+func New(log *zap.Logger, g groups, n news) *Relay {
+	return &Relay{log: log, groups: g, news: n}
 }
 
 // Serve accepts connections of other hosts until the listener is closed.
@@ -110,6 +120,9 @@
 // handle answers one request. Run requires that a connection is lent; Take and
 // Report require that none is. Any other request is answered with a fault.
 func (b *borrower) handle(p parcel.Parcel) parcel.Parcel {
+	if p.Verb == parcel.Follow {
+		return b.relay.follow(p)
+	}
 	ctx, stop := requestContext(p)
 	defer stop()
 	switch {
@@ -123,6 +136,15 @@
 	return parcel.Parcel{Fault: "question out of turn"}
 }
 
+// follow answers a host that follows the platform's tables.
+func (r *Relay) follow(p parcel.Parcel) parcel.Parcel {
+	ctx, stop := context.WithTimeout(context.Background(), min(time.Duration(p.WaitMs)*time.Millisecond, maxRequestTime))
+	defer stop()
+	began := time.Now()
+	changes := r.news.Next(ctx, p.Known)
+	return parcel.Parcel{News: changes, HeldMs: time.Since(began).Milliseconds()}
+}
+
 // requestContext returns a context that ends when the time limit of the request has
 // passed, or after maxRequestTime if that is shorter. The time limit is how long the
 // other host waits for the answer.
--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -115,7 +115,7 @@
 			}
 			hosts = hosts.WithHost(n)
 			h := &host{group: rset.New("g", zap.NewNop(), b.From(i), now, noDelay), incoming: make(chan net.Conn)}
-			h.relay = relay.New(zap.NewNop(), h)
+			h.relay = relay.New(zap.NewNop(), h, nil)
 			network.hosts[name] = h
 			go h.relay.Serve(h)
 		}
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
+	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/reply"
@@ -102,6 +103,25 @@
 	return answer.Report, refusal(answer)
 }
 
+// Follow asks the other host for the changes of the platform's tables after the known
+// versions, and waits for a change for up to wait. The age of the changes counts the
+// time on the way in both directions.
+func (r *Remote) Follow(ctx context.Context, known map[string]uint64, wait time.Duration) ([]delta.Delta, error) {
+	began := time.Now()
+	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Follow, Known: known, WaitMs: wait.Milliseconds()})
+	if err != nil {
+		return nil, errors.Wrap(err, "Remote.Follow")
+	}
+	if err := refusal(answer); err != nil {
+		return nil, errors.Wrap(err, "Remote.Follow")
+	}
+	transit := max(time.Since(began)-time.Duration(answer.HeldMs)*time.Millisecond, 0)
+	for i, d := range answer.News {
+		answer.News[i] = d.WithAge(d.Age + transit)
+	}
+	return answer.News, nil
+}
+
 // Put gives the borrowed connection back to the other host, which does not answer.
 func (r *Remote) Put() error {
 	if err := r.encoder.Encode(parcel.Parcel{Verb: parcel.Put}); err != nil {
--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -44,14 +44,27 @@
 
 // WithHost returns the Assignment with a host added or updated.
 func (as Assignment) WithHost(h gossip.HostInfo) Assignment {
+	return as.WithHosts(h)
+}
+
+// WithHosts returns the Assignment with hosts added or updated.
+func (as Assignment) WithHosts(hosts ...gossip.HostInfo) Assignment {
 	as.hosts = maps.Clone(as.hosts)
 	if as.hosts == nil {
 		as.hosts = map[string]gossip.HostInfo{}
 	}
-	as.hosts[h.Host] = h
+	for _, h := range hosts {
+		as.hosts[h.Host] = h
+	}
 	return as
 }
 
+// Host returns what is known of a host, and false if the host is not known.
+func (as Assignment) Host(name string) (gossip.HostInfo, bool) {
+	h, ok := as.hosts[name]
+	return h, ok
+}
+
 // WithoutHost returns the Assignment with a host removed.
 func (as Assignment) WithoutHost(host string) Assignment {
 	as.hosts = maps.Clone(as.hosts)
@@ -59,28 +72,57 @@
 	return as
 }
 
+// Live returns the live hosts, this one included, in no particular order.
+func (as Assignment) Live() []gossip.HostInfo {
+	return slices.DeleteFunc(slices.Collect(maps.Values(as.hosts)), func(h gossip.HostInfo) bool { return h.State != gossip.Alive })
+}
+
 // Lenders returns the hosts that lend their connections to a target, nearest
 // first, and whether this host connects to the target directly. The target
 // accepts the given number of connections. If these are enough for all hosts,
 // the list is nil and every host connects directly. Otherwise only the listed
 // hosts do.
 func (as Assignment) Lenders(t target.Target, connections int) ([]gossip.HostInfo, bool) {
-	hosts := slices.DeleteFunc(slices.Collect(maps.Values(as.hosts)), func(h gossip.HostInfo) bool { return h.State != gossip.Alive })
+	hosts := as.Live()
 	if connections >= connsPerHost*len(hosts) {
 		return nil, true
 	}
-	slices.SortFunc(hosts, func(a, b gossip.HostInfo) int { return as.compare(a, b, t) })
-	hosts = hosts[:min(len(hosts), max(connections/connsPerLender, minLenders))]
+	hosts = as.nearest(hosts, t, max(connections/connsPerLender, minLenders))
 	return hosts, slices.ContainsFunc(hosts, func(h gossip.HostInfo) bool { return h.Host == as.self })
 }
 
-// DirectHostCount returns how many hosts connect directly to a target that
-// accepts the given number of connections.
-func (as Assignment) DirectHostCount(t target.Target, connections int) int {
-	hosts, _ := as.Lenders(t, connections)
-	if hosts != nil {
-		return len(hosts)
+// nearest returns the first count hosts in the order of compare. It computes the
+// weights of hosts only at the distances that are needed, and only once.
+func (as Assignment) nearest(hosts []gossip.HostInfo, t target.Target, count int) []gossip.HostInfo {
+	type weighted struct {
+		host   gossip.HostInfo
+		weight uint64
+	}
+	byDistance := [distances][]weighted{}
+	for _, h := range hosts {
+		d := as.distance(h, t)
+		byDistance[d] = append(byDistance[d], weighted{host: h})
 	}
+	var found []gossip.HostInfo
+	for _, group := range byDistance {
+		for i := range group {
+			group[i].weight = hashWeight(group[i].host, t)
+		}
+		slices.SortFunc(group, func(a, b weighted) int {
+			return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.host.Host, b.host.Host))
+		})
+		for _, w := range group {
+			found = append(found, w.host)
+		}
+		if len(found) >= count {
+			return found[:count]
+		}
+	}
+	return found
+}
+
+// LiveCount returns the number of live hosts, this one included.
+func (as Assignment) LiveCount() int {
 	n := 0
 	for _, h := range as.hosts {
 		if h.State == gossip.Alive {
@@ -108,6 +150,9 @@
 	return n
 }
 
+// distances is the number of values that distance returns.
+const distances = 3
+
 // distance returns 0 for a host in the target's zone, 1 for one in the target's
 // region and 2 for any other.
 func (as Assignment) distance(h gossip.HostInfo, t target.Target) int {
--- /dev/null
+++ b/process/follow/follower.go
@@ -0,0 +1,263 @@
+// Package follow keeps a host's copy of the platform's tables up to date through
+// another host, and decides when the host has to read the store itself.
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/remote"
+	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/mirror"
+	"github.com/pistachiotray/pistachiotray/process/ranks"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
+)
+
+const (
+	// startPatience is how long a host that knows the other hosts waits for their
+	// copy of a table before it reads the store.
+	startPatience = 400 * time.Millisecond
+	// answerMargin is the time for which a host may be silent beyond the wait of a
+	// question: some round trips between regions, or a retransmission.
+	answerMargin = 350 * time.Millisecond
+	// minSkip and maxSkip bound how long a host is not asked after it could not be
+	// reached. The time doubles with each failure in a row, since a host that never
+	// returns may stay registered.
+	minSkip = time.Second
+	maxSkip = time.Minute
+)
+
+// dialer opens connections to other hosts.
+type dialer interface {
+	// Host opens a connection to a host.
+	Host(ctx context.Context, h gossip.HostInfo) (*remote.Remote, error)
+}
+
+// Follower follows another host's copy of the tables.
+type Follower struct {
+	log    *zap.Logger
+	dialer dialer
+	mirror *mirror.Mirror
+	now    func() time.Duration
+	self   gossip.HostInfo
+	// ages holds the tables that are followed, and for each how old the copy of a
+	// host that reads the store gets.
+	ages map[string]time.Duration
+	// wait is how long a question to another host waits for a change.
+	wait time.Duration
+	// hostTable is the table from which the hosts become known. The others are not
+	// read from the store before that, for up to hostPatience after the start.
+	hostTable    string
+	hostPatience time.Duration
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// hosts are the live hosts, known since knownAt; 0 if they are not known yet.
+	hosts   []gossip.HostInfo
+	knownAt time.Duration
+	// rank is the host's place among the usable hosts until rankUntil, or until the
+	// hosts or the skipped ones change, which resets rankUntil.
+	rank      ranks.Ranks
+	rankUntil time.Duration
+	// skipped maps hosts to the period for which they are not asked.
+	skipped map[string]skipPeriod
+	started time.Duration
+}
+
+// skipPeriod is the period for which a host is not asked: its end, and its length if
+// the host could not be reached.
+type skipPeriod struct {
+	until  time.Duration
+	length time.Duration
+}
+
+// New returns a Follower of the tables of ages, which maps each to the age that the
+// copy of a host that reads the store gets. The hosts become known from hostTable,
+// normally within hostPatience.
+func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, hostTable string, hostPatience time.Duration) *Follower {
+	f := &Follower{
+		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages, hostTable: hostTable, hostPatience: hostPatience,
+		skipped: map[string]skipPeriod{}, started: now(),
+	}
+	for _, age := range ages {
+		if f.wait == 0 || age/3 < f.wait {
+			f.wait = age / 3
+		}
+	}
+	return f
+}
+
+// SetHosts sets the live hosts.
+func (f *Follower) SetHosts(hosts []gossip.HostInfo) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts, f.rankUntil = hosts, 0
+	if f.knownAt == 0 {
+		f.knownAt = f.now()
+	}
+}
+
+// place returns the host's place among the hosts that are not skipped. It returns
+// false as long as the hosts are not known.
+func (f *Follower) place() (ranks.Ranks, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.knownAt == 0 {
+		return ranks.Ranks{}, false
+	}
+	now := f.now()
+	if now < f.rankUntil {
+		return f.rank, true
+	}
+	usable := make([]gossip.HostInfo, 0, len(f.hosts))
+	f.rankUntil = now + maxSkip
+	for _, h := range f.hosts {
+		if until := f.skipped[h.Host].until; now < until {
+			f.rankUntil = min(f.rankUntil, until)
+		} else {
+			usable = append(usable, h)
+		}
+	}
+	f.rank = ranks.New(f.self, usable)
+	return f.rank, true
+}
+
+// Run asks other hosts for changes until the context ends. While this host reads the
+// store itself, it asks nobody.
+func (f *Follower) Run(ctx context.Context) {
+	var link *remote.Remote
+	defer func() { closeLink(link) }()
+	for ctx.Err() == nil {
+		r, ok := f.place()
+		if !ok || len(r.Upstreams()) == 0 {
+			sleep.For(ctx, f.wait/4)
+			continue
+		}
+		upstream := r.Upstreams()[0]
+		if link == nil || link.Host != upstream.Host {
+			closeLink(link)
+			link = nil
+		}
+		link = f.ask(ctx, link, upstream)
+		if link != nil && f.stale(r.Hops()) {
+			f.skip(upstream, 2*f.wait, 0)
+		}
+	}
+}
+
+// closeLink closes a connection, unless it is nil.
+func closeLink(link *remote.Remote) {
+	if link != nil {
+		link.Close()
+	}
+}
+
+// ask asks a host once for changes and applies them. It opens a connection if link is
+// nil, and returns the connection, or nil if the host did not answer in time.
+func (f *Follower) ask(ctx context.Context, link *remote.Remote, upstream gossip.HostInfo) *remote.Remote {
+	began := f.now()
+	askCtx, stop := context.WithTimeout(ctx, f.wait+answerMargin)
+	defer stop()
+	var err error
+	if link == nil {
+		link, err = f.dialer.Host(askCtx, upstream)
+	}
+	if err == nil {
+		err = f.exchange(askCtx, link)
+	}
+	if err == nil {
+		f.mu.Lock()
+		delete(f.skipped, upstream.Host)
+		f.mu.Unlock()
+		return link
+	}
+	if ctx.Err() == nil {
+		f.noteUnreachable(upstream, f.now()-began, err)
+	}
+	closeLink(link)
+	return nil
+}
+
+// exchange asks a host for changes over an open connection and applies them.
+func (f *Follower) exchange(ctx context.Context, link *remote.Remote) error {
+	news, err := link.Follow(ctx, f.mirror.Versions(), f.wait)
+	if err != nil {
+		return err
+	}
+	for _, d := range news {
+		f.mirror.Apply(d)
+	}
+	return nil
+}
+
+// noteUnreachable skips a host that could not be reached, for longer with each failure
+// in a row.
+func (f *Follower) noteUnreachable(h gossip.HostInfo, took time.Duration, err error) {
+	f.mu.Lock()
+	length := min(max(2*f.skipped[h.Host].length, minSkip), maxSkip)
+	f.mu.Unlock()
+	f.log.Info("upstream host lost", zap.String("Peer", h.Host), zap.Duration("Took", took), zap.Duration("Pause", length), zap.String("Error", err.Error()))
+	f.skip(h, length, length)
+}
+
+// skip makes a host not be asked for a time.
+func (f *Follower) skip(h gossip.HostInfo, d, length time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.skipped[h.Host] = skipPeriod{until: f.now() + d, length: length}
+	f.rankUntil = 0
+}
+
+// limit returns the age at which a table is stale at a host with that many hops. A
+// copy is as old as the wait at the store and at each host on the way.
+func (f *Follower) limit(table string, hops int) time.Duration {
+	return f.ages[table] + time.Duration(1+hops)*f.wait
+}
+
+// stale reports whether a table is stale.
+func (f *Follower) stale(hops int) bool {
+	for table := range f.ages {
+		if f.age(table) > f.limit(table, hops) {
+			return true
+		}
+	}
+	return false
+}
+
+// age returns for how long the store may have had newer changes of a table.
+func (f *Follower) age(table string) time.Duration {
+	return f.now() - f.mirror.FreshAt(table)
+}
+
+// Await waits until this host has to read a table from the store: it has no host to
+// follow, or what it gets through others is stale. It returns false if the context
+// ended.
+func (f *Follower) Await(ctx context.Context, table string) bool {
+	for ctx.Err() == nil {
+		if f.storeDue(table) {
+			return true
+		}
+		sleep.For(ctx, f.wait/4)
+	}
+	return false
+}
+
+// storeDue reports whether this host has to read a table from the store.
+func (f *Follower) storeDue(table string) bool {
+	r, ok := f.place()
+	fresh := f.mirror.FreshAt(table)
+	switch {
+	case !ok:
+		return table == f.hostTable || f.now()-f.started > f.hostPatience
+	case len(r.Upstreams()) == 0:
+		return true
+	case fresh == 0:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.now()-f.knownAt > startPatience
+	}
+	return f.age(table) > f.limit(table, r.Hops())+f.wait
+}
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -47,9 +47,9 @@
 	minReservePause = time.Second
 	maxReservePause = time.Minute
 	maxReserves     = 3
-	// farHostDelay is the mean delay before a host reserves the lease if at
-	// least maxReserves hosts are nearer to the leader. It leaves these hosts
-	// time to reserve the lease first.
+	// farHostDelay is the mean delay before a host reserves the lease if
+	// maxReserves hosts are nearer to the leader, and grows by as much with each
+	// further host. It leaves nearer hosts time to reserve the lease first.
 	farHostDelay = 20 * time.Second
 	// claimTimeout is the maximum duration of a claim, which is enough for a
 	// slow store. A host that can fall back on a reserved lease waits only
@@ -107,6 +107,9 @@
 	// isolated reports whether a silent leader is more likely a fault of this
 	// host than of the leader.
 	isolated func() bool
+	// settledLeader is the last leader under which enough hosts were seen to have
+	// reserved the lease.
+	settledLeader string
 	// deferredLeader is the last leader under which this host delayed its
 	// reservation of the lease to let nearer hosts reserve first.
 	deferredLeader string
@@ -194,15 +197,19 @@
 // refuses an order with a lower token than it has seen.
 func (p *Promoter) reserveLease(ctx context.Context) {
 	leader, ok := p.group.Leader()
-	if !ok || !p.group.ConnectsTo(leader.ID) {
+	if !ok || p.settledLeader == leader.ID || !p.group.ConnectsTo(leader.ID) {
 		return
 	}
-	if p.deferredLeader != leader.ID && p.group.Rank(leader) >= maxReserves {
-		p.deferredLeader, p.reservePause = leader.ID, farHostDelay/2
+	if rank := p.group.Rank(leader); p.deferredLeader != leader.ID && rank >= maxReserves {
+		p.deferredLeader, p.reservePause = leader.ID, farHostDelay/2*time.Duration(rank-maxReserves+1)
 		return
 	}
 	l, _, err := p.platform.Read(ctx, p.group.Name)
-	if err != nil || !l.Free() || l.ReserveCount(leader.ID) >= maxReserves {
+	if err == nil && l.ReserveCount(leader.ID) >= maxReserves {
+		p.settledLeader = leader.ID
+		return
+	}
+	if err != nil || !l.Free() {
 		return
 	}
 	claimed, err := p.platform.Write(ctx, l.WithReserve(p.host, leader.ID))
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -192,7 +192,11 @@
 	}
 	ts.lenders, ts.direct = rs.assignment.Lenders(ts.target, rs.maxConns)
 	ts.firstLender = rs.assignment.FirstIndex(ts.target, len(ts.lenders))
-	ts.pool.SetShare(rs.maxConns / max(rs.assignment.DirectHostCount(ts.target, rs.maxConns), 1))
+	sharing := len(ts.lenders)
+	if ts.lenders == nil {
+		sharing = rs.assignment.LiveCount()
+	}
+	ts.pool.SetShare(rs.maxConns / max(sharing, 1))
 }
 
 // WithDrainTime returns an option that sets how long a leaving leader still
--- a/process/watch/watcher.go
+++ b/process/watch/watcher.go
@@ -11,15 +11,12 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 const (
-	// feedWait is how long the store waits for a change before it answers a
-	// request. It is long because each call is charged for. Dead connections
-	// are detected by the source, not by this timeout.
-	feedWait = 28 * time.Second
 	// minPause and maxPause are the shortest and the longest pause after a
 	// failure. The pause grows with each failure in a row.
 	minPause = 100 * time.Millisecond
@@ -49,12 +46,38 @@
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]record.Row, uint64, error)
 }
 
+// mirror is the host's copy of the tables.
+type mirror interface {
+	// Version returns the version of the store up to which a table is known, or 0.
+	Version(table string) uint64
+	// Apply updates a table.
+	Apply(d delta.Delta)
+}
+
+// gate tells a Watcher when to read the store.
+type gate interface {
+	// Await waits until a table has to be read from the store. It returns false if
+	// the context ended.
+	Await(ctx context.Context, table string) bool
+}
+
+// always is a gate that is always open.
+type always struct{}
+
+func (always) Await(ctx context.Context, _ string) bool { return ctx.Err() == nil }
+
 // Watcher follows the changes of one table.
 type Watcher struct {
 	log      *zap.Logger
 	source   source
+	mirror   mirror
+	gate     gate
 	table    string
 	interval time.Duration
+	// wait is how long the store waits for a change before it answers a request. A
+	// store that falls silent may never answer the request, so the wait bounds how
+	// late a change is noticed.
+	wait time.Duration
 	// initialDelay is the pause before the first request. secondDelay is the
 	// pause after the next successful request: interval, except for the first
 	// one.
@@ -63,7 +86,6 @@
 	// prerequisite is another Watcher that this one waits for after a failure,
 	// or nil.
 	prerequisite *Watcher
-	apply        func(rows []record.Row, version uint64, whole bool)
 	// failedSince is when the current series of failures began, or zero if the
 	// last request succeeded.
 	failedSince time.Time
@@ -73,13 +95,11 @@
 	outage chan struct{}
 }
 
-// New returns a Watcher of a table that pauses for about interval after each
-// successful request. The function apply is called with the version of the
-// table and the changed rows, or all rows of the table if whole is true. After
-// a listing of the whole table it is always called, otherwise only if rows
-// changed.
-func New(log *zap.Logger, s source, table string, interval time.Duration, apply func(rows []record.Row, version uint64, whole bool), options ...func(*Watcher)) *Watcher {
-	w := &Watcher{log: log, source: s, table: table, interval: interval, secondDelay: interval, apply: apply}
+// New returns a Watcher that keeps the copy of a table in m up to date. Its requests
+// wait for a change for up to wait, and it pauses for about interval after each
+// successful one.
+func New(log *zap.Logger, s source, m mirror, table string, interval, wait time.Duration, options ...func(*Watcher)) *Watcher {
+	w := &Watcher{log: log, source: s, mirror: m, gate: always{}, table: table, interval: interval, wait: wait, secondDelay: interval}
 	for _, o := range options {
 		o(w)
 	}
@@ -99,6 +119,12 @@
 	return func(w *Watcher) { w.initialDelay = pause }
 }
 
+// WithGate returns an option that makes the Watcher read the store only when the gate
+// is open.
+func WithGate(g gate) func(*Watcher) {
+	return func(w *Watcher) { w.gate = g }
+}
+
 // WithPrerequisite returns an option that makes the Watcher wait after a failure
 // while another Watcher of the same store can't reach the store either. While
 // the store refuses calls, this reduces their number.
@@ -106,31 +132,29 @@
 	return func(w *Watcher) { w.prerequisite = other }
 }
 
-// Run lists the table and then follows its changes until the context ends. It
-// lists the table again if the store no longer has all changes since the last
-// request.
+// Run follows the table's changes until the context ends. It lists the table if the
+// copy is empty, and again if the store no longer has all changes since the copy.
 func (w *Watcher) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = minPause
 	pause.MaxInterval = maxPause
-	version, listed := uint64(0), false
+	dropped := false
 	w.sleep(ctx, w.initialDelay)
-	for ctx.Err() == nil {
-		rows, next, err := w.fetch(ctx, version, listed)
+	for w.gate.Await(ctx, w.table) {
+		version := w.mirror.Version(w.table)
+		d, err := w.fetch(ctx, version, version == 0 || dropped)
 		if err == nil {
 			w.noteSuccess()
 			pause.Reset()
-			if len(rows) > 0 || !listed {
-				w.apply(rows, next, !listed)
-			}
-			version, listed = next, true
+			w.mirror.Apply(d)
+			dropped = false
 			w.sleep(ctx, w.secondDelay)
 			w.secondDelay = w.interval
 			continue
 		}
 		if errors.Is(err, ErrHistoryDropped) {
 			w.log.Warn("store no longer has the requested history, listing the table again", zap.String("Table", w.table), zap.Uint64("Version", version))
-			listed = false
+			dropped = true
 			continue
 		}
 		w.noteFailure(err, version)
@@ -159,13 +183,21 @@
 	}
 }
 
-// fetch lists the whole table unless listed is set, in which case it waits for
-// changes after the version.
-func (w *Watcher) fetch(ctx context.Context, version uint64, listed bool) ([]record.Row, uint64, error) {
-	if !listed {
-		return w.source.List(ctx, w.table)
+// fetch lists the whole table, or waits for changes after the version. The store may
+// have answered as soon as it got the request, or when the wait was over if nothing
+// changed.
+func (w *Watcher) fetch(ctx context.Context, version uint64, whole bool) (delta.Delta, error) {
+	began := time.Now()
+	if whole {
+		rows, next, err := w.source.List(ctx, w.table)
+		return delta.New(w.table, rows, next).WithWhole(true).WithAge(time.Since(began)), err
+	}
+	rows, next, err := w.source.Feed(ctx, w.table, version, w.wait)
+	age := time.Since(began)
+	if len(rows) == 0 && age >= w.wait {
+		age -= w.wait
 	}
-	return w.source.Feed(ctx, w.table, version, feedWait)
+	return delta.New(w.table, rows, next).WithAge(age), err
 }
 
 // noteFailure records a failed request. The first failure of a series is logged
--- a/process/watch/watcher_test.go
+++ b/process/watch/watcher_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/watch"
 )
@@ -54,10 +55,19 @@
 		s.began = time.Now()
 		ctx, stop := context.WithTimeout(t.Context(), length)
 		defer stop()
-		watch.New(zap.NewNop(), s, "t", 15*time.Second, func(_ []record.Row, version uint64, whole bool) { apply(version, whole) }, options...).Run(ctx)
+		watch.New(zap.NewNop(), s, newMirror("t", apply), "t", 15*time.Second, time.Second, options...).Run(ctx)
 	})
 }
 
+// newMirror returns a mirror that calls apply with each version of the table and
+// whether the whole table was listed.
+func newMirror(table string, apply func(version uint64, whole bool)) *mirror.Mirror {
+	began := time.Now()
+	m := mirror.New(func() time.Duration { return time.Hour + time.Since(began) })
+	m.Handle(table, func(_ []record.Row, version uint64, whole bool) { apply(version, whole) })
+	return m
+}
+
 // A host that starts must learn at once about the hosts that already run. Hosts
 // that start together must not wait a whole interval to learn about each other.
 func TestListsAtOnceAndAgainSoon(t *testing.T) {
@@ -114,10 +124,11 @@
 		recovery := time.Now().Add(4500 * time.Millisecond)
 		first, second := &failingStore{recovery: recovery}, &failingStore{recovery: recovery}
 		var regained time.Time
-		prerequisite := watch.New(zap.NewNop(), first, "a", time.Second, func([]record.Row, uint64, bool) {})
+		prerequisite := watch.New(zap.NewNop(), first, newMirror("a", func(uint64, bool) {}), "a", time.Second, time.Second)
 		go prerequisite.Run(ctx)
 		time.Sleep(time.Millisecond)
-		watch.New(zap.NewNop(), second, "b", time.Second, func([]record.Row, uint64, bool) { regained = time.Now() }, watch.WithPrerequisite(prerequisite)).Run(ctx)
+		m := newMirror("b", func(uint64, bool) { regained = time.Now() })
+		watch.New(zap.NewNop(), second, m, "b", time.Second, time.Second, watch.WithPrerequisite(prerequisite)).Run(ctx)
 		is.True(second.calls <= 3)
 		is.True(regained.Sub(recovery) < 2*time.Second)
 	})
--- a/standin/lstore/leasestore.go
+++ b/standin/lstore/leasestore.go
@@ -30,6 +30,7 @@
 	now   func() time.Duration
 	lease lease.Lease
 	down  bool
+	reads int
 }
 
 // New returns the store of the named group's lease. Read returns the time of the
@@ -45,10 +46,18 @@
 	s.down = down
 }
 
+// Reads returns the number of calls of Read.
+func (s *LeaseStore) Reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // Read returns the lease and the time of the store's clock.
 func (s *LeaseStore) Read(_ context.Context, _ string) (lease.Lease, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.down {
 		return lease.Lease{}, 0, errStoreDown
 	}
--- a/standin/qgroup/failover_test.go
+++ b/standin/qgroup/failover_test.go
@@ -335,3 +335,19 @@
 		})
 	}
 }
+
+// Calls to the store are charged for. Hosts that see that enough others have reserved
+// the lease must not read it again and again under the same leader.
+func TestHostsStopReadingAReservedLease(t *testing.T) {
+	const hostCount, readsPerHost = 8, 2
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		c := newTestCluster(ctx, t, hostCount)
+		time.Sleep(10 * time.Minute)
+		if n := c.storeReads(); n > hostCount*readsPerHost {
+			t.Errorf("%d hosts read the lease %d times under one leader", hostCount, n)
+		}
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -127,6 +127,8 @@
 	hosts   []hostTables
 	// setStoreDown sets whether the lease store refuses calls.
 	setStoreDown func(bool)
+	// storeReads returns the number of reads of the lease.
+	storeReads func() int
 	// registrationsCut holds a flag for each host. While the flag is set, the host
 	// gets no registrations.
 	registrationsCut []*atomic.Bool
@@ -148,6 +150,7 @@
 	c.group.OnStatement = c.checkValues
 	store := lstore.New("g", c.group, now)
 	c.setStoreDown = store.SetDown
+	c.storeReads = store.Reads
 	for i := range hostCount {
 		rs := rset.New("g", zap.NewNop(), c.group.From(i), now, func(zone string) time.Duration {
 			if zone == fmt.Sprintf("zone-%d", i) {
