Follow other hosts where the store does not answer the reader

Found by the new tests of process/follow (one host of 12 without news after 4 s when the store is silent to it; 423 calls of 60 hosts in a silence of 20 s, bound 300): the reader had nobody to follow, and followers asked the store at its rate. All hosts have a change within 4 s now through a cut or frozen reader, a silent store and half of the hosts frozen or refused.

--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -20,6 +20,9 @@
 	// startPatience is how long a host that knows the other hosts waits for their
 	// copy of a table before it reads the store.
 	startPatience = 400 * time.Millisecond
+	// retryAges is the pause between two reads of a table from the store by a host
+	// that follows others, as a multiple of the table's age.
+	retryAges = 4
 	// answerMargin is the time for which a host may be silent beyond the wait of a
 	// question: some round trips between regions, or a retransmission.
 	answerMargin = 350 * time.Millisecond
@@ -62,6 +65,9 @@
 	// hosts or the skipped ones change, which resets rankUntil.
 	rank      ranks.Ranks
 	rankUntil time.Duration
+	// retryAt holds for each table when this host, which follows others, may read the
+	// table from the store again.
+	retryAt map[string]time.Duration
 	// skipped maps hosts to the period for which they are not asked.
 	skipped map[string]skipPeriod
 	started time.Duration
@@ -80,7 +86,7 @@
 func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, hostTable string, hostPatience time.Duration) *Follower {
 	f := &Follower{
 		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages, hostTable: hostTable, hostPatience: hostPatience,
-		skipped: map[string]skipPeriod{}, started: now(),
+		skipped: map[string]skipPeriod{}, retryAt: map[string]time.Duration{}, started: now(),
 	}
 	for _, age := range ages {
 		if f.wait == 0 || age/3 < f.wait {
@@ -131,23 +137,38 @@
 	var link *remote.Remote
 	defer func() { closeLink(link) }()
 	for ctx.Err() == nil {
-		r, ok := f.place()
-		if !ok || len(r.Upstreams()) == 0 {
+		upstream, hops, ok := f.upstream()
+		if !ok {
 			sleep.For(ctx, f.wait/4)
 			continue
 		}
-		upstream := r.Upstreams()[0]
 		if link == nil || link.Host != upstream.Host {
 			closeLink(link)
 			link = nil
 		}
 		link = f.ask(ctx, link, upstream)
-		if link != nil && f.stale(r.Hops()) {
+		if link != nil && f.stale(hops) {
 			f.skip(upstream, 2*f.wait, 0)
 		}
 	}
 }
 
+// upstream returns the host to ask next and the number of hops through it. It returns
+// false if this host reads the store itself. If it can't, it asks the hosts that read
+// the store in its place.
+func (f *Follower) upstream() (gossip.HostInfo, int, bool) {
+	r, ok := f.place()
+	switch {
+	case !ok:
+		return gossip.HostInfo{}, 0, false
+	case len(r.Upstreams()) > 0:
+		return r.Upstreams()[0], r.Hops(), true
+	case len(r.Backups()) > 0 && f.stale(0):
+		return r.Backups()[0], 1, true
+	}
+	return gossip.HostInfo{}, 0, false
+}
+
 // closeLink closes a connection, unless it is nil.
 func closeLink(link *remote.Remote) {
 	if link != nil {
@@ -259,5 +280,18 @@
 		defer f.mu.Unlock()
 		return f.now()-f.knownAt > startPatience
 	}
-	return f.age(table) > f.limit(table, r.Hops())+f.wait
+	return f.age(table) > f.limit(table, r.Hops())+f.wait && f.mayRetry(table)
+}
+
+// mayRetry reports whether a host that follows others may read a table from the store,
+// and counts the read. If the store answers nobody, the hosts that follow others ask
+// seldom, since those that they follow go on asking.
+func (f *Follower) mayRetry(table string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now() < f.retryAt[table] {
+		return false
+	}
+	f.retryAt[table] = f.now() + retryAges*f.ages[table]
+	return true
 }
--- /dev/null
+++ b/process/follow/follower_test.go
@@ -0,0 +1,340 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/relay"
+	"github.com/pistachiotray/pistachiotray/connection/remote"
+	"github.com/pistachiotray/pistachiotray/process/follow"
+	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/mirror"
+	"github.com/pistachiotray/pistachiotray/process/ranks"
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/watch"
+)
+
+const (
+	// applyTime is the time within which a change must have reached every live host.
+	applyTime = 4 * time.Second
+	// storeWait is how long the store waits for a change before it answers.
+	storeWait = time.Second
+	// pollInterval is the pause between two questions to the store.
+	pollInterval = 250 * time.Millisecond
+	// callTimeout is added to the wait to bound a call to the store.
+	callTimeout = time.Second
+	tableName   = "plans"
+)
+
+// fleet is a store and some hosts that follow its table.
+type fleet struct {
+	t *testing.T
+	// mu guards the fields below.
+	mu      sync.Mutex
+	version uint64
+	changed chan struct{}
+	// silent is set while the store answers nobody.
+	silent bool
+	hosts  map[string]*host
+	began  time.Time
+}
+
+// host is one host. It is also the listener of its relay and its client of the store.
+type host struct {
+	fleet    *fleet
+	info     gossip.HostInfo
+	mirror   *mirror.Mirror
+	incoming chan net.Conn
+	// version is the newest version that the host has applied.
+	version uint64
+	// cut is set while the store does not answer this host.
+	cut bool
+	// frozen is set while the host answers no other host and gets no answers.
+	frozen bool
+	// calls is the number of calls to the store.
+	calls int
+	conns []net.Conn
+	stop  context.CancelFunc
+}
+
+func (h *host) Accept() (net.Conn, error) {
+	c, ok := <-h.incoming
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (h *host) Close() error   { return nil }
+func (h *host) Addr() net.Addr { return nil }
+
+// answers reports whether the store answers the host; the caller holds the lock.
+func (h *host) answers() bool {
+	return !h.fleet.silent && !h.cut && !h.frozen
+}
+
+// List returns the row with the newest version.
+func (h *host) List(ctx context.Context, _ string) ([]record.Row, uint64, error) {
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	h.fleet.mu.Lock()
+	h.calls++
+	version, answers := h.fleet.version, h.answers()
+	h.fleet.mu.Unlock()
+	if !answers {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return []record.Row{record.New("plan", nil).WithVersion(version)}, version, nil
+}
+
+// Feed returns the row if it is newer than a version, and waits for a change
+// otherwise. A store that was silent never answers a question that it got before.
+func (h *host) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) ([]record.Row, uint64, error) {
+	ctx, stop := context.WithTimeout(ctx, wait+callTimeout)
+	defer stop()
+	h.fleet.mu.Lock()
+	h.calls++
+	h.fleet.mu.Unlock()
+	over := time.After(wait)
+	for {
+		h.fleet.mu.Lock()
+		version, changed, answers := h.fleet.version, h.fleet.changed, h.answers()
+		h.fleet.mu.Unlock()
+		if !answers {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		if version > after {
+			return []record.Row{record.New("plan", nil).WithVersion(version)}, version, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// Host opens a connection to another host.
+func (h *host) Host(ctx context.Context, other gossip.HostInfo) (*remote.Remote, error) {
+	h.fleet.mu.Lock()
+	peer, ok := h.fleet.hosts[other.Host]
+	unreachable := !ok || peer.frozen || h.frozen
+	h.fleet.mu.Unlock()
+	if !ok {
+		return nil, errors.New("refused")
+	}
+	if unreachable {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	h.fleet.mu.Lock()
+	h.conns = append(h.conns, near)
+	h.fleet.mu.Unlock()
+	peer.incoming <- far
+	return remote.New(other.Host, &freezableConn{near, h, peer}), nil
+}
+
+// freezableConn is a connection on which nothing arrives while an end is frozen.
+type freezableConn struct {
+	net.Conn
+	near, far *host
+}
+
+func (c *freezableConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		c.near.fleet.mu.Lock()
+		frozen := c.near.frozen || c.far.frozen
+		c.near.fleet.mu.Unlock()
+		if err != nil || !frozen {
+			return n, err
+		}
+	}
+}
+
+// withFleet runs a test with count hosts in three zones. All of them start at once.
+func withFleet(t *testing.T, count int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, version: 1, changed: make(chan struct{}), hosts: map[string]*host{}, began: time.Now()}
+		var infos []gossip.HostInfo
+		for i := range count {
+			infos = append(infos, gossip.New(fmt.Sprintf("host-%d", i), "10.0.0.1:1", fmt.Sprintf("zone-%d", i%3), 0))
+		}
+		for _, info := range infos {
+			f.start(info, infos)
+		}
+		defer func() {
+			for _, h := range f.hosts {
+				h.stop()
+				for _, c := range h.conns {
+					_ = c.Close()
+				}
+				close(h.incoming)
+			}
+			time.Sleep(time.Minute)
+		}()
+		time.Sleep(3 * time.Second)
+		test(t, f)
+	})
+}
+
+// start starts a host that knows all hosts.
+func (f *fleet) start(info gossip.HostInfo, all []gossip.HostInfo) {
+	now := func() time.Duration { return time.Hour + time.Since(f.began) }
+	h := &host{fleet: f, info: info, mirror: mirror.New(now), incoming: make(chan net.Conn)}
+	h.mirror.Handle(tableName, func(rows []record.Row, _ uint64, _ bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, r := range rows {
+			if r.Version < h.version {
+				f.t.Errorf("%s went back from version %d to %d", info.Host, h.version, r.Version)
+			}
+			h.version = r.Version
+		}
+	})
+	f.mu.Lock()
+	f.hosts[info.Host] = h
+	f.mu.Unlock()
+	follower := follow.New(zap.NewNop(), h, h.mirror, now, info, map[string]time.Duration{tableName: storeWait + pollInterval}, "hosts", time.Second)
+	ctx, stop := context.WithCancel(f.t.Context())
+	h.stop = stop
+	go relay.New(zap.NewNop(), nil, h.mirror).Serve(h)
+	go follower.Run(ctx)
+	go watch.New(zap.NewNop(), h, h.mirror, tableName, pollInterval, storeWait, watch.WithGate(follower)).Run(ctx)
+	follower.SetHosts(all)
+}
+
+// set changes the state of the fleet.
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// change stores a new version.
+func (f *fleet) change() {
+	f.set(func() {
+		f.version++
+		close(f.changed)
+		f.changed = make(chan struct{})
+	})
+}
+
+// calls returns the number of calls to the store of all hosts.
+func (f *fleet) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, h := range f.hosts {
+		n += h.calls
+	}
+	return n
+}
+
+// reader returns the host that reads the store while all hosts are live.
+func (f *fleet) reader() *host {
+	var all []gossip.HostInfo
+	for h := range maps.Values(f.hosts) {
+		all = append(all, h.info)
+	}
+	for _, h := range f.hosts {
+		if len(ranks.New(h.info, all).Upstreams()) == 0 {
+			return h
+		}
+	}
+	return nil
+}
+
+// requireNews fails the test unless every host that is not frozen applies the newest
+// version within a time.
+func (f *fleet) requireNews(limit time.Duration) {
+	f.t.Helper()
+	time.Sleep(limit)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, h := range f.hosts {
+		if !h.frozen && h.version != f.version {
+			f.t.Errorf("%s has version %d after %v, want %d", name, h.version, limit, f.version)
+		}
+	}
+}
+
+func TestOneHostReadsForAll(t *testing.T) {
+	for _, count := range []int{6, 60} {
+		withFleet(t, count, func(t *testing.T, f *fleet) {
+			before := f.calls()
+			if before > count {
+				t.Errorf("%d calls to the store until %d hosts had the table", before, count)
+			}
+			for range 20 {
+				f.change()
+				f.requireNews(time.Second)
+			}
+			// The reader asks at once again after each change.
+			if n := f.calls() - before; n > 60 {
+				t.Errorf("%d calls to the store in 20 s with 20 changes", n)
+			}
+		})
+	}
+}
+
+func TestNewsArrivesInTime(t *testing.T) {
+	for name, c := range map[string]struct{ begin, end func(f *fleet) }{
+		"the store does not answer the reader": {begin: func(f *fleet) { f.reader().cut = true }},
+		"the reader is frozen":                 {begin: func(f *fleet) { f.reader().frozen = true }},
+		"the store was silent":                 {begin: func(f *fleet) { f.silent = true }, end: func(f *fleet) { f.silent = false }},
+		"half of the hosts are frozen": {begin: func(f *fleet) {
+			for i := range 6 {
+				f.hosts[fmt.Sprintf("host-%d", 2*i)].frozen = true
+			}
+		}},
+		"the store does not answer half of the hosts": {begin: func(f *fleet) {
+			f.reader().cut = true
+			for i := range 6 {
+				f.hosts[fmt.Sprintf("host-%d", 2*i)].cut = true
+			}
+		}},
+	} {
+		for phase := range 8 {
+			t.Run(fmt.Sprintf("%s %d", name, phase), func(t *testing.T) {
+				withFleet(t, 12, func(t *testing.T, f *fleet) {
+					time.Sleep(time.Duration(phase) * 170 * time.Millisecond)
+					f.set(func() { c.begin(f) })
+					if c.end != nil {
+						time.Sleep(applyTime + time.Duration(phase)*170*time.Millisecond)
+						f.set(func() { c.end(f) })
+					}
+					f.change()
+					f.requireNews(applyTime)
+				})
+			})
+		}
+	}
+}
+
+// A silent store must not be asked by every host at the rate of the reader.
+func TestSilentStoreIsAskedSeldom(t *testing.T) {
+	const hosts, outage = 60, 20 * time.Second
+	withFleet(t, hosts, func(t *testing.T, f *fleet) {
+		before := f.calls()
+		f.set(func() { f.silent = true })
+		time.Sleep(outage)
+		if n := f.calls() - before; n > hosts*int(outage/applyTime) {
+			t.Errorf("%d calls in %v", n, outage)
+		}
+	})
+}
--- a/process/ranks/ranks.go
+++ b/process/ranks/ranks.go
@@ -19,16 +19,21 @@
 // Ranks is immutable.
 type Ranks struct {
 	upstreams []gossip.HostInfo
+	backups   []gossip.HostInfo
 	hops      int
 }
 
 // New returns the place of a host among hosts, which may include the host itself.
 func New(self gossip.HostInfo, hosts []gossip.HostInfo) Ranks {
 	own := weight(self)
-	var overall, nearby first
+	var overall, nearby, after first
 	for _, h := range hosts {
 		w := weight(h)
-		if h.Host == self.Host || cmp.Or(cmp.Compare(w, own), cmp.Compare(h.Host, self.Host)) > 0 {
+		if h.Host == self.Host {
+			continue
+		}
+		if cmp.Or(cmp.Compare(w, own), cmp.Compare(h.Host, self.Host)) > 0 {
+			after = after.with(h, w)
 			continue
 		}
 		overall = overall.with(h, w)
@@ -36,7 +41,7 @@
 			nearby = nearby.with(h, w)
 		}
 	}
-	r := Ranks{upstreams: nearby.hosts()}
+	r := Ranks{upstreams: nearby.hosts(), backups: after.hosts()}
 	for _, h := range overall.hosts() {
 		if !slices.ContainsFunc(r.upstreams, func(n gossip.HostInfo) bool { return n.Host == h.Host }) {
 			r.upstreams = append(r.upstreams, h)
@@ -97,6 +102,12 @@
 	return r.upstreams
 }
 
+// Backups returns the next hosts in the order, which read the store if those before
+// them can't.
+func (r Ranks) Backups() []gossip.HostInfo {
+	return r.backups
+}
+
 // Hops returns through how many hosts the store's news reaches the host, 0 if it reads
 // the store itself.
 func (r Ranks) Hops() int {
