--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -17,16 +17,13 @@
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 	"github.com/pistachiotray/pistachiotray/version/route"
+	"github.com/pistachiotray/pistachiotray/version/waits"
 )
 
 const (
 	// retryPause is the pause before a statement that did not run is tried again. It
 	// is a few round trips within a zone, in which a slot may become free.
 	retryPause = 20 * time.Millisecond
-	// waitPercent is the percentage of a route's latency objective for which a
-	// statement may wait for a connection, or for a leader that is not expected soon.
-	// The platform counts a wait of a quarter of the objective as too long.
-	waitPercent = 22
 	// minConnWait is the minimum time for which a statement may wait for a connection,
 	// however long ago it arrived.
 	minConnWait = 30 * time.Millisecond
@@ -50,14 +47,20 @@
 	if !group.LeaderOverdue() {
 		return ctx, func() {}
 	}
-	return context.WithTimeout(ctx, rt.LatencyObjective*waitPercent/100)
+	return context.WithTimeout(ctx, waits.New(rt).ForLeader())
+}
+
+// maxWait returns how long after its arrival a statement may wait at a group before it
+// is refused as not run.
+func maxWait(group *rset.ReplicaSet, rt route.Route) time.Duration {
+	return waits.New(rt).ForConnection(group.Shared())
 }
 
 // batch returns a batch of stages for the session. The batch may wait for a
-// connection until waitPercent of the latency objective has passed since the
-// statement's arrival, and for at least minConnWait.
-func (r *Runner) batch(rt route.Route, arrived time.Duration, stages ...[]stmt.Stmt) batch.Batch {
-	wait := max(rt.LatencyObjective*waitPercent/100-(r.now()-arrived), minConnWait)
+// connection until maxWait has passed since the statement's arrival, and for at least
+// minConnWait.
+func (r *Runner) batch(group *rset.ReplicaSet, rt route.Route, arrived time.Duration, stages ...[]stmt.Stmt) batch.Batch {
+	wait := max(maxWait(group, rt)-(r.now()-arrived), minConnWait)
 	return batch.New(r.caller, stages...).WithPriority(rt.Priority).WithWait(wait)
 }
 
@@ -65,7 +68,7 @@
 // that it should be refused. It returns false unless the leader serves, since only
 // then is the statement waiting for capacity.
 func (r *Runner) waitedTooLong(group *rset.ReplicaSet, rt route.Route, arrived time.Duration) bool {
-	return r.now()-arrived >= rt.LatencyObjective*waitPercent/100 && group.LeaderServes()
+	return r.now()-arrived >= maxWait(group, rt) && group.LeaderServes()
 }
 
 // refuseNotRun returns the reply to a statement that did not run. This is the reply
@@ -89,7 +92,7 @@
 		t, err := r.awaitLeader(ctx, group, rt)
 		var cn *conn.Conn
 		if err == nil {
-			cn, err = group.Take(ctx, t.ID, r.batch(rt, s.Arrived))
+			cn, err = group.Take(ctx, t.ID, r.batch(group, rt, s.Arrived))
 		}
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, rset.ErrNotSent) || r.waitedTooLong(group, rt, s.Arrived) || !waitBeforeRetry(ctx) {
@@ -187,7 +190,7 @@
 // readInTransaction runs a read at a target between a Begin and a Rollback. It returns
 // the reply to the Begin if that failed.
 func (r *Runner) readInTransaction(ctx context.Context, group *rset.ReplicaSet, t target.Target, rt route.Route, s stmt.Stmt) (reply.Reply, error) {
-	replies, _, err := group.Do(ctx, t.ID, r.batch(rt, s.Arrived,
+	replies, _, err := group.Do(ctx, t.ID, r.batch(group, rt, s.Arrived,
 		[]stmt.Stmt{stmt.New(stmt.ProxyID, stmt.Begin, "")}, []stmt.Stmt{s, stmt.New(stmt.ProxyID, stmt.Rollback, "")}))
 	if err != nil {
 		return reply.Reply{}, err
@@ -263,7 +266,7 @@
 
 // readOnce sends a read to one target.
 func (r *Runner) readOnce(ctx context.Context, ts *targetSearch, t target.Target, rt route.Route, s stmt.Stmt) (reply.Reply, error) {
-	replies, _, err := ts.group.Do(ctx, t.ID, r.batch(rt, s.Arrived, []stmt.Stmt{s}))
+	replies, _, err := ts.group.Do(ctx, t.ID, r.batch(ts.group, rt, s.Arrived, []stmt.Stmt{s}))
 	if err != nil {
 		return reply.Reply{}, err
 	}
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, reply.Reply{}, err
 	}
-	replies, cn, err := tx.group.Do(ctx, t.ID, r.batch(tx.route, arrived, []stmt.Stmt{begin}).WithKeep())
+	replies, cn, err := tx.group.Do(ctx, t.ID, r.batch(tx.group, tx.route, arrived, []stmt.Stmt{begin}).WithKeep())
 	if err != nil {
 		return nil, reply.Reply{}, err
 	}
--- a/process/conns/grow.go
+++ b/process/conns/grow.go
@@ -8,8 +8,8 @@
 )
 
 // grow starts to open connections for waiting calls. Up to this host's share,
-// it opens them at once; beyond the share, one per growPause. It never exceeds
-// the limit; the caller holds the lock.
+// it opens them at once; beyond the share, one per growPause, and beyond the
+// number crowd one per crowdedGrowPause. It never exceeds the limit; the caller holds the lock.
 func (p *Pool) grow() {
 	if p.closed || len(p.waiting) == 0 {
 		return
@@ -25,13 +25,22 @@
 				p.growLater(max(p.nextGrowth-now, growPause/2))
 				return
 			}
-			p.nextGrowth = now + growPause
+			p.nextGrowth = now + p.growthPause()
 		}
 		p.openingCount++
 		go p.openOne()
 	}
 }
 
+// growthPause returns the pause after a connection that is opened beyond the share;
+// the caller holds the lock.
+func (p *Pool) growthPause() time.Duration {
+	if p.openCount+p.openingCount+1 >= p.crowd {
+		return crowdedGrowPause
+	}
+	return growPause
+}
+
 // growLater schedules a call of grow after wait, unless a call is already
 // scheduled; the caller holds the lock.
 func (p *Pool) growLater(wait time.Duration) {
--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -28,6 +28,9 @@
 	// growPause is the pause between two connections that are opened beyond the
 	// share.
 	growPause = 60 * time.Millisecond
+	// crowdedGrowPause is the pause between two connections that are opened beyond
+	// the number set by SetShare, so that a host that remains alone gets more.
+	crowdedGrowPause = time.Second
 	// spareIdle is how long idle connections are kept while more than this
 	// host's share are open.
 	spareIdle = 300 * time.Millisecond
@@ -82,6 +85,9 @@
 	// share is this host's share of the target's connections. Up to this
 	// number, connections are opened as soon as calls wait.
 	share int
+	// crowd is the number of connections beyond which this host opens more only
+	// slowly.
+	crowd int
 	// openCount is the number of open connections, and openingCount the number
 	// that are being opened.
 	openCount    int
@@ -109,7 +115,7 @@
 // New returns an empty pool of up to limit connections. The clock now must
 // never return 0, which the pool's fields use for "not set".
 func New(limit int, now func() time.Duration, open func(ctx context.Context) (*conn.Conn, error)) *Pool {
-	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), inUse: map[*conn.Conn]time.Duration{}}
+	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]time.Duration{}}
 }
 
 // SetLimit sets the maximum number of open connections. Connections that are
@@ -120,12 +126,14 @@
 	p.limit = limit
 }
 
-// SetShare sets this host's share of the target's connections. A share below 1
-// counts as 1.
-func (p *Pool) SetShare(share int) {
+// SetShare sets this host's share of the target's connections, and the number of
+// connections beyond which the host opens more only slowly. A share below 1 counts as
+// 1.
+func (p *Pool) SetShare(share, crowd int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.share = max(share, 1)
+	p.crowd = max(crowd, p.share)
 }
 
 // Take returns a connection, preferably one that already carries the caller's
--- a/process/conns/pool_test.go
+++ b/process/conns/pool_test.go
@@ -221,3 +221,22 @@
 		is.True(served.Load() >= 4) // 5 uses of 200 ms fit into a second
 	})
 }
+
+// Beyond the number set by SetShare, a host opens connections only now and then, so
+// that the target has some left for hosts that start again.
+func TestLeavesConnectionsToOtherHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var opened atomic.Int64
+		p := conns.New(16, clock(), openAfter(time.Millisecond, &opened))
+		p.SetShare(1, 4)
+		for range 30 {
+			go func() { _, _ = p.Take(context.Background(), noCaller, 0) }()
+		}
+		time.Sleep(900 * time.Millisecond)
+		is.Equal(opened.Load(), int64(4))
+		time.Sleep(20 * time.Second)
+		is.Equal(opened.Load(), int64(16)) // a host that stays alone gets all
+		p.Close()
+	})
+}
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -24,6 +24,10 @@
 // WithDrainTime is not used.
 const defaultDrainTime = 5 * time.Second
 
+// minCrowd is the least number of connections to a target that a host opens without
+// long pauses.
+const minCrowd = 2
+
 // ErrNotSent is returned when the context ended before a statement was sent to
 // any target or host.
 var ErrNotSent = errors.New("not sent")
@@ -192,11 +196,14 @@
 	}
 	ts.lenders, ts.direct = rs.assignment.Lenders(ts.target, rs.maxConns)
 	ts.firstLender = rs.assignment.FirstIndex(ts.target, len(ts.lenders))
-	sharing := len(ts.lenders)
-	if ts.lenders == nil {
-		sharing = rs.assignment.LiveCount()
+	if ts.lenders != nil {
+		ts.pool.SetShare(rs.maxConns/max(len(ts.lenders), 1), rs.maxConns)
+		return
 	}
-	ts.pool.SetShare(rs.maxConns / max(sharing, 1))
+	// If all hosts lose power, the target counts their connections for some seconds
+	// more. Half of its connections are left for the restarted hosts.
+	hosts := max(rs.assignment.LiveCount(), 1)
+	ts.pool.SetShare(rs.maxConns/2/hosts, max(3*rs.maxConns/2/hosts, minCrowd))
 }
 
 // WithDrainTime returns an option that sets how long a leaving leader still
--- a/process/rset/take.go
+++ b/process/rset/take.go
@@ -206,6 +206,19 @@
 	return rs.assignment.Rank(t)
 }
 
+// Shared reports whether hosts share the connections to a target of the group, because
+// it accepts too few for each host to have its own.
+func (rs *ReplicaSet) Shared() bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for _, ts := range rs.states {
+		if ts.lenders != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // ConnectsTo reports whether this host opens its own connections to a target.
 func (rs *ReplicaSet) ConnectsTo(id string) bool {
 	rs.mu.Lock()
