--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -13,7 +13,6 @@
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/ranks"
-	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 const (
@@ -26,6 +25,8 @@
 	// answerMargin is the time for which a host may be silent beyond the wait of a
 	// question: some round trips between regions, or a retransmission.
 	answerMargin = 350 * time.Millisecond
+	// minPause is the shortest pause before the place and the ages are checked again.
+	minPause = 10 * time.Millisecond
 	// minSkip and maxSkip bound how long a host is not asked after it could not be
 	// reached. The time doubles with each failure in a row, since a host that never
 	// returns may stay registered.
@@ -65,6 +66,8 @@
 	// hosts or the skipped ones change, which resets rankUntil.
 	rank      ranks.Ranks
 	rankUntil time.Duration
+	// changed is closed and replaced when the hosts or the skipped ones change.
+	changed chan struct{}
 	// retryAt holds for each table when this host, which follows others, may read the
 	// table from the store again.
 	retryAt map[string]time.Duration
@@ -86,7 +89,7 @@
 func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, hostTable string, hostPatience time.Duration) *Follower {
 	f := &Follower{
 		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages, hostTable: hostTable, hostPatience: hostPatience,
-		skipped: map[string]skipPeriod{}, retryAt: map[string]time.Duration{}, started: now(),
+		skipped: map[string]skipPeriod{}, retryAt: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
 	}
 	for _, age := range ages {
 		if f.wait == 0 || age/3 < f.wait {
@@ -100,10 +103,11 @@
 func (f *Follower) SetHosts(hosts []gossip.HostInfo) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hosts, f.rankUntil = hosts, 0
+	f.hosts = hosts
 	if f.knownAt == 0 {
 		f.knownAt = f.now()
 	}
+	f.notifyChanged()
 }
 
 // place returns the host's place among the hosts that are not skipped. It returns
@@ -137,9 +141,12 @@
 	var link *remote.Remote
 	defer func() { closeLink(link) }()
 	for ctx.Err() == nil {
+		f.mu.Lock()
+		changed := f.changed
+		f.mu.Unlock()
 		upstream, hops, ok := f.upstream()
 		if !ok {
-			sleep.For(ctx, f.wait/4)
+			f.pause(ctx, changed, f.wait)
 			continue
 		}
 		if link == nil || link.Host != upstream.Host {
@@ -229,7 +236,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.skipped[h.Host] = skipPeriod{until: f.now() + d, length: length}
+	f.notifyChanged()
+}
+
+// notifyChanged makes the host's place be computed again, and wakes those that wait for
+// a change of it; the caller holds the lock.
+func (f *Follower) notifyChanged() {
 	f.rankUntil = 0
+	close(f.changed)
+	f.changed = make(chan struct{})
 }
 
 // limit returns the age at which a table is stale at a host with that many hops. A
@@ -258,40 +273,57 @@
 // ended.
 func (f *Follower) Await(ctx context.Context, table string) bool {
 	for ctx.Err() == nil {
-		if f.storeDue(table) {
+		f.mu.Lock()
+		changed := f.changed
+		f.mu.Unlock()
+		due, after := f.storeDue(table)
+		if due {
 			return true
 		}
-		sleep.For(ctx, f.wait/4)
+		f.pause(ctx, changed, after)
 	}
 	return false
 }
 
-// storeDue reports whether this host has to read a table from the store.
-func (f *Follower) storeDue(table string) bool {
+// pause waits until the channel is closed, but no longer than d.
+func (f *Follower) pause(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(max(d, minPause))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+// storeDue reports whether this host has to read a table from the store, and otherwise
+// after which time it may have to, unless its place changes before.
+func (f *Follower) storeDue(table string) (bool, time.Duration) {
 	r, ok := f.place()
 	fresh := f.mirror.FreshAt(table)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var dueAt time.Duration
 	switch {
+	case !ok && table == f.hostTable:
+		return true, 0
 	case !ok:
-		return table == f.hostTable || f.now()-f.started > f.hostPatience
+		dueAt = f.started + f.hostPatience
 	case len(r.Upstreams()) == 0:
-		return true
+		return true, 0
 	case fresh == 0:
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return f.now()-f.knownAt > startPatience
+		dueAt = f.knownAt + startPatience
+	default:
+		// If the store answers nobody, the hosts that follow others ask seldom, since
+		// those that they follow go on asking.
+		dueAt = max(fresh+f.limit(table, r.Hops())+f.wait, f.retryAt[table])
+		if now >= dueAt {
+			f.retryAt[table] = now + retryAges*f.ages[table]
+		}
 	}
-	return f.age(table) > f.limit(table, r.Hops())+f.wait && f.mayRetry(table)
-}
-
-// mayRetry reports whether a host that follows others may read a table from the store,
-// and counts the read. If the store answers nobody, the hosts that follow others ask
-// seldom, since those that they follow go on asking.
-func (f *Follower) mayRetry(table string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.now() < f.retryAt[table] {
-		return false
+	if ok {
+		return now >= dueAt, min(dueAt, f.rankUntil) - now
 	}
-	f.retryAt[table] = f.now() + retryAges*f.ages[table]
-	return true
+	return now >= dueAt, dueAt - now
 }
