--- a/connection/front/front.go
+++ b/connection/front/front.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
 	"github.com/pistachiotray/pistachiotray/version/policy"
@@ -162,7 +163,7 @@
 		if err != nil {
 			return
 		}
-		f.handlers.Go(func() { f.Handle(conn) })
+		f.handlers.Go(func() { rescue.Run(f.log, func() { f.Handle(conn) }) })
 	}
 }
 
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
 	"github.com/pistachiotray/pistachiotray/process/delta"
+	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/process/rset"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -67,7 +68,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		go r.serve(c)
+		go rescue.Run(r.log, func() { r.serve(c) })
 	}
 }
 
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/ranks"
+	"github.com/pistachiotray/pistachiotray/process/rescue"
 )
 
 const (
@@ -25,6 +26,8 @@
 	// answerMargin is the time for which a host may be silent beyond the wait of a
 	// question: some round trips between regions, or a retransmission.
 	answerMargin = 350 * time.Millisecond
+	// maxHops is the largest number of hosts through which news reaches a host.
+	maxHops = 2
 	// minPause is the shortest pause before the place and the ages are checked again.
 	minPause = 10 * time.Millisecond
 	// minSkip and maxSkip bound how long a host is not asked after it could not be
@@ -216,7 +219,13 @@
 		return err
 	}
 	for _, d := range news {
-		f.mirror.Apply(d)
+		if f.mirror.FreshAt(d.Table) == 0 && d.Age > f.limit(d.Table, maxHops) {
+			// A host that starts must not begin with what another host knew long
+			// ago: a target may have left, or a route been removed since.
+			f.log.Warn("old copy of a table not taken", zap.String("Peer", link.Host), zap.String("Table", d.Table), zap.Duration("Age", d.Age))
+			continue
+		}
+		rescue.Run(f.log, func() { f.mirror.Apply(d) })
 	}
 	return nil
 }
--- a/process/follow/follower_test.go
+++ b/process/follow/follower_test.go
@@ -62,6 +62,8 @@
 	frozen bool
 	// calls is the number of calls to the store.
 	calls int
+	// firstAllowed is the oldest version that the host may apply.
+	firstAllowed uint64
 	conns []net.Conn
 	stop  context.CancelFunc
 }
@@ -203,6 +205,9 @@
 			if r.Version < h.version {
 				f.t.Errorf("%s went back from version %d to %d", info.Host, h.version, r.Version)
 			}
+			if r.Version < h.firstAllowed {
+				f.t.Errorf("%s began with version %d, %d or newer wanted", info.Host, r.Version, h.firstAllowed)
+			}
 			h.version = r.Version
 		}
 	})
@@ -338,3 +343,28 @@
 		}
 	})
 }
+
+// A host that starts while the store does not answer the others must not begin with
+// their old copies: a target may have left, or a route been removed since.
+func TestNewHostTakesNoOldCopy(t *testing.T) {
+	withFleet(t, 6, func(t *testing.T, f *fleet) {
+		var all []gossip.HostInfo
+		f.set(func() {
+			for _, h := range f.hosts {
+				h.cut = true
+				all = append(all, h.info)
+			}
+		})
+		f.change()
+		time.Sleep(10 * time.Second)
+		info := gossip.New("new", "10.0.0.1:1", "zone-1", 0)
+		f.start(info, append(all, info))
+		f.set(func() { f.hosts["new"].firstAllowed = f.version })
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if v := f.hosts["new"].version; v != f.version {
+			t.Errorf("the new host has version %d, want %d", v, f.version)
+		}
+	})
+}
--- a/process/host/provide.go
+++ b/process/host/provide.go
@@ -58,8 +58,8 @@
 	return groups.New(b, s.TargetUser, sec.targetPassword)
 }
 
-func providePool(s conf.Settings) *pool.Pool {
-	return pool.New(s.Workers)
+func providePool(s conf.Settings, log *zap.Logger) *pool.Pool {
+	return pool.New(log, s.Workers)
 }
 
 func provideTrail(s conf.Settings, log *zap.Logger, b *guard.Breaker) *audit.Trail {
--- a/process/host/wire_gen.go
+++ b/process/host/wire_gen.go
@@ -19,7 +19,7 @@
 // addresses, and stops at the first of these steps that fails. The error lists
 // all problems of that step.
 func New(s conf.Settings, log *zap.Logger) (*Host, error) {
-	pool := providePool(s)
+	pool := providePool(s, log)
 	breaker := provideBreaker(s)
 	hostSecrets, err := provideSecrets(s)
 	if err != nil {
--- a/process/pool/pool.go
+++ b/process/pool/pool.go
@@ -4,6 +4,10 @@
 
 import (
 	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/rescue"
 )
 
 // Pool runs tasks on a fixed number of workers, which take them in the order of
@@ -18,11 +22,13 @@
 	head    int
 	closed  bool
 	workers sync.WaitGroup
+	log     *zap.Logger
 }
 
-// New starts a pool of n workers, at least one.
-func New(n int) *Pool {
-	p := &Pool{}
+// New starts a pool of n workers, at least one. A task that panics is logged and does
+// not end the worker.
+func New(log *zap.Logger, n int) *Pool {
+	p := &Pool{log: log}
 	p.submitted = sync.NewCond(&p.mu)
 	for range max(n, 1) {
 		p.workers.Go(p.work)
@@ -68,7 +74,7 @@
 		if task == nil {
 			return
 		}
-		task()
+		rescue.Run(p.log, task)
 	}
 }
 
--- a/process/watch/watcher.go
+++ b/process/watch/watcher.go
@@ -13,6 +13,7 @@
 
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
@@ -146,7 +147,7 @@
 		if err == nil {
 			w.noteSuccess()
 			pause.Reset()
-			w.mirror.Apply(d)
+			rescue.Run(w.log, func() { w.mirror.Apply(d) })
 			dropped = false
 			w.sleep(ctx, w.secondDelay)
 			w.secondDelay = w.interval
