--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -143,11 +143,16 @@
 func (f *Follower) Run(ctx context.Context) {
 	var link *remote.Remote
 	defer func() { closeLink(link) }()
+	previous := ""
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		changed := f.changed
 		f.mu.Unlock()
 		upstream, hops, ok := f.upstream()
+		if upstream.Host != previous {
+			f.log.Info("upstream chosen", zap.String("Peer", upstream.Host), zap.Int("Hops", hops), zap.String("Before", previous))
+			previous = upstream.Host
+		}
 		if !ok {
 			f.pause(ctx, changed, f.wait)
 			continue
@@ -158,6 +163,7 @@
 		}
 		link = f.ask(ctx, link, upstream)
 		if link != nil && f.stale(hops) {
+			f.log.Info("copy of the upstream host is old", zap.String("Peer", upstream.Host), zap.Duration("Pause", 2*f.wait))
 			f.skip(upstream, 2*f.wait, 0)
 		}
 	}
@@ -328,6 +334,7 @@
 		// those that they follow go on asking.
 		dueAt = max(fresh+f.limit(table, r.Hops())+f.wait, f.retryAt[table])
 		if now >= dueAt {
+			f.log.Info("copy of a table is old, reading the store", zap.String("Table", table), zap.Duration("Age", now-fresh))
 			f.retryAt[table] = now + retryAges*f.ages[table]
 		}
 	}
