Let the lender determine the log position of a read that it runs

A lender sees all hosts' reads at its target, keeps its positions for the route's age and takes the oldest that suffices.

--- a/connection/batch/batch.go
+++ b/connection/batch/batch.go
@@ -2,9 +2,11 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
@@ -27,6 +29,10 @@
 	// Keep means that the connection is handed to the requester if all statements
 	// succeeded. Otherwise it is returned to its pool after the batch.
 	Keep bool
+	// MaxAge, unless it is zero, makes the host that runs the batch choose the log
+	// position that the target must have reached for the first statement, so that the
+	// data is at most that old when the batch reaches the host.
+	MaxAge time.Duration
 	// Stages are sent one after another. The statements of one stage are sent together.
 	// After a failed statement no further stage is sent.
 	Stages [][]stmt.Stmt
@@ -49,6 +55,23 @@
 	return b
 }
 
+// WithMaxAge returns the batch with a maximum age of the data that it reads.
+func (b Batch) WithMaxAge(d time.Duration) Batch {
+	b.MaxAge = d
+	return b
+}
+
+// WithPosition returns the batch with a log position that the target must have reached
+// for the first statement, unless that statement requires a later one.
+func (b Batch) WithPosition(m mark.Mark) Batch {
+	first := slices.Clone(b.Stages[0])
+	first[0] = first[0].WithAfter(m.Max(first[0].After))
+	b.Stages = slices.Clone(b.Stages)
+	b.Stages[0] = first
+	b.MaxAge = 0
+	return b
+}
+
 // WithKeep returns the batch with Keep set.
 func (b Batch) WithKeep() Batch {
 	b.Keep = true
--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -27,6 +27,9 @@
 	// Follow asks for the changes of the platform's tables that the other host knows.
 	// It waits for a change for up to WaitMs.
 	Follow
+	// TakeFresh is like Take, but the other host determines the log position that the
+	// target must have reached, by MaxAgeMs.
+	TakeFresh
 )
 
 // Parcel is a request or an answer. It is encoded by encoding/gob, which writes
@@ -34,7 +37,7 @@
 type Parcel struct {
 	// Verb is the verb of a request, 0 in an answer.
 	Verb int
-	// Group and Target identify the target of Take and Report.
+	// Group and Target identify the target of Take, TakeFresh and Report.
 	Group  string
 	Target string
 	// Priority is the route's priority. Batches with a lower number get a connection
@@ -44,6 +47,9 @@
 	// milliseconds.
 	WaitMs int64
 	TimeMs int64
+	// MaxAgeMs is the maximum age of the data that the first statement of TakeFresh
+	// reads, in milliseconds.
+	MaxAgeMs int64
 	// Keep asks to lend the connection beyond the batch if all its statements
 	// succeeded.
 	Keep bool
@@ -78,7 +84,7 @@
 func New(verb int, b batch.Batch, limit time.Duration) Parcel {
 	p := Parcel{
 		Verb: verb, Priority: b.Priority, Keep: b.Keep, Stages: b.Stages, Prepared: b.Prepared(),
-		WaitMs: b.Wait.Milliseconds(), TimeMs: limit.Milliseconds(),
+		WaitMs: b.Wait.Milliseconds(), TimeMs: limit.Milliseconds(), MaxAgeMs: b.MaxAge.Milliseconds(),
 	}
 	b.Caller.Values(func(name, value string) {
 		if p.Values == nil {
@@ -99,7 +105,8 @@
 	for _, s := range p.Prepared {
 		c = c.WithPrepared(s.Name, s.Rest, s.Writes)
 	}
-	b := batch.New(c, p.Stages...).WithPriority(p.Priority).WithWait(time.Duration(p.WaitMs) * time.Millisecond)
+	b := batch.New(c, p.Stages...).WithPriority(p.Priority).WithWait(time.Duration(p.WaitMs) * time.Millisecond).
+		WithMaxAge(time.Duration(p.MaxAgeMs) * time.Millisecond)
 	b.Keep = p.Keep
 	return b
 }
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// handle answers one request. Run requires that a connection is lent; Take and
-// Report require that none is. Any other request is answered with a fault.
+// handle answers one request. Run requires that a connection is lent; Take, TakeFresh
+// and Report require that none is. Any other request is answered with a fault.
 func (b *borrower) handle(p parcel.Parcel) parcel.Parcel {
 	if p.Verb == parcel.Follow {
 		return b.relay.follow(p)
@@ -129,7 +129,7 @@
 	switch {
 	case p.Verb == parcel.Run && b.conn != nil && len(p.Stages) == 1:
 		return b.run(ctx, p)
-	case p.Verb == parcel.Take && b.conn == nil:
+	case (p.Verb == parcel.Take || p.Verb == parcel.TakeFresh && p.MaxAgeMs > 0) && b.conn == nil:
 		return b.take(ctx, p)
 	case p.Verb == parcel.Report && b.conn == nil && len(p.Stages) == 1 && len(p.Stages[0]) == 1:
 		return b.report(ctx, p)
--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -308,3 +309,62 @@
 		lender.silent = false
 	})
 }
+
+// Many hosts share the connections to a replica that lags. If the lender determines the
+// log position of their reads, the replica serves nearly all of them, and none of them
+// shows data that is older than the route allows.
+func TestLaggingReplicaServesThroughALender(t *testing.T) {
+	withHosts(t, func(t *testing.T, _ *hostNetwork, far *rset.ReplicaSet, b *qgroup.Group) {
+		const lag, maxAge, pause = 300 * time.Millisecond, 1500 * time.Millisecond, 50 * time.Millisecond
+		const rounds, warmup, wantServed = 200, 40, 150
+		b.SetApplyLag(1, lag)
+		var acknowledged []time.Time
+		served := 0
+		for i := range rounds {
+			write := stmt.New(strconv.Itoa(i), stmt.Write, "").WithName("a", strconv.Itoa(i))
+			if !run(t, far, caller.Caller{}, write)[0].OK() {
+				t.Fatalf("write %d failed", i)
+			}
+			acknowledged = append(acknowledged, time.Now())
+			time.Sleep(pause)
+			sent := time.Now()
+			ctx, stop := context.WithTimeout(t.Context(), time.Second)
+			read := batch.New(caller.Caller{}, []stmt.Stmt{stmt.New("r", stmt.Read, "").WithName("a", "")}).WithWait(time.Second).WithMaxAge(maxAge)
+			replies, _, err := far.Do(ctx, "g-1", read)
+			stop()
+			if err != nil || !replies[0].OK() {
+				continue
+			}
+			if i >= warmup {
+				served++
+			}
+			got, _ := strconv.Atoi(replies[0].Rows[0])
+			for n, at := range acknowledged {
+				if n > got && at.Before(sent.Add(-maxAge)) {
+					t.Fatalf("read %d returned write %d, but write %d was acknowledged %v before", i, got, n, sent.Sub(at))
+				}
+			}
+		}
+		if served < wantServed {
+			t.Errorf("the replica served %d of %d reads, want %d", served, rounds-warmup, wantServed)
+		}
+	})
+}
+
+// A replica that receives nothing must not serve a read, however the position is
+// determined.
+func TestLenderDoesNotReadOldData(t *testing.T) {
+	withHosts(t, func(t *testing.T, _ *hostNetwork, far *rset.ReplicaSet, b *qgroup.Group) {
+		is := is.New(t)
+		b.SetReceiveBlocked(1, true)
+		is.True(run(t, far, caller.Caller{}, stmt.New("1", stmt.Write, "").WithName("a", "b"))[0].OK())
+		time.Sleep(2 * time.Second)
+		ctx, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		read := batch.New(caller.Caller{}, []stmt.Stmt{stmt.New("r", stmt.Read, "").WithName("a", "")}).WithWait(time.Second).WithMaxAge(time.Second)
+		replies, _, err := far.Do(ctx, "g-1", read)
+		is.NoErr(err)
+		is.True(replies[0].Code.NotRun())
+		b.SetReceiveBlocked(1, false)
+	})
+}
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -53,7 +53,11 @@
 // statements succeeded, and otherwise nil. After ErrRefused nothing was sent to the
 // target, and the Remote can still be used.
 func (r *Remote) Take(ctx context.Context, t target.Target, b batch.Batch) ([]reply.Reply, *conn.Conn, error) {
-	p := parcel.New(parcel.Take, b, timeLeft(ctx))
+	verb := parcel.Take
+	if b.MaxAge > 0 {
+		verb = parcel.TakeFresh
+	}
+	p := parcel.New(verb, b, timeLeft(ctx))
 	p.Group, p.Target = t.Group, t.ID
 	answer, err := r.ask(ctx, p)
 	if err != nil {
--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -211,9 +211,10 @@
 	mayHaveRun := false
 	ts := targetSearch{group: group, tried: map[string]bool{}}
 	for try := 1; ; try++ {
-		t, position, err := r.freshTarget(ctx, &ts, rt, s.Arrived)
+		t, position, maxAge, err := r.readTarget(ctx, &ts, rt, s.Arrived)
 		if err == nil {
-			last, err = r.readOnce(ctx, &ts, t, rt, s.WithAfter(position))
+			last, err = r.readOnce(ctx, &ts, t, rt, s.WithAfter(position), maxAge)
+			ts.ownPosition = ts.ownPosition || err != nil
 			mayHaveRun = mayHaveRun || errors.Is(err, rset.ErrAnswerLost) || err == nil && !last.Code.NotRun()
 			r.addLogFields(zap.String("Target", t.ID), zap.Int("Try", try), zap.Stringer("After", position))
 		}
@@ -241,6 +242,9 @@
 	// requested; zero means any time. It is set when all targets were tried without
 	// success.
 	watermarkAfter time.Duration
+	// ownPosition means that this host determines the log position, since a lender
+	// could not.
+	ownPosition bool
 }
 
 // freshTarget returns a target that has not been tried for the read yet and whose
@@ -264,9 +268,30 @@
 	return t, position, nil
 }
 
+// readTarget returns a target for a read like freshTarget. If this host knows no
+// position that is recent enough and borrows connections to the target, the lender
+// determines the position: readTarget then returns the maximum age of the data, and as
+// position that of the session's own commits.
+func (r *Runner) readTarget(ctx context.Context, ts *targetSearch, rt route.Route, arrived time.Duration) (target.Target, mark.Mark, time.Duration, error) {
+	_, _, _, known := ts.group.CoveringMark(arrived - rt.MaxAge + ageMargin)
+	if !known && !ts.ownPosition && ts.watermarkAfter == 0 && ts.group.Shared() {
+		var floor mark.Mark
+		if rt.Kind == route.ReadYourWrites {
+			floor = r.caller.Floor
+		}
+		t, ok := ts.group.Pick(ts.tried, floor, r.caller.FloorAt)
+		if ok && !ts.group.ConnectsTo(t.ID) {
+			ts.tried[t.ID] = true
+			return t, floor, rt.MaxAge - ageMargin, nil
+		}
+	}
+	t, position, err := r.freshTarget(ctx, ts, rt, arrived)
+	return t, position, 0, err
+}
+
 // readOnce sends a read to one target.
-func (r *Runner) readOnce(ctx context.Context, ts *targetSearch, t target.Target, rt route.Route, s stmt.Stmt) (reply.Reply, error) {
-	replies, _, err := ts.group.Do(ctx, t.ID, r.batch(ts.group, rt, s.Arrived, []stmt.Stmt{s}))
+func (r *Runner) readOnce(ctx context.Context, ts *targetSearch, t target.Target, rt route.Route, s stmt.Stmt, maxAge time.Duration) (reply.Reply, error) {
+	replies, _, err := ts.group.Do(ctx, t.ID, r.batch(ts.group, rt, s.Arrived, []stmt.Stmt{s}).WithMaxAge(maxAge))
 	if err != nil {
 		return reply.Reply{}, err
 	}
--- a/process/follow/follower_test.go
+++ b/process/follow/follower_test.go
@@ -64,8 +64,8 @@
 	calls int
 	// firstAllowed is the oldest version that the host may apply.
 	firstAllowed uint64
-	conns []net.Conn
-	stop  context.CancelFunc
+	conns        []net.Conn
+	stop         context.CancelFunc
 }
 
 func (h *host) Accept() (net.Conn, error) {
--- a/process/rset/take.go
+++ b/process/rset/take.go
@@ -95,6 +95,12 @@
 // doOwn runs a batch on a connection of the pool. A connection that is not kept
 // is put back, or closed if the batch left it in a transaction.
 func (rs *ReplicaSet) doOwn(ctx context.Context, id string, p *conns.Pool, b batch.Batch) ([]reply.Reply, *conn.Conn, error) {
+	if b.MaxAge > 0 {
+		var err error
+		if b, err = rs.withPosition(ctx, b); err != nil {
+			return nil, nil, err
+		}
+	}
 	waiting, stop := context.WithTimeout(ctx, b.Wait)
 	cn, err := p.Take(waiting, b.Caller, b.Priority)
 	stop()
@@ -123,6 +129,28 @@
 	return replies, nil, nil
 }
 
+// withPosition returns a batch with the log position that covers all commits older than
+// its maximum age. A host whose connections are used by many others knows such a
+// position for longer than each of them, so that replicas that lag can serve.
+func (rs *ReplicaSet) withPosition(ctx context.Context, b batch.Batch) (batch.Batch, error) {
+	since := rs.now() - b.MaxAge
+	m, _, newest, ok := rs.CoveringMark(since)
+	if !ok {
+		waiting, stop := context.WithTimeout(ctx, b.Wait)
+		defer stop()
+		if err := rs.AwaitWatermark(waiting, since); err != nil {
+			return b, err
+		}
+		if m, _, newest, ok = rs.CoveringMark(since); !ok {
+			return b, errors.Wrap(ErrNotSent, "no position is recent enough")
+		}
+	}
+	if rs.now()-newest > b.MaxAge/2 {
+		rs.RenewWatermark()
+	}
+	return b.WithPosition(m), nil
+}
+
 // runStages runs the stages of a batch in order, and stops after a stage in
 // which a statement failed.
 func (rs *ReplicaSet) runStages(ctx context.Context, cn *conn.Conn, b batch.Batch) ([]reply.Reply, error) {
