--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -87,11 +87,10 @@
 }
 
 // New returns a Follower of the tables of ages, which maps each to the age that the
-// copy of a host that reads the store gets. The hosts become known from hostTable,
-// normally within hostPatience.
-func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, hostTable string, hostPatience time.Duration) *Follower {
+// copy of a host that reads the store gets.
+func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, options ...func(*Follower)) *Follower {
 	f := &Follower{
-		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages, hostTable: hostTable, hostPatience: hostPatience,
+		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages,
 		skipped: map[string]skipPeriod{}, retryAt: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
 	}
 	for _, age := range ages {
@@ -99,9 +98,18 @@
 			f.wait = age / 3
 		}
 	}
+	for _, o := range options {
+		o(f)
+	}
 	return f
 }
 
+// WithHostTable returns an option that sets the table from which the hosts become known,
+// normally within a time after the start. Until then, the other tables are not read.
+func WithHostTable(table string, patience time.Duration) func(*Follower) {
+	return func(f *Follower) { f.hostTable, f.hostPatience = table, patience }
+}
+
 // SetHosts sets the live hosts.
 func (f *Follower) SetHosts(hosts []gossip.HostInfo) {
 	f.mu.Lock()
