--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -1,4 +1,5 @@
-// Package relay lends this host's connections to targets to other hosts.
+// Package relay lends this host's connections to targets to other hosts, and passes on
+// the changes of the platform's tables.
 package relay
 
 import (
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -1,4 +1,5 @@
-// Package remote borrows connections to targets from another host.
+// Package remote borrows connections to targets from another host, and asks it for
+// changes of the platform's tables.
 package remote
 
 import (
