--- a/platform/hosts/hosts.go
+++ b/process/enroll/registry.go
@@ -1,6 +1,6 @@
-// Package hosts registers this host in the platform's table store and decodes
-// the registrations of the other hosts.
-package hosts
+// Package enroll registers this host in the table store and decodes the
+// registrations of the other hosts.
+package enroll
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"github.com/pistachiotray/pistachiotray/platform/store"
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/record"
@@ -40,11 +39,21 @@
 	Leaving bool
 }
 
+// table is the table store.
+type table interface {
+	// Get returns one row and the store's time. The row has version 0 if the store
+	// has none with that key.
+	Get(ctx context.Context, table, key string) (record.Row, time.Duration, error)
+	// CompareAndSwap writes a row if the stored one still has the row's version, and
+	// returns the new version.
+	CompareAndSwap(ctx context.Context, table string, r record.Row) (uint64, error)
+}
+
 // Registry registers this host and keeps the set of known hosts up to date with
 // the table.
 type Registry struct {
 	log   *zap.Logger
-	store *store.Client
+	store table
 	// mu guards assignment and ownRow. onChange is called with mu held.
 	mu sync.Mutex
 	// assignment holds the known hosts.
@@ -62,8 +71,8 @@
 
 // New returns a registry that knows only this host. Apply calls onChange with
 // the known hosts after each full listing and each change. regions maps each zone to its region.
-func New(log *zap.Logger, s *store.Client, self gossip.HostInfo, regions map[string]string, onChange func(assign.Assignment)) *Registry {
-	return &Registry{log: log, store: s, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil), listed: make(chan struct{})}
+func New(log *zap.Logger, t table, self gossip.HostInfo, regions map[string]string, onChange func(assign.Assignment)) *Registry {
+	return &Registry{log: log, store: t, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil), listed: make(chan struct{})}
 }
 
 // Register writes this host's row, with Leaving set to leaving. It retries until it
--- a/platform/hosts/hosts_test.go
+++ b/process/enroll/registry_test.go
@@ -1,4 +1,4 @@
-package hosts_test
+package enroll_test
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
-	"github.com/pistachiotray/pistachiotray/platform/hosts"
 	"github.com/pistachiotray/pistachiotray/platform/store"
 	"github.com/pistachiotray/pistachiotray/process/assign"
+	"github.com/pistachiotray/pistachiotray/process/enroll"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/standin/platd"
 )
@@ -33,14 +33,14 @@
 // startHost creates and registers host h1 and returns its Hosts and the number of
 // calls to the store. Unless first is true, it lists the table before it
 // registers the host.
-func startHost(t *testing.T, c *countingHandler, s *store.Client, first bool) (*hosts.Registry, int64) {
+func startHost(t *testing.T, c *countingHandler, s *store.Client, first bool) (*enroll.Registry, int64) {
 	t.Helper()
 	is := is.New(t)
 	callsBefore := c.calls.Load()
 	self := gossip.New("h1", "10.0.0.1:7000", "a", 0)
-	h := hosts.New(zap.NewNop(), s, self, map[string]string{"a": "r"}, func(assign.Assignment) {})
+	h := enroll.New(zap.NewNop(), s, self, map[string]string{"a": "r"}, func(assign.Assignment) {})
 	if !first {
-		rows, version, err := s.List(t.Context(), hosts.Table)
+		rows, version, err := s.List(t.Context(), enroll.Table)
 		is.NoErr(err)
 		h.Apply(rows, version, true)
 	}
@@ -54,7 +54,7 @@
 // isLeaving reports whether the stored row of host h1 has the leaving flag.
 func isLeaving(t *testing.T, s *store.Client) bool {
 	t.Helper()
-	r, _, err := s.Get(t.Context(), hosts.Table, "h1")
+	r, _, err := s.Get(t.Context(), enroll.Table, "h1")
 	if err != nil || r.Version == 0 {
 		t.Fatal(r, err)
 	}
