--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/remote"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/skips"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -23,11 +24,6 @@
 const (
 	// maxIdlePerHost is how many idle connections to each other host are kept.
 	maxIdlePerHost = 4
-	// minSkipTime is how long a host is skipped after it could not be reached.
-	// The time doubles with each failure in a row, up to maxSkipTime, since a
-	// host that never returns may stay registered.
-	minSkipTime = time.Second
-	maxSkipTime = time.Minute
 	// maxLenderWait bounds the time for which one lending host may wait for a
 	// connection to the target.
 	maxLenderWait = 2 * time.Second
@@ -50,23 +46,16 @@
 	Host(ctx context.Context, h gossip.HostInfo) (*remote.Remote, error)
 }
 
-// skipPeriod is the period for which a host that could not be reached is
-// skipped: its end and its length.
-type skipPeriod struct {
-	until  time.Duration
-	length time.Duration
-}
-
 // Borrower manages connections to other hosts and runs statements through them.
 // Lock order: the mutex of a ReplicaSet, then of the Borrower.
 type Borrower struct {
 	mu     sync.Mutex
 	dialer dialer
 	now    func() time.Duration
-	// idle, skipped and peers are maps by host name: idle connections to the
-	// host, the period for which it is skipped, and its unanswered requests.
+	// idle and peers are maps by host name: idle connections to the host, and its
+	// unanswered requests. skipped holds the hosts that could not be reached.
 	idle    map[string][]*remote.Remote
-	skipped map[string]skipPeriod
+	skipped *skips.Skips
 	// inUse maps each borrowed connection to the Remote, the connection to its
 	// lender.
 	inUse map[*conn.Conn]*remote.Remote
@@ -75,7 +64,7 @@
 
 // New returns a Borrower without connections.
 func New(d dialer, now func() time.Duration) *Borrower {
-	return &Borrower{dialer: d, now: now, idle: map[string][]*remote.Remote{}, skipped: map[string]skipPeriod{}, inUse: map[*conn.Conn]*remote.Remote{}, peers: map[string]*peerState{}}
+	return &Borrower{dialer: d, now: now, idle: map[string][]*remote.Remote{}, skipped: skips.New(), inUse: map[*conn.Conn]*remote.Remote{}, peers: map[string]*peerState{}}
 }
 
 // Do runs a batch at a target through one of the given hosts. It asks the host
@@ -173,7 +162,7 @@
 func (br *Borrower) isSkipped(host string) bool {
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	return br.now() < br.skipped[host].until
+	return br.now() < br.skipped.End(host)
 }
 
 // tryHost asks one host. Idle connections to the host may be dead, so tryHost
@@ -224,8 +213,7 @@
 func (br *Borrower) skipHost(host string) {
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	span := min(max(2*br.skipped[host].length, minSkipTime), maxSkipTime)
-	br.skipped[host] = skipPeriod{br.now() + span, span}
+	br.skipped.Unreachable(host, br.now())
 }
 
 // putIdle keeps an idle connection to a host, or closes it if it is broken or
--- a/process/borrow/peer.go
+++ b/process/borrow/peer.go
@@ -44,7 +44,7 @@
 	delete(p.pending, r)
 	if err == nil || errors.Is(err, remote.ErrRefused) {
 		p.lastHeard = br.now()
-		delete(br.skipped, h.Host)
+		br.skipped.Clear(h.Host)
 	}
 	return used, err
 }
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/ranks"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
+	"github.com/pistachiotray/pistachiotray/process/skips"
 )
 
 const (
@@ -30,11 +31,6 @@
 	maxHops = 2
 	// minPause is the shortest pause before the place and the ages are checked again.
 	minPause = 10 * time.Millisecond
-	// minSkip and maxSkip bound how long a host is not asked after it could not be
-	// reached. The time doubles with each failure in a row, since a host that never
-	// returns may stay registered.
-	minSkip = time.Second
-	maxSkip = time.Minute
 )
 
 // dialer opens connections to other hosts.
@@ -74,24 +70,16 @@
 	// retryAt holds for each table when this host, which follows others, may read the
 	// table from the store again.
 	retryAt map[string]time.Duration
-	// skipped maps hosts to the period for which they are not asked.
-	skipped map[string]skipPeriod
+	skipped *skips.Skips
 	started time.Duration
 }
 
-// skipPeriod is the period for which a host is not asked: its end, and its length if
-// the host could not be reached.
-type skipPeriod struct {
-	until  time.Duration
-	length time.Duration
-}
-
 // New returns a Follower of the tables of ages, which maps each to the age that the
 // copy of a host that reads the store gets.
 func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, options ...func(*Follower)) *Follower {
 	f := &Follower{
 		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages,
-		skipped: map[string]skipPeriod{}, retryAt: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
+		skipped: skips.New(), retryAt: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
 	}
 	for _, age := range ages {
 		if f.wait == 0 || age/3 < f.wait {
@@ -134,9 +122,9 @@
 		return f.rank, true
 	}
 	usable := make([]gossip.HostInfo, 0, len(f.hosts))
-	f.rankUntil = now + maxSkip
+	f.rankUntil = now + skips.MaxLength
 	for _, h := range f.hosts {
-		if until := f.skipped[h.Host].until; now < until {
+		if until := f.skipped.End(h.Host); now < until {
 			f.rankUntil = min(f.rankUntil, until)
 		} else {
 			usable = append(usable, h)
@@ -171,8 +159,7 @@
 		}
 		link = f.ask(ctx, link, upstream)
 		if link != nil && f.stale(hops) {
-			f.log.Info("copy of the upstream host is old", zap.String("Peer", upstream.Host), zap.Duration("Pause", 2*f.wait))
-			f.skip(upstream, 2*f.wait, 0)
+			f.noteOld(upstream)
 		}
 	}
 }
@@ -215,7 +202,7 @@
 	}
 	if err == nil {
 		f.mu.Lock()
-		delete(f.skipped, upstream.Host)
+		f.skipped.Clear(upstream.Host)
 		f.mu.Unlock()
 		return link
 	}
@@ -244,22 +231,23 @@
 	return nil
 }
 
-// noteUnreachable skips a host that could not be reached, for longer with each failure
-// in a row.
+// noteUnreachable skips a host that could not be reached.
 func (f *Follower) noteUnreachable(h gossip.HostInfo, took time.Duration, err error) {
 	f.mu.Lock()
-	length := min(max(2*f.skipped[h.Host].length, minSkip), maxSkip)
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	length := f.skipped.Unreachable(h.Host, f.now())
+	f.notifyChanged()
 	f.log.Info("upstream host lost", zap.String("Peer", h.Host), zap.Duration("Took", took), zap.Duration("Pause", length), zap.String("Error", err.Error()))
-	f.skip(h, length, length)
 }
 
-// skip makes a host not be asked for a time.
-func (f *Follower) skip(h gossip.HostInfo, d, length time.Duration) {
+// noteOld skips a host whose copy is old for a while.
+func (f *Follower) noteOld(h gossip.HostInfo) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.skipped[h.Host] = skipPeriod{until: f.now() + d, length: length}
+	pause := 2 * f.wait
+	f.skipped.Until(h.Host, f.now()+pause)
 	f.notifyChanged()
+	f.log.Info("copy of the upstream host is old", zap.String("Peer", h.Host), zap.Duration("Pause", pause))
 }
 
 // notifyChanged makes the host's place be computed again, and wakes those that wait for
