Log the era of the store, to tell a restored one from one that dropped its history

The store tells in the header Store-Era how often it came back from a copy. The client reads it, process/stamp orders positions by era and version, and the watcher logs a change of era with the version that the store tells and the one that the host knows.

--- a/process/delta/delta.go
+++ b/process/delta/delta.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
 // Delta holds the rows of a table that changed after a version, or all rows of the
@@ -17,15 +18,22 @@
 	// Version is the version of the store up to which Rows is complete. 0 means that
 	// nothing is known about the table.
 	Version uint64
+	// Era is the era of the store to which Version and the versions of Rows belong.
+	Era uint64
 	// Whole means that Rows holds all rows of the table.
 	Whole bool
 	// Age is the time for which the store may have had newer changes.
 	Age time.Duration
 }
 
-// New returns the changes of a table up to a version.
-func New(table string, rows []record.Row, version uint64) Delta {
-	return Delta{Table: table, Rows: rows, Version: version}
+// New returns the changes of a table up to a position in the history of the store.
+func New(table string, rows []record.Row, at stamp.Stamp) Delta {
+	return Delta{Table: table, Rows: rows, Version: at.Version, Era: at.Era}
+}
+
+// Stamp returns the position in the history of the store up to which Rows is complete.
+func (d Delta) Stamp() stamp.Stamp {
+	return stamp.New(d.Era, d.Version)
 }
 
 // WithWhole returns a copy that holds all rows of the table.
--- a/process/enroll/registry.go
+++ b/process/enroll/registry.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
 // Table is the table in which hosts register, with one row per host.
@@ -45,8 +46,8 @@
 	// has none with that key.
 	Get(ctx context.Context, table, key string) (record.Row, time.Duration, error)
 	// CompareAndSwap writes a row if the stored one still has the row's version, and
-	// returns the new version.
-	CompareAndSwap(ctx context.Context, table string, r record.Row) (uint64, error)
+	// returns the position of the write.
+	CompareAndSwap(ctx context.Context, table string, r record.Row) (stamp.Stamp, error)
 }
 
 // Registry registers this host and keeps the set of known hosts up to date with
@@ -136,13 +137,13 @@
 	if previous.Version != 0 && string(previous.Value) == string(value) {
 		return nil
 	}
-	version, err := rg.store.CompareAndSwap(ctx, Table, record.New(rg.self.Host, value).WithVersion(previous.Version))
+	at, err := rg.store.CompareAndSwap(ctx, Table, record.New(rg.self.Host, value).WithVersion(previous.Version))
 	if err != nil {
 		return err
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	rg.ownRow = record.New(rg.self.Host, value).WithVersion(version)
+	rg.ownRow = record.New(rg.self.Host, value).WithVersion(at.Version)
 	return nil
 }
 
--- a/process/enroll/registry_test.go
+++ b/process/enroll/registry_test.go
@@ -40,9 +40,9 @@
 	self := gossip.New("h1", "10.0.0.1:7000", "a", 0)
 	h := enroll.New(zap.NewNop(), s, self, map[string]string{"a": "r"}, func(assign.Assignment) {})
 	if !first {
-		rows, version, err := s.List(t.Context(), enroll.Table)
+		rows, at, err := s.List(t.Context(), enroll.Table)
 		is.NoErr(err)
-		h.Apply(rows, version, true)
+		h.Apply(rows, at.Version, true)
 	}
 	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
 	defer stop()
--- a/process/follow/follower_test.go
+++ b/process/follow/follower_test.go
@@ -20,6 +20,7 @@
 	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/ranks"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/watch"
 )
 
@@ -84,7 +85,7 @@
 }
 
 // List returns the row with the newest version.
-func (h *host) List(ctx context.Context, _ string) ([]record.Row, uint64, error) {
+func (h *host) List(ctx context.Context, _ string) ([]record.Row, stamp.Stamp, error) {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	h.fleet.mu.Lock()
@@ -93,14 +94,14 @@
 	h.fleet.mu.Unlock()
 	if !answers {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, stamp.Stamp{}, ctx.Err()
 	}
-	return []record.Row{record.New("plan", nil).WithVersion(version)}, version, nil
+	return []record.Row{record.New("plan", nil).WithVersion(version)}, stamp.New(0, version), nil
 }
 
 // Feed returns the row if it is newer than a version, and waits for a change
 // otherwise. A store that was silent never answers a question that it got before.
-func (h *host) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) ([]record.Row, uint64, error) {
+func (h *host) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) ([]record.Row, stamp.Stamp, error) {
 	ctx, stop := context.WithTimeout(ctx, wait+callTimeout)
 	defer stop()
 	h.fleet.mu.Lock()
@@ -113,17 +114,17 @@
 		h.fleet.mu.Unlock()
 		if !answers {
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, stamp.Stamp{}, ctx.Err()
 		}
 		if version > after {
-			return []record.Row{record.New("plan", nil).WithVersion(version)}, version, nil
+			return []record.Row{record.New("plan", nil).WithVersion(version)}, stamp.New(0, version), nil
 		}
 		select {
 		case <-changed:
 		case <-over:
-			return nil, version, nil
+			return nil, stamp.New(0, version), nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, stamp.Stamp{}, ctx.Err()
 		}
 	}
 }
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -10,6 +10,7 @@
 
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
 // maxDeletions is the number of deleted rows of a table that are remembered. A
@@ -213,7 +214,7 @@
 // them are known.
 func (t *table) since(name string, known uint64) delta.Delta {
 	if known == 0 || known < t.forgotten {
-		return delta.New(name, t.live(), t.version).WithWhole(true)
+		return delta.New(name, t.live(), stamp.New(0, t.version)).WithWhole(true)
 	}
 	var rows []record.Row
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
@@ -221,5 +222,5 @@
 			rows = append(rows, r)
 		}
 	}
-	return delta.New(name, rows, t.version)
+	return delta.New(name, rows, stamp.New(0, t.version))
 }
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
 const second = time.Second
@@ -48,10 +49,10 @@
 func TestRowsNeverGoBack(t *testing.T) {
 	is := is.New(t)
 	m, calls := newMirror()
-	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, 6).WithWhole(true))
-	m.Apply(delta.New("t", []record.Row{gone("a", 7)}, 7))
-	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 4)}, 6))                 // late news
-	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, 6).WithWhole(true)) // a slow host's listing
+	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, stamp.New(0, 6)).WithWhole(true))
+	m.Apply(delta.New("t", []record.Row{gone("a", 7)}, stamp.New(0, 7)))
+	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 4)}, stamp.New(0, 6)))                 // late news
+	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, stamp.New(0, 6)).WithWhole(true)) // a slow host's listing
 	is.Equal(*calls, []string{"6 true a b", "7 false -a"})
 	is.Equal(m.Version("t"), uint64(7))
 }
@@ -60,8 +61,8 @@
 func TestListingShowsDeletions(t *testing.T) {
 	is := is.New(t)
 	m, calls := newMirror()
-	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, 6).WithWhole(true))
-	m.Apply(delta.New("t", []record.Row{row("b", 5)}, 9).WithWhole(true))
+	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, stamp.New(0, 6)).WithWhole(true))
+	m.Apply(delta.New("t", []record.Row{row("b", 5)}, stamp.New(0, 9)).WithWhole(true))
 	is.Equal(*calls, []string{"6 true a b", "9 true b"})
 	news := m.Next(t.Context(), map[string]uint64{"t": 6})
 	is.Equal(news, []delta.Delta{{Table: "t", Rows: []record.Row{gone("a", 9)}, Version: 9}})
@@ -71,12 +72,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		m, _ := newMirror()
-		m.Apply(delta.New("t", []record.Row{row("a", 3)}, 6).WithWhole(true).WithAge(2 * second))
+		m.Apply(delta.New("t", []record.Row{row("a", 3)}, stamp.New(0, 6)).WithWhole(true).WithAge(2 * second))
 		ctx, stop := context.WithTimeout(t.Context(), time.Minute)
 		defer stop()
 		go func() {
 			time.Sleep(second)
-			m.Apply(delta.New("t", []record.Row{row("b", 8)}, 8))
+			m.Apply(delta.New("t", []record.Row{row("b", 8)}, stamp.New(0, 8)))
 		}()
 		news := m.Next(ctx, map[string]uint64{"t": 6})
 		is.Equal(news, []delta.Delta{{Table: "t", Rows: []record.Row{row("b", 8)}, Version: 8}})
@@ -93,9 +94,9 @@
 	is := is.New(t)
 	const deletions = 1001
 	m, _ := newMirror()
-	m.Apply(delta.New("t", []record.Row{row("kept", 1)}, 1).WithWhole(true))
+	m.Apply(delta.New("t", []record.Row{row("kept", 1)}, stamp.New(0, 1)).WithWhole(true))
 	for i := range uint64(deletions) {
-		m.Apply(delta.New("t", []record.Row{gone(fmt.Sprint("k", i), i+2)}, i+2))
+		m.Apply(delta.New("t", []record.Row{gone(fmt.Sprint("k", i), i+2)}, stamp.New(0, i+2)))
 	}
 	news := m.Next(t.Context(), map[string]uint64{"t": 5})
 	is.True(news[0].Whole)
@@ -105,7 +106,7 @@
 func TestUnknownTablesAreIgnored(t *testing.T) {
 	is := is.New(t)
 	m, calls := newMirror()
-	m.Apply(delta.New("other", []record.Row{row("a", 3)}, 6))
+	m.Apply(delta.New("other", []record.Row{row("a", 3)}, stamp.New(0, 6)))
 	is.Equal(len(*calls), 0)
 	is.Equal(m.Version("other"), uint64(0))
 }
--- a/process/watch/watcher.go
+++ b/process/watch/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
 const (
@@ -38,13 +39,13 @@
 
 // source is the platform's store.
 type source interface {
-	// List returns all rows of a table and the table's version.
-	List(ctx context.Context, table string) ([]record.Row, uint64, error)
-	// Feed returns the rows that changed after a version, and the version to
+	// List returns all rows of a table and the position of the store.
+	List(ctx context.Context, table string) ([]record.Row, stamp.Stamp, error)
+	// Feed returns the rows that changed after a version, and the position to
 	// continue from. If nothing changed, it waits for a change for up to the
 	// given time. It returns ErrHistoryDropped if the store no longer has all
 	// changes after the version.
-	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]record.Row, uint64, error)
+	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]record.Row, stamp.Stamp, error)
 }
 
 // mirror is the host's copy of the tables.
@@ -87,6 +88,8 @@
 	// prerequisite is another Watcher that this one waits for after a failure,
 	// or nil.
 	prerequisite *Watcher
+	// era is the era of the store's last answer, 0 before the first one.
+	era uint64
 	// failedSince is when the current series of failures began, or zero if the
 	// last request succeeded.
 	failedSince time.Time
@@ -146,6 +149,7 @@
 		d, err := w.fetch(ctx, version, version == 0 || dropped)
 		if err == nil {
 			w.noteSuccess()
+			w.noteEra(d, version)
 			pause.Reset()
 			rescue.Run(w.log, func() { w.mirror.Apply(d) })
 			dropped = false
@@ -226,6 +230,15 @@
 	}
 }
 
+// noteEra logs that the store was restored from a copy since its last answer.
+func (w *Watcher) noteEra(d delta.Delta, version uint64) {
+	if w.era != 0 && d.Era != w.era {
+		w.log.Warn("store was restored from a copy", zap.String("Table", w.table), zap.Uint64("Era", d.Era), zap.Uint64("Before", w.era),
+			zap.Uint64("Version", d.Version), zap.Uint64("Known", version), zap.Bool("Whole", d.Whole))
+	}
+	w.era = d.Era
+}
+
 // sleep waits for d, varied by up to a tenth so that hosts don't send their
 // requests at the same time.
 func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
--- a/process/watch/watcher_test.go
+++ b/process/watch/watcher_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/watch"
 )
 
@@ -32,18 +33,19 @@
 	err  error
 }
 
-func (s *store) answer() ([]record.Row, uint64, error) {
+func (s *store) answer() ([]record.Row, stamp.Stamp, error) {
 	s.asked = append(s.asked, time.Since(s.began).Round(time.Second))
 	if len(s.steps) == 0 {
-		return nil, 0, errors.New("down")
+		return nil, stamp.Stamp{}, errors.New("down")
 	}
 	n := s.steps[0]
 	s.steps = s.steps[1:]
-	return n.rows, n.next, n.err
+	return n.rows, stamp.New(0, n.next), n.err
 }
 
-func (s *store) List(context.Context, string) ([]record.Row, uint64, error) { return s.answer() }
-func (s *store) Feed(context.Context, string, uint64, time.Duration) ([]record.Row, uint64, error) {
+func (s *store) List(context.Context, string) ([]record.Row, stamp.Stamp, error) { return s.answer() }
+
+func (s *store) Feed(context.Context, string, uint64, time.Duration) ([]record.Row, stamp.Stamp, error) {
 	return s.answer()
 }
 
@@ -103,17 +105,17 @@
 	calls    int
 }
 
-func (fs *failingStore) List(context.Context, string) ([]record.Row, uint64, error) {
+func (fs *failingStore) List(context.Context, string) ([]record.Row, stamp.Stamp, error) {
 	fs.calls++
 	if time.Now().Before(fs.recovery) {
-		return nil, 0, watch.ErrRefused
+		return nil, stamp.Stamp{}, watch.ErrRefused
 	}
-	return nil, 1, nil
+	return nil, stamp.New(0, 1), nil
 }
 
-func (fs *failingStore) Feed(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]record.Row, uint64, error) {
+func (fs *failingStore) Feed(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]record.Row, stamp.Stamp, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, stamp.Stamp{}, ctx.Err()
 }
 
 func TestWatcherWaitsWhileItsPrerequisiteIsRefused(t *testing.T) {
