Order what the store tells by its era, so that a restored store is followed

Cause: versions of the store were compared as if they never went back. The copy of the tables refused a listing with a lower version, so that every question was answered with 410 and followed by another refused listing; where the versions had been given out again meanwhile, changes were taken from the middle of another history. Class: an order that holds only within a scope, compared across scopes, as with log positions without their term.

Now each version goes with its era (process/stamp), in the copy, between hosts, in the roster and in LedSince. A new era begins with a listing.

A host of an older build that follows one of this build is refused, and reads the store itself.

--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -9,6 +9,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -69,8 +70,10 @@
 	// Kept means that the connection remains lent after the batch.
 	Kept bool
 	// Known holds, in a request with the verb Follow, the version of each table that
-	// the asking host knows, 0 if it knows nothing of the table.
+	// the asking host knows, 0 if it knows nothing of the table. Eras holds the era of
+	// the store to which each version belongs.
 	Known map[string]uint64
+	Eras  map[string]uint64
 	// News is the answer to the verb Follow, and HeldMs the time for which the
 	// question waited, in milliseconds.
 	News   []delta.Delta
@@ -79,6 +82,25 @@
 	Fault string
 }
 
+// NewFollow returns a request with the verb Follow. known holds the position of each
+// table that the asking host knows.
+func NewFollow(known map[string]stamp.Stamp, wait time.Duration) Parcel {
+	p := Parcel{Verb: Follow, Known: map[string]uint64{}, Eras: map[string]uint64{}, WaitMs: wait.Milliseconds()}
+	for table, at := range known {
+		p.Known[table], p.Eras[table] = at.Version, at.Era
+	}
+	return p
+}
+
+// Positions returns the position of each table that the asking host knows.
+func (p Parcel) Positions() map[string]stamp.Stamp {
+	known := map[string]stamp.Stamp{}
+	for table, version := range p.Known {
+		known[table] = stamp.New(p.Eras[table], version)
+	}
+	return known
+}
+
 // New returns a request with the given verb for a batch. limit bounds the time of
 // the whole request.
 func New(verb int, b batch.Batch, limit time.Duration) Parcel {
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/process/rset"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -36,9 +37,9 @@
 
 // news is this host's copy of the platform's tables.
 type news interface {
-	// Next waits until a table has changes after the known version, or until the
+	// Next waits until a table has changes after the known position, or until the
 	// context ends, and returns the changes of every table.
-	Next(ctx context.Context, known map[string]uint64) []delta.Delta
+	Next(ctx context.Context, known map[string]stamp.Stamp) []delta.Delta
 }
 
 // Relay serves the hosts that borrow connections or follow the platform's tables.
@@ -120,9 +121,10 @@
 }
 
 // handle answers one request. Run requires that a connection is lent; Take, TakeFresh
-// and Report require that none is. Any other request is answered with a fault.
+// and Report require that none is. Follow requires the era of each version. Any other
+// request is answered with a fault.
 func (b *borrower) handle(p parcel.Parcel) parcel.Parcel {
-	if p.Verb == parcel.Follow {
+	if p.Verb == parcel.Follow && len(p.Eras) == len(p.Known) {
 		return b.relay.follow(p)
 	}
 	ctx, stop := requestContext(p)
@@ -143,7 +145,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), min(time.Duration(p.WaitMs)*time.Millisecond, maxRequestTime))
 	defer stop()
 	began := time.Now()
-	changes := r.news.Next(ctx, p.Known)
+	changes := r.news.Next(ctx, p.Positions())
 	return parcel.Parcel{News: changes, HeldMs: time.Since(began).Milliseconds()}
 }
 
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -109,11 +110,11 @@
 }
 
 // Follow asks the other host for the changes of the platform's tables after the known
-// versions, and waits for a change for up to wait. The age of the changes counts the
+// positions, and waits for a change for up to wait. The age of the changes counts the
 // time on the way in both directions.
-func (r *Remote) Follow(ctx context.Context, known map[string]uint64, wait time.Duration) ([]delta.Delta, error) {
+func (r *Remote) Follow(ctx context.Context, known map[string]stamp.Stamp, wait time.Duration) ([]delta.Delta, error) {
 	began := time.Now()
-	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Follow, Known: known, WaitMs: wait.Milliseconds()})
+	answer, err := r.ask(ctx, parcel.NewFollow(known, wait))
 	if err != nil {
 		return nil, errors.Wrap(err, "Remote.Follow")
 	}
--- a/process/enroll/registry.go
+++ b/process/enroll/registry.go
@@ -150,7 +150,7 @@
 // Apply updates the known hosts with rows of the table, either changed rows or a
 // full listing. A host is removed only if its row is marked as deleted. A host that
 // is merely missing in a full listing stays known.
-func (rg *Registry) Apply(rows []record.Row, _ uint64, whole bool) {
+func (rg *Registry) Apply(rows []record.Row, _ stamp.Stamp, whole bool) {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
 	defer rg.listedOnce.Do(func() { close(rg.listed) })
--- a/process/enroll/registry_test.go
+++ b/process/enroll/registry_test.go
@@ -42,7 +42,7 @@
 	if !first {
 		rows, at, err := s.List(t.Context(), enroll.Table)
 		is.NoErr(err)
-		h.Apply(rows, at.Version, true)
+		h.Apply(rows, at, true)
 	}
 	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
 	defer stop()
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -215,7 +215,7 @@
 
 // exchange asks a host for changes over an open connection and applies them.
 func (f *Follower) exchange(ctx context.Context, link *remote.Remote) error {
-	news, err := link.Follow(ctx, f.mirror.Versions(), f.wait)
+	news, err := link.Follow(ctx, f.mirror.Stamps(), f.wait)
 	if err != nil {
 		return err
 	}
@@ -226,6 +226,10 @@
 			f.log.Warn("old copy of a table not taken", zap.String("Peer", link.Host), zap.String("Table", d.Table), zap.Duration("Age", d.Age))
 			continue
 		}
+		if known := f.mirror.Stamp(d.Table); known.Version != 0 && d.Era > known.Era {
+			f.log.Warn("upstream host tells of a restored store", zap.String("Peer", link.Host), zap.String("Table", d.Table), zap.Uint64("Era", d.Era),
+				zap.Uint64("Before", known.Era), zap.Uint64("Version", d.Version), zap.Uint64("Known", known.Version))
+		}
 		rescue.Run(f.log, func() { f.mirror.Apply(d) })
 	}
 	return nil
--- a/process/follow/follower_test.go
+++ b/process/follow/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,8 +41,11 @@
 type fleet struct {
 	t *testing.T
 	// mu guards the fields below.
-	mu      sync.Mutex
+	mu sync.Mutex
+	// version is the newest version of the plan that was acknowledged.
 	version uint64
+	// stored is what the store has: the plan, and the position of its row.
+	stored  row
 	changed chan struct{}
 	// silent is set while the store answers nobody.
 	silent bool
@@ -49,6 +53,23 @@
 	began  time.Time
 }
 
+// row is the table's only row: a version of the plan at a position of the store.
+type row struct {
+	plan uint64
+	at   stamp.Stamp
+}
+
+// record returns the row as the store sends it.
+func (r row) record() record.Row {
+	return record.New("plan", []byte(strconv.FormatUint(r.plan, 10))).WithVersion(r.at.Version).WithEra(r.at.Era)
+}
+
+// planOf returns the version of the plan in a row's value.
+func planOf(value []byte) uint64 {
+	n, _ := strconv.ParseUint(string(value), 10, 64)
+	return n
+}
+
 // host is one host. It is also the listener of its relay and its client of the store.
 type host struct {
 	fleet    *fleet
@@ -90,39 +111,44 @@
 	defer stop()
 	h.fleet.mu.Lock()
 	h.calls++
-	version, answers := h.fleet.version, h.answers()
+	stored, answers := h.fleet.stored, h.answers()
 	h.fleet.mu.Unlock()
 	if !answers {
 		<-ctx.Done()
 		return nil, stamp.Stamp{}, ctx.Err()
 	}
-	return []record.Row{record.New("plan", nil).WithVersion(version)}, stamp.New(0, version), nil
+	return []record.Row{stored.record()}, stored.at, nil
 }
 
 // Feed returns the row if it is newer than a version, and waits for a change
-// otherwise. A store that was silent never answers a question that it got before.
+// otherwise. A store that was silent never answers a question that it got before. A
+// store that was restored does not have the history of the era before.
 func (h *host) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) ([]record.Row, stamp.Stamp, error) {
 	ctx, stop := context.WithTimeout(ctx, wait+callTimeout)
 	defer stop()
 	h.fleet.mu.Lock()
 	h.calls++
+	era := h.fleet.stored.at.Era
 	h.fleet.mu.Unlock()
 	over := time.After(wait)
 	for {
 		h.fleet.mu.Lock()
-		version, changed, answers := h.fleet.version, h.fleet.changed, h.answers()
+		stored, changed, answers := h.fleet.stored, h.fleet.changed, h.answers()
 		h.fleet.mu.Unlock()
-		if !answers {
+		if !answers || stored.at.Era != era {
 			<-ctx.Done()
 			return nil, stamp.Stamp{}, ctx.Err()
 		}
-		if version > after {
-			return []record.Row{record.New("plan", nil).WithVersion(version)}, stamp.New(0, version), nil
+		if stored.at.Version < after {
+			return nil, stamp.Stamp{}, watch.ErrHistoryDropped
+		}
+		if stored.at.Version > after {
+			return []record.Row{stored.record()}, stored.at, nil
 		}
 		select {
 		case <-changed:
 		case <-over:
-			return nil, stamp.New(0, version), nil
+			return nil, stored.at, nil
 		case <-ctx.Done():
 			return nil, stamp.Stamp{}, ctx.Err()
 		}
@@ -172,7 +198,7 @@
 func withFleet(t *testing.T, count int, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, version: 1, changed: make(chan struct{}), hosts: map[string]*host{}, began: time.Now()}
+		f := &fleet{t: t, version: 1, stored: row{1, stamp.New(1, 10)}, changed: make(chan struct{}), hosts: map[string]*host{}, began: time.Now()}
 		var infos []gossip.HostInfo
 		for i := range count {
 			infos = append(infos, gossip.New(fmt.Sprintf("host-%d", i), "10.0.0.1:1", fmt.Sprintf("zone-%d", i%3), 0))
@@ -202,19 +228,21 @@
 func (f *fleet) start(info gossip.HostInfo, all []gossip.HostInfo) {
 	now := func() time.Duration { return time.Hour + time.Since(f.began) }
 	h := &host{fleet: f, info: info, mirror: mirror.New(now), incoming: make(chan net.Conn)}
-	h.mirror.Handle(tableName, func(rows []record.Row, _ uint64, _ bool) {
+	h.mirror.Handle(tableName, func(rows []record.Row, _ stamp.Stamp, _ bool) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		for _, r := range rows {
-			if r.Version < h.version {
-				f.t.Errorf("%s went back from version %d to %d", info.Host, h.version, r.Version)
+			version := planOf(r.Value)
+			if version < h.version {
+				f.t.Errorf("%s went back from version %d to %d", info.Host, h.version, version)
 			}
-			if r.Version < h.firstAllowed {
-				f.t.Errorf("%s began with version %d, %d or newer wanted", info.Host, r.Version, h.firstAllowed)
+			if version < h.firstAllowed {
+				f.t.Errorf("%s began with version %d, %d or newer wanted", info.Host, version, h.firstAllowed)
 			}
-			h.version = r.Version
+			h.version = version
 		}
 	})
+	h.mirror.KeepOnRestore(tableName, 0, func(stored, known []byte) bool { return planOf(stored) < planOf(known) })
 	f.mu.Lock()
 	f.hosts[info.Host] = h
 	f.mu.Unlock()
@@ -238,11 +266,24 @@
 func (f *fleet) change() {
 	f.set(func() {
 		f.version++
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.write(row{f.version, stamp.New(f.stored.at.Era, f.stored.at.Version+1)})
 	})
 }
 
+// write sets what the store has; the caller holds the lock.
+func (f *fleet) write(r row) {
+	f.stored = r
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// restore makes the store come back with the plan of some versions ago; the caller holds
+// the lock.
+func (f *fleet) restore(lost uint64) {
+	f.write(row{f.version - lost, stamp.New(f.stored.at.Era+1, f.stored.at.Version-lost)})
+	f.silent = false
+}
+
 // calls returns the number of calls to the store of all hosts.
 func (f *fleet) calls() int {
 	f.mu.Lock()
@@ -306,6 +347,41 @@
 		"the store does not answer the reader": {begin: func(f *fleet) { f.reader().cut = true }},
 		"the reader is frozen":                 {begin: func(f *fleet) { f.reader().frozen = true }},
 		"the store was silent":                 {begin: func(f *fleet) { f.silent = true }, end: func(f *fleet) { f.silent = false }},
+		"the store was restored": {
+			begin: func(f *fleet) { f.silent = true },
+			end:   func(f *fleet) { f.restore(3) },
+		},
+		"the store was restored and gave versions out again": {
+			begin: func(f *fleet) { f.silent = true },
+			end: func(f *fleet) {
+				f.restore(3)
+				f.write(row{f.version, stamp.New(f.stored.at.Era, f.stored.at.Version+3)})
+			},
+		},
+		"the store was restored twice": {
+			begin: func(f *fleet) { f.restore(2) },
+			end:   func(f *fleet) { f.restore(3) },
+		},
+		"the store was restored and does not answer the reader": {
+			begin: func(f *fleet) { f.silent = true },
+			end: func(f *fleet) {
+				f.restore(3)
+				f.reader().cut = true
+			},
+		},
+		"the store was restored while half of the hosts were frozen": {
+			begin: func(f *fleet) {
+				for i := range 6 {
+					f.hosts[fmt.Sprintf("host-%d", 2*i)].frozen = true
+				}
+			},
+			end: func(f *fleet) {
+				f.restore(3)
+				for _, h := range f.hosts {
+					h.frozen = false
+				}
+			},
+		},
 		"half of the hosts are frozen": {begin: func(f *fleet) {
 			for i := range 6 {
 				f.hosts[fmt.Sprintf("host-%d", 2*i)].frozen = true
@@ -321,6 +397,10 @@
 		for phase := range 8 {
 			t.Run(fmt.Sprintf("%s %d", name, phase), func(t *testing.T) {
 				withFleet(t, 12, func(_ *testing.T, f *fleet) {
+					for range 3 {
+						f.change()
+						time.Sleep(time.Second)
+					}
 					time.Sleep(time.Duration(phase) * 170 * time.Millisecond)
 					f.set(func() { c.begin(f) })
 					if c.end != nil {
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -13,10 +13,6 @@
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
-// maxDeletions is the number of deleted rows of a table that are remembered. A
-// follower that knows the table from before the forgotten ones gets the whole table.
-const maxDeletions = 1000
-
 // Mirror is the copy of some tables. The copy of a row is never replaced by an older
 // version of the row, whatever its source. Lock order: the mutex of the Mirror, then
 // those that the handlers of the tables lock.
@@ -29,60 +25,51 @@
 	changed chan struct{}
 }
 
-// table is the copy of one table.
-type table struct {
-	handle func(rows []record.Row, version uint64, whole bool)
-	// rows holds the rows by key, including those that were deleted.
-	rows map[string]record.Row
-	// deleted is the number of deleted rows in rows.
-	deleted int
-	// version is the version of the store up to which rows is complete, 0 if the
-	// table was never read.
-	version uint64
-	// newest is the version of the newest change in rows.
-	newest uint64
-	// forgotten is the version up to which rows may lack deletions.
-	forgotten uint64
-	// freshAt is the latest time at which the store is known to have had no newer
-	// changes. It is 0 if the table was never read.
-	freshAt time.Duration
-}
-
 // New returns a Mirror without tables. The clock now must never return 0.
 func New(now func() time.Duration) *Mirror {
 	return &Mirror{now: now, tables: map[string]*table{}, changed: make(chan struct{})}
 }
 
 // Handle adds a table. The function handle is called with the rows that changed and
-// the version of the table, or with all rows if whole is true. It is called for each
+// the position of the table, or with all rows if whole is true. It is called for each
 // listing of the whole table, and otherwise only if rows changed.
-func (m *Mirror) Handle(name string, handle func(rows []record.Row, version uint64, whole bool)) {
+func (m *Mirror) Handle(name string, handle func(rows []record.Row, at stamp.Stamp, whole bool)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.tables[name] = &table{handle: handle, rows: map[string]record.Row{}}
+	m.tables[name] = &table{handle: handle, rows: map[string]record.Row{}, outdated: func(_, _ []byte) bool { return false }}
+}
+
+// KeepOnRestore sets what a table that has a handler keeps when the store is restored
+// from a copy, which may lack changes that the store had acknowledged. Rows that the
+// store lacks are kept for the time grace, in which their writers can write them again,
+// or for good if grace is 0. A row is also kept if outdated reports that the value that
+// the store has is older than the known one.
+func (m *Mirror) KeepOnRestore(name string, grace time.Duration, outdated func(stored, known []byte) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.tables[name]
+	t.grace = grace
+	if outdated != nil {
+		t.outdated = outdated
+	}
 }
 
 // Apply updates a table. It ignores tables without a handler, rows that are not newer
-// than the copy, and a listing that is older than the copy.
+// than the copy, and whatever is from an earlier era or listed before the copy. Of a
+// later era, only a listing of the whole table is applied.
 func (m *Mirror) Apply(d delta.Delta) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t, ok := m.tables[d.Table]
-	if !ok || d.Version == 0 && !d.Whole || d.Whole && d.Version < t.version {
+	if !ok || !t.accepts(d) {
 		return
 	}
-	changes := d.Rows
-	if d.Whole {
-		changes = append(slices.Clone(d.Rows), t.missing(d)...)
-	}
-	changed := t.merge(changes)
-	t.version = max(t.version, d.Version)
-	t.freshAt = max(t.freshAt, m.now()-d.Age)
+	changed := t.apply(d, m.now())
 	switch {
 	case d.Whole:
-		t.handle(t.live(), t.version, true)
+		t.handle(t.live(), t.at, true)
 	case len(changed) > 0:
-		t.handle(changed, t.version, false)
+		t.handle(changed, t.at, false)
 	}
 	if len(changed) > 0 || d.Whole {
 		close(m.changed)
@@ -90,66 +77,27 @@
 	}
 }
 
-// missing returns deletions of the rows that a listing of the whole table no longer
-// has. Rows that are newer than the listing are not missing.
-func (t *table) missing(d delta.Delta) []record.Row {
-	listed := map[string]bool{}
-	for _, r := range d.Rows {
-		listed[r.Key] = true
-	}
-	var gone []record.Row
-	for key, r := range t.rows {
-		if !listed[key] && !r.Gone && r.Version <= d.Version {
-			gone = append(gone, record.Row{Key: key, Version: d.Version, Gone: true})
-		}
-	}
-	return gone
-}
-
-// merge stores the rows that are newer than the copy and returns them.
-func (t *table) merge(rows []record.Row) []record.Row {
-	var changed []record.Row
-	for _, r := range rows {
-		previous, known := t.rows[r.Key]
-		if known && r.Version <= previous.Version {
-			continue
-		}
-		changed = append(changed, r)
-		t.rows[r.Key] = r
-		t.newest = max(t.newest, r.Version)
-		if r.Gone {
-			t.deleted++
-		}
-		if previous.Gone {
-			t.deleted--
-		}
-	}
-	if t.deleted > maxDeletions {
-		maps.DeleteFunc(t.rows, func(_ string, r record.Row) bool { return r.Gone })
-		t.deleted, t.forgotten = 0, t.newest
-	}
-	return changed
-}
-
-// live returns the rows that are not deleted, ordered by key.
-func (t *table) live() []record.Row {
-	var rows []record.Row
-	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
-		if !t.rows[key].Gone {
-			rows = append(rows, t.rows[key])
-		}
+// Stamp returns the position up to which a table is known, or the zero Stamp.
+func (m *Mirror) Stamp(name string) stamp.Stamp {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if t, ok := m.tables[name]; ok {
+		return t.at
 	}
-	return rows
+	return stamp.Stamp{}
 }
 
-// Version returns the version of the store up to which a table is known, or 0.
-func (m *Mirror) Version(name string) uint64 {
+// Restored returns the newest era in which any table was read, and when the Mirror
+// learned that the store had been restored from a copy, or 0 if it never did.
+func (m *Mirror) Restored() (era uint64, at time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if t, ok := m.tables[name]; ok {
-		return t.version
+	for _, t := range m.tables {
+		if t.at.Era > era || t.at.Era == era && t.restoredAt < at {
+			era, at = t.at.Era, t.restoredAt
+		}
 	}
-	return 0
+	return era, at
 }
 
 // FreshAt returns the latest time at which the store is known to have had no newer
@@ -163,25 +111,25 @@
 	return 0
 }
 
-// Versions returns the version of each table, 0 for one that was never read.
-func (m *Mirror) Versions() map[string]uint64 {
+// Stamps returns the position of each table, the zero Stamp for one that was never read.
+func (m *Mirror) Stamps() map[string]stamp.Stamp {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	versions := map[string]uint64{}
+	stamps := map[string]stamp.Stamp{}
 	for name, t := range m.tables {
-		versions[name] = t.version
+		stamps[name] = t.at
 	}
-	return versions
+	return stamps
 }
 
-// Next waits until a table has changes after the known version, or until the context
+// Next waits until a table has changes after the known position, or until the context
 // ends. It returns the changes of every table, without rows for those that have none.
-func (m *Mirror) Next(ctx context.Context, known map[string]uint64) []delta.Delta {
+func (m *Mirror) Next(ctx context.Context, known map[string]stamp.Stamp) []delta.Delta {
 	for {
 		m.mu.Lock()
 		ready := false
 		for name, t := range m.tables {
-			ready = ready || t.newest > known[name] || known[name] == 0 && t.version > 0
+			ready = ready || t.newerThan(known[name])
 		}
 		if ready || ctx.Err() != nil {
 			defer m.mu.Unlock()
@@ -196,31 +144,16 @@
 	}
 }
 
-// since returns the changes of every table after the known version; the caller holds
+// since returns the changes of every table after the known position; the caller holds
 // the lock.
-func (m *Mirror) since(known map[string]uint64) []delta.Delta {
+func (m *Mirror) since(known map[string]stamp.Stamp) []delta.Delta {
 	var news []delta.Delta
 	for _, name := range slices.Sorted(maps.Keys(m.tables)) {
 		t := m.tables[name]
-		if t.version == 0 {
+		if t.at.Version == 0 {
 			continue
 		}
 		news = append(news, t.since(name, known[name]).WithAge(m.now()-t.freshAt))
 	}
 	return news
 }
-
-// since returns the changes after the known version, or the whole table if not all of
-// them are known.
-func (t *table) since(name string, known uint64) delta.Delta {
-	if known == 0 || known < t.forgotten {
-		return delta.New(name, t.live(), stamp.New(0, t.version)).WithWhole(true)
-	}
-	var rows []record.Row
-	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
-		if r := t.rows[key]; r.Version > known {
-			rows = append(rows, r)
-		}
-	}
-	return delta.New(name, rows, stamp.New(0, t.version))
-}
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -22,8 +22,8 @@
 func newMirror() (*mirror.Mirror, *[]string) {
 	m := mirror.New(func() time.Duration { return 100 * second })
 	calls := &[]string{}
-	m.Handle("t", func(rows []record.Row, version uint64, whole bool) {
-		text := fmt.Sprint(version, " ", whole)
+	m.Handle("t", func(rows []record.Row, at stamp.Stamp, whole bool) {
+		text := fmt.Sprint(at.Version, " ", whole)
 		for _, r := range rows {
 			sign := " "
 			if r.Gone {
@@ -54,7 +54,7 @@
 	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 4)}, stamp.New(0, 6)))                 // late news
 	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, stamp.New(0, 6)).WithWhole(true)) // a slow host's listing
 	is.Equal(*calls, []string{"6 true a b", "7 false -a"})
-	is.Equal(m.Version("t"), uint64(7))
+	is.Equal(m.Stamp("t"), stamp.New(0, 7))
 }
 
 // A row that a new listing lacks was deleted. Other hosts learn of it as a change.
@@ -64,7 +64,7 @@
 	m.Apply(delta.New("t", []record.Row{row("a", 3), row("b", 5)}, stamp.New(0, 6)).WithWhole(true))
 	m.Apply(delta.New("t", []record.Row{row("b", 5)}, stamp.New(0, 9)).WithWhole(true))
 	is.Equal(*calls, []string{"6 true a b", "9 true b"})
-	news := m.Next(t.Context(), map[string]uint64{"t": 6})
+	news := m.Next(t.Context(), map[string]stamp.Stamp{"t": stamp.New(0, 6)})
 	is.Equal(news, []delta.Delta{{Table: "t", Rows: []record.Row{gone("a", 9)}, Version: 9}})
 }
 
@@ -79,13 +79,13 @@
 			time.Sleep(second)
 			m.Apply(delta.New("t", []record.Row{row("b", 8)}, stamp.New(0, 8)))
 		}()
-		news := m.Next(ctx, map[string]uint64{"t": 6})
+		news := m.Next(ctx, map[string]stamp.Stamp{"t": stamp.New(0, 6)})
 		is.Equal(news, []delta.Delta{{Table: "t", Rows: []record.Row{row("b", 8)}, Version: 8}})
 		is.NoErr(ctx.Err())
 		// Without a change, the answer tells how fresh the copy is.
 		short, stopShort := context.WithTimeout(t.Context(), second)
 		defer stopShort()
-		is.Equal(m.Next(short, map[string]uint64{"t": 8}), []delta.Delta{{Table: "t", Version: 8}})
+		is.Equal(m.Next(short, map[string]stamp.Stamp{"t": stamp.New(0, 8)}), []delta.Delta{{Table: "t", Version: 8}})
 	})
 }
 
@@ -98,7 +98,7 @@
 	for i := range uint64(deletions) {
 		m.Apply(delta.New("t", []record.Row{gone(fmt.Sprint("k", i), i+2)}, stamp.New(0, i+2)))
 	}
-	news := m.Next(t.Context(), map[string]uint64{"t": 5})
+	news := m.Next(t.Context(), map[string]stamp.Stamp{"t": stamp.New(0, 5)})
 	is.True(news[0].Whole)
 	is.Equal(news[0].Rows, []record.Row{row("kept", 1)})
 }
@@ -108,5 +108,5 @@
 	m, calls := newMirror()
 	m.Apply(delta.New("other", []record.Row{row("a", 3)}, stamp.New(0, 6)))
 	is.Equal(len(*calls), 0)
-	is.Equal(m.Version("other"), uint64(0))
+	is.Equal(m.Stamp("other"), stamp.Stamp{})
 }
--- /dev/null
+++ b/process/mirror/table.go
@@ -0,0 +1,203 @@
+package mirror
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/delta"
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
+)
+
+const (
+	// maxDeletions is the number of deleted rows of a table that are remembered. A
+	// follower that knows the table from before the forgotten ones gets the whole table.
+	maxDeletions = 1000
+	// firstEra is the highest era of a store that was never restored from a copy.
+	firstEra = 1
+)
+
+// table is the copy of one table.
+type table struct {
+	handle func(rows []record.Row, at stamp.Stamp, whole bool)
+	// outdated reports whether the value that a restored store has of a row is older
+	// than the known one.
+	outdated func(stored, known []byte) bool
+	// grace is how long rows that a restored store lacks are kept, 0 for no limit.
+	grace time.Duration
+	// rows holds the rows by key, including those that were deleted. A row that the
+	// restored store lacks, and that may be written again, has version 0.
+	rows map[string]record.Row
+	// deleted is the number of deleted rows in rows.
+	deleted int
+	// at is the position up to which rows is complete, zero if the table was never
+	// read.
+	at stamp.Stamp
+	// newest is the version of the newest change in rows.
+	newest uint64
+	// forgotten is the version up to which rows may lack deletions.
+	forgotten uint64
+	// freshAt is the latest time at which the store is known to have had no newer
+	// changes. It is 0 if the table was never read.
+	freshAt time.Duration
+	// restoredAt is when the table was first read in the present era, 0 if the store
+	// was never restored.
+	restoredAt time.Duration
+	// missing is the number of rows with version 0.
+	missing int
+}
+
+// accepts reports whether changes can be applied to the copy.
+func (t *table) accepts(d delta.Delta) bool {
+	switch {
+	case d.Era != t.at.Era || t.at.Version == 0:
+		return d.Era >= t.at.Era && d.Whole
+	case d.Whole:
+		return d.Version >= t.at.Version
+	}
+	return d.Version > 0
+}
+
+// apply applies accepted changes and returns the rows that changed.
+func (t *table) apply(d delta.Delta, now time.Duration) []record.Row {
+	if d.Era > t.at.Era || t.at.Version == 0 {
+		t.replace(d, now)
+		t.freshAt = max(t.freshAt, now-d.Age)
+		return nil
+	}
+	changes := d.Rows
+	if d.Whole {
+		changes = append(slices.Clone(d.Rows), t.deletions(d)...)
+	}
+	changed := t.merge(changes)
+	t.at = stamp.New(d.Era, max(t.at.Version, d.Version))
+	t.freshAt = max(t.freshAt, now-d.Age)
+	return append(changed, t.expire()...)
+}
+
+// replace takes over the first listing, or the first one of a new era. Versions of the
+// era before mean nothing in the new one.
+func (t *table) replace(d delta.Delta, now time.Duration) {
+	rows := make(map[string]record.Row, len(d.Rows))
+	for _, r := range d.Rows {
+		if known, ok := t.rows[r.Key]; ok && !known.Gone && t.outdated(r.Value, known.Value) {
+			r.Value = known.Value
+		}
+		rows[r.Key] = r
+	}
+	for key, r := range t.rows {
+		if _, listed := rows[key]; !listed && !r.Gone {
+			rows[key] = r.WithEra(d.Era).WithVersion(0)
+		}
+	}
+	if d.Era > firstEra {
+		t.restoredAt = now
+	}
+	t.rows, t.at, t.newest, t.forgotten = rows, d.Stamp(), d.Version, d.Version
+	t.deleted, t.missing = 0, 0
+	for _, r := range rows {
+		if r.Version == 0 {
+			t.missing++
+		}
+	}
+}
+
+// expire deletes the rows that the restored store still lacks after the grace period,
+// and returns their deletions.
+func (t *table) expire() []record.Row {
+	if t.missing == 0 || t.grace == 0 || t.freshAt < t.restoredAt+t.grace {
+		return nil
+	}
+	var gone []record.Row
+	for key, r := range t.rows {
+		if r.Version == 0 {
+			gone = append(gone, record.Row{Key: key, Version: t.at.Version, Era: t.at.Era, Gone: true})
+		}
+	}
+	return t.merge(gone)
+}
+
+// deletions returns deletions of the rows that a listing of the whole table no longer
+// has. Rows that are newer than the listing are not among them.
+func (t *table) deletions(d delta.Delta) []record.Row {
+	listed := map[string]bool{}
+	for _, r := range d.Rows {
+		listed[r.Key] = true
+	}
+	var gone []record.Row
+	for key, r := range t.rows {
+		if !listed[key] && !r.Gone && r.Version <= d.Version {
+			gone = append(gone, record.Row{Key: key, Version: d.Version, Era: d.Era, Gone: true})
+		}
+	}
+	return gone
+}
+
+// merge stores the rows that are newer than the copy and returns them.
+func (t *table) merge(rows []record.Row) []record.Row {
+	var changed []record.Row
+	for _, r := range rows {
+		previous, known := t.rows[r.Key]
+		if known && r.Version <= previous.Version {
+			continue
+		}
+		changed = append(changed, r)
+		t.rows[r.Key] = r
+		t.newest = max(t.newest, r.Version)
+		if r.Gone {
+			t.deleted++
+		}
+		if previous.Gone {
+			t.deleted--
+		}
+		if known && previous.Version == 0 {
+			t.missing--
+		}
+		if r.Version == 0 {
+			t.missing++
+		}
+	}
+	if t.deleted > maxDeletions {
+		maps.DeleteFunc(t.rows, func(_ string, r record.Row) bool { return r.Gone })
+		t.deleted, t.forgotten = 0, t.newest
+	}
+	return changed
+}
+
+// live returns the rows that are not deleted, ordered by key.
+func (t *table) live() []record.Row {
+	var rows []record.Row
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		if !t.rows[key].Gone {
+			rows = append(rows, t.rows[key])
+		}
+	}
+	return rows
+}
+
+// newerThan reports whether the copy has changes after a position.
+func (t *table) newerThan(known stamp.Stamp) bool {
+	if t.at.Era != known.Era || known.Version == 0 {
+		return t.at.Version > 0 && t.at.Era >= known.Era
+	}
+	return t.newest > known.Version
+}
+
+// since returns the changes after the known position, or the whole table if not all of
+// them are known. Of a table that is known from a later era, it returns no rows.
+func (t *table) since(name string, known stamp.Stamp) delta.Delta {
+	switch {
+	case known.Era > t.at.Era:
+		return delta.New(name, nil, t.at)
+	case known.Era < t.at.Era || known.Version == 0 || known.Version < t.forgotten:
+		return delta.New(name, t.live(), t.at).WithWhole(true)
+	}
+	var rows []record.Row
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		if r := t.rows[key]; r.Version > known.Version {
+			rows = append(rows, r)
+		}
+	}
+	return delta.New(name, rows, t.at)
+}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -6,14 +6,15 @@
 	"maps"
 	"slices"
 
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
 )
 
 // Roster is the set of registered targets at one revision of the store. A
 // Roster is immutable.
 type Roster struct {
-	// Revision is the revision of the newest change that the roster includes.
-	Revision uint64
+	// Revision is the position of the newest change that the roster includes.
+	Revision stamp.Stamp
 	targets  map[string]target.Target
 }
 
@@ -30,24 +31,32 @@
 		targets = map[string]target.Target{}
 	}
 	targets[t.ID] = t.WithRevision(t.Revision, targets[t.ID])
-	return Roster{Revision: max(r.Revision, t.Revision), targets: targets}
+	return Roster{Revision: later(r.Revision, t.Revision), targets: targets}
 }
 
 // WithoutTarget returns the roster without a target, which was removed from the
 // store at the given revision.
-func (r Roster) WithoutTarget(id string, revision uint64) Roster {
+func (r Roster) WithoutTarget(id string, revision stamp.Stamp) Roster {
 	targets := maps.Clone(r.targets)
 	delete(targets, id)
-	return Roster{Revision: max(r.Revision, revision), targets: targets}
+	return Roster{Revision: later(r.Revision, revision), targets: targets}
 }
 
 // WithRevision returns the roster with the given revision, or unchanged if its
 // own revision is newer.
-func (r Roster) WithRevision(revision uint64) Roster {
-	r.Revision = max(r.Revision, revision)
+func (r Roster) WithRevision(revision stamp.Stamp) Roster {
+	r.Revision = later(r.Revision, revision)
 	return r
 }
 
+// later returns the later one of two positions.
+func later(a, b stamp.Stamp) stamp.Stamp {
+	if a.Compare(b) < 0 {
+		return b
+	}
+	return a
+}
+
 // Target returns the registration of a target, and false if the target is not
 // registered.
 func (r Roster) Target(id string) (target.Target, bool) {
@@ -81,7 +90,7 @@
 		if t.Group != group || !t.Primary {
 			continue
 		}
-		if leader.ID == "" || t.LedSince > leader.LedSince {
+		if leader.ID == "" || t.LedSince.Compare(leader.LedSince) > 0 {
 			leader = t
 		}
 	}
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotray/pistachiotray/process/borrow"
 	"github.com/pistachiotray/pistachiotray/process/conns"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/process/wmark"
 )
@@ -72,7 +73,7 @@
 	// registeredSince is its LedSince. Update changes the leader only if one of
 	// the two changes.
 	registeredLeader string
-	registeredSince  uint64
+	registeredSince  stamp.Stamp
 	// leaderlessSince is when the leader became unknown. It is 0 while a leader
 	// is known, and before the first one was known.
 	leaderlessSince time.Duration
@@ -264,7 +265,7 @@
 			return cn, err
 		})
 		rs.states[t.ID] = ts
-		rs.log.Info("target added", zap.String("Group", rs.Name), zap.String("Target", t.ID), zap.String("Address", t.Address), zap.Uint64("Revision", t.Revision))
+		rs.log.Info("target added", zap.String("Group", rs.Name), zap.String("Target", t.ID), zap.String("Address", t.Address), zap.Uint64("Era", t.Revision.Era), zap.Uint64("Revision", t.Revision.Version))
 	}
 	switch {
 	case !t.Leaving:
@@ -276,7 +277,7 @@
 		ts.drainUntil = rs.now() + rs.drainTime
 	}
 	if ts.target.Leaving != t.Leaving {
-		rs.log.Info("target changed", zap.String("Group", rs.Name), zap.String("Target", t.ID), zap.Bool("Leaving", t.Leaving), zap.Uint64("Revision", t.Revision))
+		rs.log.Info("target changed", zap.String("Group", rs.Name), zap.String("Target", t.ID), zap.Bool("Leaving", t.Leaving), zap.Uint64("Era", t.Revision.Era), zap.Uint64("Revision", t.Revision.Version))
 	}
 	ts.target = t
 	ts.pool.SetLimit(rs.maxConns)
--- a/process/target/target.go
+++ b/process/target/target.go
@@ -1,6 +1,8 @@
 // Package target defines the registration of a target.
 package target
 
+import "github.com/pistachiotray/pistachiotray/process/stamp"
+
 // Target is the registration of one member of a database group. A Target is
 // immutable.
 type Target struct {
@@ -21,12 +23,12 @@
 	// Started is when the target's process started, in Unix milliseconds. A
 	// target that restarted has lost its log.
 	Started int64
-	// Revision is the revision of the store at which the registration was last
-	// changed.
-	Revision uint64
-	// LedSince is the revision at which the target registered itself as the
-	// group's leader, 0 while it is not registered as leader.
-	LedSince uint64
+	// Revision is the position in the history of the store at which the registration
+	// was last changed.
+	Revision stamp.Stamp
+	// LedSince is the position at which the target registered itself as the group's
+	// leader, zero while it is not registered as leader.
+	LedSince stamp.Stamp
 }
 
 // New returns the registration of a target.
@@ -56,9 +58,9 @@
 // before is the target's previous registration, or the zero Target. If the
 // target was registered as leader before and has not restarted, LedSince is
 // kept.
-func (t Target) WithRevision(revision uint64, before Target) Target {
+func (t Target) WithRevision(revision stamp.Stamp, before Target) Target {
 	t.Revision = revision
-	t.LedSince = 0
+	t.LedSince = stamp.Stamp{}
 	if t.Primary {
 		t.LedSince = revision
 		if before.Primary && before.Started == t.Started {
--- a/process/watch/watcher.go
+++ b/process/watch/watcher.go
@@ -50,8 +50,11 @@
 
 // mirror is the host's copy of the tables.
 type mirror interface {
-	// Version returns the version of the store up to which a table is known, or 0.
-	Version(table string) uint64
+	// Stamp returns the position up to which a table is known, or the zero Stamp.
+	Stamp(table string) stamp.Stamp
+	// Restored returns the newest era in which any table was read, and when the store
+	// is known to have been restored.
+	Restored() (era uint64, at time.Duration)
 	// Apply updates a table.
 	Apply(d delta.Delta)
 }
@@ -88,8 +91,6 @@
 	// prerequisite is another Watcher that this one waits for after a failure,
 	// or nil.
 	prerequisite *Watcher
-	// era is the era of the store's last answer, 0 before the first one.
-	era uint64
 	// failedSince is when the current series of failures began, or zero if the
 	// last request succeeded.
 	failedSince time.Time
@@ -137,7 +138,8 @@
 }
 
 // Run follows the table's changes until the context ends. It lists the table if the
-// copy is empty, and again if the store no longer has all changes since the copy.
+// copy is empty, and again if the store no longer has all changes since the copy or
+// was restored.
 func (w *Watcher) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = minPause
@@ -145,11 +147,16 @@
 	dropped := false
 	w.sleep(ctx, w.initialDelay)
 	for w.gate.Await(ctx, w.table) {
-		version := w.mirror.Version(w.table)
-		d, err := w.fetch(ctx, version, version == 0 || dropped)
+		known := w.mirror.Stamp(w.table)
+		era, _ := w.mirror.Restored()
+		d, err := w.fetch(ctx, known.Version, known.Version == 0 || dropped || era > known.Era)
+		if err == nil && d.Era != known.Era && !d.Whole {
+			// The store knows the version, but of another era.
+			err = ErrHistoryDropped
+		}
 		if err == nil {
 			w.noteSuccess()
-			w.noteEra(d, version)
+			w.noteEra(d, known)
 			pause.Reset()
 			rescue.Run(w.log, func() { w.mirror.Apply(d) })
 			dropped = false
@@ -158,11 +165,11 @@
 			continue
 		}
 		if errors.Is(err, ErrHistoryDropped) {
-			w.log.Warn("store no longer has the requested history, listing the table again", zap.String("Table", w.table), zap.Uint64("Version", version))
+			w.log.Warn("store no longer has the requested history, listing the table again", zap.String("Table", w.table), zap.Uint64("Version", known.Version), zap.Uint64("Era", known.Era))
 			dropped = true
 			continue
 		}
-		w.noteFailure(err, version)
+		w.noteFailure(err, known.Version)
 		w.sleep(ctx, pause.NextBackOff())
 		w.awaitPrerequisite(ctx)
 	}
@@ -230,13 +237,12 @@
 	}
 }
 
-// noteEra logs that the store was restored from a copy since its last answer.
-func (w *Watcher) noteEra(d delta.Delta, version uint64) {
-	if w.era != 0 && d.Era != w.era {
-		w.log.Warn("store was restored from a copy", zap.String("Table", w.table), zap.Uint64("Era", d.Era), zap.Uint64("Before", w.era),
-			zap.Uint64("Version", d.Version), zap.Uint64("Known", version), zap.Bool("Whole", d.Whole))
+// noteEra logs that the store was restored from a copy since the table was known.
+func (w *Watcher) noteEra(d delta.Delta, known stamp.Stamp) {
+	if known.Version != 0 && d.Era != known.Era {
+		w.log.Warn("store was restored from a copy", zap.String("Table", w.table), zap.Uint64("Era", d.Era), zap.Uint64("Before", known.Era),
+			zap.Uint64("Version", d.Version), zap.Uint64("Known", known.Version))
 	}
-	w.era = d.Era
 }
 
 // sleep waits for d, varied by up to a tenth so that hosts don't send their
--- a/process/watch/watcher_test.go
+++ b/process/watch/watcher_test.go
@@ -66,7 +66,7 @@
 func newMirror(table string, apply func(version uint64, whole bool)) *mirror.Mirror {
 	began := time.Now()
 	m := mirror.New(func() time.Duration { return time.Hour + time.Since(began) })
-	m.Handle(table, func(_ []record.Row, version uint64, whole bool) { apply(version, whole) })
+	m.Handle(table, func(_ []record.Row, at stamp.Stamp, whole bool) { apply(at.Version, whole) })
 	return m
 }
 
--- a/standin/platd/server.go
+++ b/standin/platd/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,7 +30,7 @@
 
 // Server simulates a platform with one table store and some database groups.
 type Server struct {
-	// mu guards rows, changes, version, changed, status, answersToLose and groups.
+	// mu guards the fields up to groups.
 	mu        sync.Mutex
 	startTime time.Time
 	// rows holds the present rows by table and key.
@@ -38,6 +39,11 @@
 	changes []row
 	// version is the version of the last change.
 	version uint64
+	// era rises by one each time the store is restored from its copy.
+	era uint64
+	// copiedRows and copiedVersion are the copy.
+	copiedRows    map[[2]string]row
+	copiedVersion uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	// status is the HTTP status with which every call to the store fails, or 0 if
@@ -60,7 +66,7 @@
 // New returns an empty platform.
 func New() *Server {
 	return &Server{
-		startTime: time.Now(), rows: map[[2]string]row{}, changed: make(chan struct{}),
+		startTime: time.Now(), rows: map[[2]string]row{}, era: 1, changed: make(chan struct{}),
 		groups: map[string]*qgroup.Group{}, addresses: map[string]string{}, proxyFor: func(address string) string { return address },
 		closed: make(chan struct{}),
 	}
@@ -90,6 +96,24 @@
 	s.changes = nil
 }
 
+// Copy makes a copy of the store, from which Restore restores it.
+func (s *Server) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copiedRows, s.copiedVersion = maps.Clone(s.rows), s.version
+}
+
+// Restore replaces the content of the store by its copy. What was written since is
+// gone, and its versions are given out again. The history of changes is lost.
+func (s *Server) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.rows, s.version, s.changes = maps.Clone(s.copiedRows), s.copiedVersion, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Put writes a row, as an operator or a target does. A value that is not a []byte
 // is encoded as JSON.
 func (s *Server) Put(table, key string, value any) {
@@ -102,6 +126,14 @@
 	s.applyChange(row{Table: table, Key: key, Value: encoded})
 }
 
+// Has reports whether the store has a row.
+func (s *Server) Has(table, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.rows[[2]string{table, key}]
+	return ok
+}
+
 // Delete deletes a row.
 func (s *Server) Delete(table, key string) {
 	s.mu.Lock()
@@ -143,8 +175,9 @@
 func (s *Server) withFault(serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		status := s.status
+		status, era := s.status, s.era
 		s.mu.Unlock()
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 		if status != 0 {
 			w.WriteHeader(status)
 			return
@@ -181,7 +214,7 @@
 
 // feed sends the changes of a table after a version. If there are none yet, it
 // waits for one, and sends an empty list after WaitMs. It answers 410 Gone if the
-// history does not reach back to the version.
+// history does not reach back to the version, or the store does not have the version.
 func (s *Server) feed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -191,8 +224,11 @@
 		return
 	}
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
-		rows, complete, changed := s.changesAfter(query.Get("Table"), after)
+		rows, complete, changed := s.changesAfter(query.Get("Table"), after, era)
 		if !complete {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -215,12 +251,15 @@
 	}
 }
 
-// changesAfter returns the changes of a table after a version, whether the history
-// has all changes since that version, and a channel that is closed at the next
+// changesAfter returns the changes of a table after a version of an era, whether the
+// history has all changes since that version, and a channel that is closed at the next
 // change of any table.
-func (s *Server) changesAfter(table string, after uint64) (rows []row, complete bool, changed chan struct{}) {
+func (s *Server) changesAfter(table string, after, era uint64) (rows []row, complete bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if era != s.era || after > s.version {
+		return nil, false, s.changed
+	}
 	complete = after == s.version || len(s.changes) > 0 && s.changes[0].RowVersion <= after+1
 	for _, r := range s.changes {
 		if r.Table == table && r.RowVersion > after {
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -23,6 +23,7 @@
 	"github.com/pistachiotray/pistachiotray/process/promo"
 	"github.com/pistachiotray/pistachiotray/process/roster"
 	"github.com/pistachiotray/pistachiotray/process/rset"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 	"github.com/pistachiotray/pistachiotray/standin/lstore"
@@ -182,13 +183,13 @@
 			known[t.ID] = true
 			before, ok := r.Target(t.ID)
 			if !ok || !t.Same(before) {
-				t.Revision = revision
+				t.Revision = stamp.New(0, revision)
 				r = r.WithTarget(t)
 			}
 		}
 		for _, id := range r.IDs() {
 			if !known[id] {
-				r = r.WithoutTarget(id, revision)
+				r = r.WithoutTarget(id, stamp.New(0, revision))
 			}
 		}
 		leader, _ := r.Leader("g")
