Register a host again when the store lost its registration

Hosts that registered in the seconds that a restored store lost stayed unknown to the hosts that started afterwards, which lent them nothing and were not followed, and a host that had announced its stop was live again in the store.

Cause: a host wrote its row once; nobody compared what the store had since then. Now Apply notes the own row of every listing and change, by era, and Maintain writes it again with what Register said last.

--- a/process/enroll/registry.go
+++ b/process/enroll/registry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/assign"
@@ -18,6 +17,7 @@
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
+	"github.com/pistachiotray/pistachiotray/process/wrap"
 )
 
 // Table is the table in which hosts register, with one row per host.
@@ -64,6 +64,13 @@
 	// ownRow is this host's row as last read or written. Its version is 0 if the row
 	// doesn't exist or has not been read yet.
 	ownRow record.Row
+	// leaving is the value with which Register was last called, and registered is set
+	// once it was written.
+	leaving    bool
+	registered bool
+	// lost has a value while this host's row is missing or differs from what was
+	// written.
+	lost chan struct{}
 	// listed is closed after the first listing, which shows whether this host has
 	// a row.
 	listed     chan struct{}
@@ -73,7 +80,7 @@
 // New returns a registry that knows only this host. Apply calls onChange with
 // the known hosts after each full listing and each change. regions maps each zone to its region.
 func New(log *zap.Logger, t table, self gossip.HostInfo, regions map[string]string, onChange func(assign.Assignment)) *Registry {
-	return &Registry{log: log, store: t, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil), listed: make(chan struct{})}
+	return &Registry{log: log, store: t, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil), lost: make(chan struct{}, 1), listed: make(chan struct{})}
 }
 
 // Register writes this host's row, with Leaving set to leaving. It retries until it
@@ -81,12 +88,40 @@
 // has no row yet. Otherwise it waits for a listing of the table, for up to
 // listTimeout, to find out whether the host has a row.
 func (rg *Registry) Register(ctx context.Context, leaving, first bool) {
-	pause := backoff.NewExponentialBackOff()
-	pause.MaxInterval = maxPause
 	if !first {
 		rg.awaitListing(ctx)
 	}
-	for ctx.Err() == nil {
+	rg.mu.Lock()
+	rg.registered, rg.leaving = false, leaving
+	rg.mu.Unlock()
+	rg.write(ctx, leaving)
+}
+
+// Maintain writes this host's row again whenever the store lost what Register wrote,
+// until the context ends.
+func (rg *Registry) Maintain(ctx context.Context) {
+	for {
+		select {
+		case <-rg.lost:
+		case <-ctx.Done():
+			return
+		}
+		rg.mu.Lock()
+		registered, leaving := rg.registered, rg.leaving
+		rg.mu.Unlock()
+		if registered {
+			rg.log.Warn("host registration lost by the store", zap.Bool("Leaving", leaving))
+			rg.write(ctx, leaving)
+		}
+	}
+}
+
+// write writes this host's row. It retries until it succeeds or the context ends, or
+// until Register is called with another value.
+func (rg *Registry) write(ctx context.Context, leaving bool) {
+	pause := backoff.NewExponentialBackOff()
+	pause.MaxInterval = maxPause
+	for ctx.Err() == nil && rg.wants(leaving) {
 		err := rg.writeOwnRow(ctx, leaving)
 		if err == nil {
 			rg.log.Info("host registered", zap.Bool("Leaving", leaving))
@@ -100,6 +135,13 @@
 	}
 }
 
+// wants reports whether leaving is the value that Register was last called with.
+func (rg *Registry) wants(leaving bool) bool {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.leaving == leaving
+}
+
 // awaitListing waits until the first listing was applied, but no longer than
 // listTimeout.
 func (rg *Registry) awaitListing(ctx context.Context) {
@@ -127,44 +169,69 @@
 // writeOwnRow writes this host's row, with Leaving set to leaving, unless ownRow
 // already has the same value.
 func (rg *Registry) writeOwnRow(ctx context.Context, leaving bool) error {
-	value, err := json.Marshal(registration{Address: rg.self.Address, Zone: rg.self.Zone, Leaving: leaving})
+	value, err := rg.value(leaving)
 	if err != nil {
-		return errors.Wrap(err, "encode host registration")
+		return err
 	}
 	rg.mu.Lock()
 	previous := rg.ownRow
 	rg.mu.Unlock()
-	if previous.Version != 0 && string(previous.Value) == string(value) {
-		return nil
-	}
-	at, err := rg.store.CompareAndSwap(ctx, Table, record.New(rg.self.Host, value).WithVersion(previous.Version))
-	if err != nil {
-		return err
+	at := previous.Stamp()
+	if previous.Version == 0 || string(previous.Value) != string(value) {
+		at, err = rg.store.CompareAndSwap(ctx, Table, record.New(rg.self.Host, value).WithVersion(previous.Version))
+		if err != nil {
+			return err
+		}
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	rg.ownRow = record.New(rg.self.Host, value).WithVersion(at.Version)
+	rg.registered = true
+	rg.noteOwnRow(record.New(rg.self.Host, value).WithVersion(at.Version).WithEra(at.Era))
 	return nil
 }
 
+// value returns the value of this host's row.
+func (rg *Registry) value(leaving bool) ([]byte, error) {
+	value, err := json.Marshal(registration{Address: rg.self.Address, Zone: rg.self.Zone, Leaving: leaving})
+	return value, wrap.If(err, "encode host registration")
+}
+
+// noteOwnRow records this host's row as read or written, unless a later one is known,
+// and wakes Maintain if it is not as it has to be; the caller holds the lock.
+func (rg *Registry) noteOwnRow(r record.Row) {
+	if r.Stamp().Compare(rg.ownRow.Stamp()) <= 0 {
+		return
+	}
+	if r.Gone {
+		r = record.New(r.Key, nil).WithEra(r.Era)
+	}
+	rg.ownRow = r
+	value, err := rg.value(rg.leaving)
+	if err != nil {
+		rg.log.Error("host registration not encoded", zap.String("Error", err.Error()))
+		return
+	}
+	if rg.registered && (r.Version == 0 || string(r.Value) != string(value)) {
+		select {
+		case rg.lost <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Apply updates the known hosts with rows of the table, either changed rows or a
-// full listing. A host is removed only if its row is marked as deleted. A host that
+// full listing, read at a position of the store. A host is removed only if its row is marked as deleted. A host that
 // is merely missing in a full listing stays known.
-func (rg *Registry) Apply(rows []record.Row, _ stamp.Stamp, whole bool) {
+func (rg *Registry) Apply(rows []record.Row, at stamp.Stamp, whole bool) {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
 	defer rg.listedOnce.Do(func() { close(rg.listed) })
 	var updated []gossip.HostInfo
-	changed := false
+	changed, ownListed := false, false
 	for _, r := range rows {
 		if r.Key == rg.self.Host {
-			switch {
-			case r.Version <= rg.ownRow.Version:
-			case r.Gone:
-				rg.ownRow = record.New(r.Key, nil)
-			default:
-				rg.ownRow = r
-			}
+			ownListed = true
+			rg.noteOwnRow(r)
 			continue
 		}
 		if r.Gone {
@@ -189,6 +256,9 @@
 			updated = append(updated, info)
 		}
 	}
+	if whole && !ownListed {
+		rg.noteOwnRow(record.Row{Key: rg.self.Host, Version: at.Version, Era: at.Era, Gone: true})
+	}
 	if changed || len(updated) > 0 || whole {
 		rg.assignment = rg.assignment.WithHosts(updated...)
 		rg.onChange(rg.assignment)
--- a/process/enroll/registry_test.go
+++ b/process/enroll/registry_test.go
@@ -89,3 +89,42 @@
 	is.True(calls <= 3)
 	is.True(!isLeaving(t, s))
 }
+
+// A host that drains meanwhile must not come back as one that stays.
+func TestRegistrationLostByTheStoreIsWrittenAgain(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		is := is.New(t)
+		platform := platd.New()
+		server := httptest.NewServer(platform.Handler())
+		s := store.New(server.Listener.Addr().String())
+		ctx, stop := context.WithCancel(t.Context())
+		rg := enroll.New(zap.NewNop(), s, gossip.New("h1", "10.0.0.1:7000", "a", 0), map[string]string{"a": "r"}, func(assign.Assignment) {})
+		go rg.Maintain(ctx)
+		list := func() {
+			rows, at, err := s.List(ctx, enroll.Table)
+			is.NoErr(err)
+			rg.Apply(rows, at, true)
+		}
+		platform.Copy()
+		rg.Register(ctx, false, true)
+		if leaving {
+			platform.Copy()
+			rg.Register(ctx, true, false)
+		}
+		list()
+		platform.Restore()
+		list()
+		for range 200 {
+			r, _, err := s.Get(ctx, enroll.Table, "h1")
+			is.NoErr(err)
+			if r.Version > 0 && leaving == isLeaving(t, s) {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(isLeaving(t, s), leaving)
+		stop()
+		platform.Close()
+		server.Close()
+	}
+}
