Take fencing tokens from the position of the claim, so that none is used twice

When the store came back from a copy, the lease of a group went back too, and the next claim got a token that another host had sent to the platform already: two holders with one token (ONE), or refusals until the counter had passed the platform's highest. A host that had read its lease before the restore could also store its claim after it, since versions are given out again.

Cause: the token was a counter in the row, unique only as long as the row never goes back. Now the token is the position at which the claim was stored, era above version, so that no other claim can have it; a write answered in another era than the lease was read in is not a claim. For 3 s after a host learns of a restore it claims nothing, since the store may have lost the claim of a host that still acts.

--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -2,18 +2,27 @@
 // leader.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/stamp"
+)
+
+// eraShift is the number of bits of a fencing token that hold the version of the store;
+// those above hold the era. At 3,200 writes a second, 44 bits last for 170 years.
+const eraShift = 44
 
 // Lease is the right to order the replacement of one group's leader. A Lease is
 // immutable. A new value is stored only if the stored lease has not changed
-// since it was read, so each token belongs to a single claim of one host.
+// since it was read. The token of a claim is the position at which the claim was
+// stored, so that no other claim ever has it, even if the store loses the claim.
 type Lease struct {
 	// Group is the name of the database group.
 	Group string
 	// Holder is the host that last claimed the lease, in advance or not.
 	Holder string
-	// Token is the fencing token, which increases with each claim. The platform
-	// refuses an order if it has seen a higher token.
+	// Token is the fencing token, which increases with each claim. It is 0 until the
+	// claim is stored. The platform refuses an order if it has seen a higher token.
 	Token uint64
 	// Target is the target that was ordered to lead, empty if there is no
 	// order. After a claim in advance, it is the target that was leader at that
@@ -29,9 +38,9 @@
 	// became leader.
 	Reserve  bool
 	Reserves int
-	// Version is the version of the stored row, 0 if the lease was never
-	// stored.
-	Version uint64
+	// Stored is the position of the stored row. Its version is 0 if the lease was
+	// never stored.
+	Stored stamp.Stamp
 }
 
 // New returns the lease of a group that was never claimed.
@@ -39,12 +48,12 @@
 	return Lease{Group: group}
 }
 
-// WithClaim returns the lease as claimed by a host at the given time, with the
-// next fencing token. It keeps Target if the order to promote that target may
+// WithClaim returns the lease as claimed by a host at the given time. The claim gets
+// its fencing token when it is stored. It keeps Target if the order to promote that target may
 // still be carried out.
 func (l Lease) WithClaim(host string, at time.Duration) Lease {
 	l.Holder = host
-	l.Token++
+	l.Token = 0
 	if l.Done {
 		l.Target = ""
 	}
@@ -56,14 +65,14 @@
 }
 
 // WithReserve returns the lease as claimed in advance by a host while the given
-// target leads, with the next fencing token. Such a claim does not prevent
+// target leads. The claim gets its fencing token when it is stored. Such a claim does not prevent
 // other hosts from claiming the lease.
 func (l Lease) WithReserve(host, leader string) Lease {
 	if l.Target != leader {
 		l.Reserves = 0
 	}
 	l.Holder = host
-	l.Token++
+	l.Token = 0
 	l.Target = leader
 	l.Done = true
 	l.Reserve = true
@@ -105,9 +114,12 @@
 	return l
 }
 
-// WithVersion returns the lease with the version of its stored row.
-func (l Lease) WithVersion(version uint64) Lease {
-	l.Version = version
+// WithStored returns the lease as stored at a position. A claim gets its fencing token.
+func (l Lease) WithStored(at stamp.Stamp) Lease {
+	l.Stored = at
+	if l.Token == 0 && at.Version > 0 {
+		l.Token = at.Era<<eraShift | at.Version
+	}
 	return l
 }
 
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -99,6 +100,9 @@
 	// in an outage of the store. Its token is 0 if there is none.
 	reservedLease lease.Lease
 	reservePause  time.Duration
+	// restored returns the newest era of the store that this host has seen, and how
+	// long ago it learned that the store had been restored.
+	restored func() (era uint64, ago time.Duration)
 	// orderPending is set after a handover for replica lag whose order was not
 	// confirmed, while that order may still be carried out. Run then repeats
 	// the replacement even if the leader serves, since replicas must not
@@ -118,6 +122,7 @@
 // New returns a Promoter for one group on one host.
 func New(host string, log *zap.Logger, rs *rset.ReplicaSet, pl platform, options ...func(*Promoter)) *Promoter {
 	p := &Promoter{host: host, log: log.With(zap.String("Group", rs.Name)), group: rs, platform: pl, isolated: func() bool { return false }}
+	p.restored = func() (uint64, time.Duration) { return math.MaxUint64, math.MaxInt64 }
 	for _, set := range options {
 		set(p)
 	}
@@ -132,6 +137,14 @@
 	return func(p *Promoter) { p.isolated = isolated }
 }
 
+// WithRestores returns an option that sets the function restored, which returns the
+// newest era of the store that this host has seen, and how long ago it learned that the
+// store had been restored from a copy. The store may have lost the claim of a host that
+// still acts on it, so for claimHold after that, the host claims no lease.
+func WithRestores(restored func() (era uint64, ago time.Duration)) func(*Promoter) {
+	return func(p *Promoter) { p.restored = restored }
+}
+
 // Run monitors the leader until the context ends.
 func (p *Promoter) Run(ctx context.Context) {
 	for {
@@ -274,6 +287,10 @@
 		p.log.Warn("lease not read", zap.String("Why", why), zap.String("Error", err.Error()), zap.Uint64("Reserve", p.reservedLease.Token))
 		return p.reservedLease, p.reservedLease.Token != 0 && !planned(why)
 	}
+	if era, ago := p.restored(); l.Stored.Era > era || ago < claimHold {
+		p.log.Info("lease not claimed after a restore of the store", zap.String("Why", why), zap.Uint64("Era", l.Stored.Era), zap.Uint64("Known", era), zap.Duration("Ago", ago))
+		return l, false
+	}
 	if l.Done && now-l.At < claimHold && p.group.SetLeader(l.Target, "lease") {
 		return l, false
 	}
--- a/standin/lstore/leasestore.go
+++ b/standin/lstore/leasestore.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiotray/pistachiotray/process/lease"
 	"github.com/pistachiotray/pistachiotray/process/promo"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
 // errStoreDown is returned while the store is down.
@@ -29,14 +30,23 @@
 	group group
 	now   func() time.Duration
 	lease lease.Lease
-	down  bool
-	reads int
+	// version is the version of the last write, and era that of the store. The copy
+	// is what Restore returns to.
+	version uint64
+	era     uint64
+	copy    lease.Lease
+	down    bool
+	reads   int
+	// holders holds the holder that sent each fencing token, and shared the tokens
+	// that two holders sent.
+	holders map[uint64]string
+	shared  []uint64
 }
 
 // New returns the store of the named group's lease. Read returns the time of the
 // clock now.
 func New(name string, group group, now func() time.Duration) *LeaseStore {
-	return &LeaseStore{group: group, now: now, lease: lease.New(name)}
+	return &LeaseStore{group: group, now: now, lease: lease.New(name), copy: lease.New(name), era: 1, holders: map[uint64]string{}}
 }
 
 // SetDown sets whether the store refuses reads and writes.
@@ -46,6 +56,46 @@
 	s.down = down
 }
 
+// Copy makes the copy of the lease to which Restore returns.
+func (s *LeaseStore) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copy = s.lease
+}
+
+// Restore starts a new era with the lease as it was at the last call of Copy. Versions
+// are given out again.
+func (s *LeaseStore) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.lease, s.version = s.copy, s.copy.Stored.Version
+}
+
+// Era returns the store's era.
+func (s *LeaseStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// SharedTokens returns the fencing tokens that were sent by two holders.
+func (s *LeaseStore) SharedTokens() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shared
+}
+
+// noteHolder records who sent a fencing token.
+func (s *LeaseStore) noteHolder(l lease.Lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if holder, ok := s.holders[l.Token]; ok && holder != l.Holder {
+		s.shared = append(s.shared, l.Token)
+	}
+	s.holders[l.Token] = l.Holder
+}
+
 // Reads returns the number of calls of Read.
 func (s *LeaseStore) Reads() int {
 	s.mu.Lock()
@@ -61,21 +111,25 @@
 	if s.down {
 		return lease.Lease{}, 0, errStoreDown
 	}
-	return s.lease, s.now(), nil
+	return s.lease.WithStored(stamp.New(s.era, s.lease.Stored.Version)), s.now(), nil
 }
 
-// Write stores the lease and returns it with its new version. It returns
-// promo.ErrTaken if the stored lease has another version than l.
+// Write stores the lease and returns it as stored. It returns promo.ErrTaken if the
+// stored lease has another version than l, or was restored since l was read.
 func (s *LeaseStore) Write(_ context.Context, l lease.Lease) (lease.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.down:
 		return l, errStoreDown
-	case l.Version != s.lease.Version:
+	case l.Stored.Version != s.lease.Stored.Version:
+		return l, promo.ErrTaken
+	}
+	s.version++
+	s.lease = l.WithStored(stamp.New(s.era, s.version))
+	if l.Stored.Era != s.era {
 		return l, promo.ErrTaken
 	}
-	s.lease = l.WithVersion(l.Version + 1)
 	return s.lease, nil
 }
 
@@ -85,5 +139,6 @@
 	const answerTimeout = 800 * time.Millisecond
 	ctx, stop := context.WithTimeout(ctx, answerTimeout)
 	defer stop()
+	s.noteHolder(l)
 	return s.group.Order(ctx, l.Target, l.Token)
 }
--- a/standin/qgroup/failover_test.go
+++ b/standin/qgroup/failover_test.go
@@ -143,7 +143,7 @@
 		cl := c.newClient(0, "primary")
 		time.Sleep(5 * time.Second)
 		is.True(cl.run(stmt.Write, "a", "a").OK())
-		c.setStoreDown(true)
+		c.store.SetDown(true)
 		c.group.SetSilent(0, true)
 		gap, ok := cl.writeUntilOK(2 * maxWriteGap)
 		is.True(ok)
@@ -344,7 +344,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		c := newTestCluster(ctx, t, hostCount)
 		time.Sleep(10 * time.Minute)
-		if n := c.storeReads(); n > hostCount*readsPerHost {
+		if n := c.store.Reads(); n > hostCount*readsPerHost {
 			t.Errorf("%d hosts read the lease %d times under one leader", hostCount, n)
 		}
 		stop()
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -70,6 +70,7 @@
 //     statement differ from those of its session.
 //   - MIXED: a statement got the answer to another statement.
 //   - UNASKED: a statement ran that no session sent.
+//   - ONE: two hosts sent the same fencing token.
 type history struct {
 	mu sync.Mutex
 	// acknowledged holds the acknowledged writes of each item.
@@ -126,10 +127,12 @@
 	history *history
 	now     func() time.Duration
 	hosts   []hostTables
-	// setStoreDown sets whether the lease store refuses calls.
-	setStoreDown func(bool)
-	// storeReads returns the number of reads of the lease.
-	storeReads func() int
+	store *lstore.LeaseStore
+	// restoredEra is the era of the lease store that the hosts know, and restoredAt when
+	// they learned of it; mu guards both.
+	mu          sync.Mutex
+	restoredEra uint64
+	restoredAt  time.Duration
 	// registrationsCut holds a flag for each host. While the flag is set, the host
 	// gets no registrations.
 	registrationsCut []*atomic.Bool
@@ -149,9 +152,8 @@
 		history: &history{acknowledged: map[string][]ack{}, wantValues: map[string]map[string]string{}},
 	}
 	c.group.OnStatement = c.checkValues
-	store := lstore.New("g", c.group, now)
-	c.setStoreDown = store.SetDown
-	c.storeReads = store.Reads
+	c.store = lstore.New("g", c.group, now)
+	c.restoredEra = c.store.Era()
 	for i := range hostCount {
 		rs := rset.New("g", zap.NewNop(), c.group.From(i), now, func(zone string) time.Duration {
 			if zone == fmt.Sprintf("zone-%d", i) {
@@ -164,11 +166,25 @@
 		go c.feedRegistrations(ctx, rs, c.registrationsCut[i])
 		isolated := &atomic.Bool{}
 		c.isolated = append(c.isolated, isolated)
-		go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), rs, store, promo.WithIsolationCheck(isolated.Load)).Run(ctx)
+		go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore)).Run(ctx)
 	}
 	return c
 }
 
+// noteEra makes the hosts learn of the store's era.
+func (c *testCluster) noteEra() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restoredEra, c.restoredAt = c.store.Era(), c.now()
+}
+
+// sinceRestore returns the era that the hosts know, and how long ago they learned of it.
+func (c *testCluster) sinceRestore() (era uint64, ago time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.restoredEra, c.now() - c.restoredAt
+}
+
 // feedRegistrations updates a host's replica set from the members'
 // registrations, as the feed of the platform's store does.
 func (c *testCluster) feedRegistrations(ctx context.Context, rs *rset.ReplicaSet, cut *atomic.Bool) {
@@ -427,8 +443,8 @@
 			time.Sleep(span)
 			c.group.SetLeaving(i, false)
 		case 7:
-			c.setStoreDown(true)
-			time.AfterFunc(span+2*time.Second, func() { c.setStoreDown(false) })
+			c.store.SetDown(true)
+			time.AfterFunc(span+2*time.Second, func() { c.store.SetDown(false) })
 		case 8:
 			leader := max(c.group.Leader(), 0)
 			host := random.IntN(3) - 1 // one of the two, or AllHosts
@@ -447,6 +463,26 @@
 	}
 }
 
+// injectRestores injects random faults while the lease store comes back again and again
+// from a copy that is some seconds old. The hosts learn of it late.
+func (c *testCluster) injectRestores(random *rand.Rand) {
+	go func() {
+		restores := rand.New(rand.NewPCG(random.Uint64(), 0))
+		for c.ctx.Err() == nil {
+			time.Sleep(time.Duration(restores.IntN(2500)) * time.Millisecond)
+			c.store.Copy()
+			time.Sleep(time.Duration(200+restores.IntN(4000)) * time.Millisecond)
+			c.store.SetDown(true)
+			time.Sleep(time.Duration(restores.IntN(2000)) * time.Millisecond)
+			c.store.Restore()
+			c.store.SetDown(false)
+			time.Sleep(time.Duration(restores.IntN(1500)) * time.Millisecond)
+			c.noteEra()
+		}
+	}()
+	c.injectFaults(random)
+}
+
 // injectForgottenLeaders makes host 1 replace the leader again and again while host
 // 0 gets no registrations, and keeps the replaced leaders from receiving. A read of a
 // primary route at host 0 is fresh only if a replaced leader refuses it.
@@ -469,6 +505,9 @@
 // got.
 func (c *testCluster) checkLogs() {
 	leader := c.group.Leader()
+	for _, token := range c.store.SharedTokens() {
+		c.history.addViolation("ONE: the fencing token %d was sent by two hosts", token)
+	}
 	if leader < 0 {
 		c.history.addViolation("nobody leads at the end")
 		leader = 0
@@ -558,6 +597,22 @@
 	}
 }
 
+// TestPromisesWhileTheLeaseStoreIsRestored checks the promises while claims and orders
+// that the lease store acknowledged are lost.
+func TestPromisesWhileTheLeaseStoreIsRestored(t *testing.T) {
+	for seed := uint64(1); seed <= seedCount(t); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			violations, readsServed := runFaults(t, seed, (*testCluster).injectRestores)
+			for _, v := range violations {
+				t.Error(v)
+			}
+			if readsServed == 0 {
+				t.Error("no read was served")
+			}
+		})
+	}
+}
+
 // TestForgottenLeadersServeNothingStale checks the promises while a host does not
 // learn that its leader was replaced.
 func TestForgottenLeadersServeNothingStale(t *testing.T) {
