Read the registrations after a claim, so that no host replaces a leader it does not know

Writes that had been acknowledged were gone (LOST): a host that had been cut off from the store and the other hosts came back, claimed the lease of a group whose leader it did not know, stopped the replicas that it knew, all of which answered, and promoted one of them. The present leader and the replica that had joined meanwhile were unknown to it and went on acknowledging writes.

In its log: lease claimed 12.08, takeover ready 12.12 with three reports, the missed targets added 12.55.

Cause: a claim says that no other host acts, not that this one knows what it acts on. Class: a decision on a membership view of unknown age. Now the promoter lists the registrations after its claim, checks that the problem is still there, and releases the lease otherwise. With a lease reserved for outages of the store it acts only if its copy is fresh or another host, which would have a fresher one, answers.

--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -72,6 +72,8 @@
 	retryAt map[string]time.Duration
 	skipped *skips.Skips
 	started time.Duration
+	// answeredAt is when another host last answered, 0 if none ever did.
+	answeredAt time.Duration
 }
 
 // New returns a Follower of the tables of ages, which maps each to the age that the
@@ -203,6 +205,7 @@
 	if err == nil {
 		f.mu.Lock()
 		f.skipped.Clear(upstream.Host)
+		f.answeredAt = f.now()
 		f.mu.Unlock()
 		return link
 	}
@@ -278,6 +281,16 @@
 	return false
 }
 
+// Current reports whether the copy of a table is as new as this host could know it: it is
+// not stale, or another host that answers has no newer one.
+func (f *Follower) Current(table string) bool {
+	f.mu.Lock()
+	alone := f.knownAt != 0 && len(f.hosts) <= 1
+	answered := f.answeredAt != 0 && f.now()-f.answeredAt <= 2*(f.wait+answerMargin)
+	f.mu.Unlock()
+	return alone || answered || f.age(table) <= f.limit(table, maxHops)
+}
+
 // age returns for how long the store may have had newer changes of a table.
 func (f *Follower) age(table string) time.Duration {
 	return f.now() - f.mirror.FreshAt(table)
--- a/process/follow/follower_test.go
+++ b/process/follow/follower_test.go
@@ -75,6 +75,7 @@
 	fleet    *fleet
 	info     gossip.HostInfo
 	mirror   *mirror.Mirror
+	follower *follow.Follower
 	incoming chan net.Conn
 	// version is the newest version that the host has applied.
 	version uint64
@@ -247,6 +248,7 @@
 	f.hosts[info.Host] = h
 	f.mu.Unlock()
 	follower := follow.New(zap.NewNop(), h, h.mirror, now, info, map[string]time.Duration{tableName: storeWait + pollInterval})
+	h.follower = follower
 	ctx, stop := context.WithCancel(f.t.Context())
 	h.stop = stop
 	go relay.New(zap.NewNop(), nil, h.mirror).Serve(h)
@@ -415,6 +417,26 @@
 	}
 }
 
+// While the store is silent for all, hosts go on with what they know. A host that reaches
+// neither the store nor another host may lack what the others know.
+func TestOnlyAnIsolatedHostIsNotCurrent(t *testing.T) {
+	withFleet(t, 6, func(t *testing.T, f *fleet) {
+		isolated := f.hosts["host-0"]
+		f.set(func() {
+			f.silent = true
+			isolated.frozen = true
+		})
+		for second := range 30 {
+			time.Sleep(time.Second)
+			for name, h := range f.hosts {
+				if want := h != isolated; (want || second >= 3) && h.follower.Current(tableName) != want {
+					t.Errorf("after %d s, %s is current: %t, want %t", second+1, name, !want, want)
+				}
+			}
+		}
+	})
+}
+
 // A silent store must not be asked by every host at the rate of the reader.
 func TestSilentStoreIsAskedSeldom(t *testing.T) {
 	const hosts, outage = 60, 20 * time.Second
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -103,6 +103,11 @@
 	// restored returns the newest era of the store that this host has seen, and how
 	// long ago it learned that the store had been restored.
 	restored func() (era uint64, ago time.Duration)
+	// refresh updates the group's targets from the store.
+	refresh func(ctx context.Context) error
+	// current reports whether the group's targets are as new as this host could know
+	// them while the store does not answer.
+	current func() bool
 	// orderPending is set after a handover for replica lag whose order was not
 	// confirmed, while that order may still be carried out. Run then repeats
 	// the replacement even if the leader serves, since replicas must not
@@ -123,6 +128,8 @@
 func New(host string, log *zap.Logger, rs *rset.ReplicaSet, pl platform, options ...func(*Promoter)) *Promoter {
 	p := &Promoter{host: host, log: log.With(zap.String("Group", rs.Name)), group: rs, platform: pl, isolated: func() bool { return false }}
 	p.restored = func() (uint64, time.Duration) { return math.MaxUint64, math.MaxInt64 }
+	p.refresh = func(context.Context) error { return nil }
+	p.current = func() bool { return true }
 	for _, set := range options {
 		set(p)
 	}
@@ -145,6 +152,15 @@
 	return func(p *Promoter) { p.restored = restored }
 }
 
+// WithRegistrations returns an option that sets the functions refresh, which updates the
+// group's targets from the store, and current, which reports whether they are as new as
+// this host could know them while the store does not answer. A host that does not know
+// all targets can't replace a leader: those that it does not know may go on
+// acknowledging commits.
+func WithRegistrations(refresh func(ctx context.Context) error, current func() bool) func(*Promoter) {
+	return func(p *Promoter) { p.refresh, p.current = refresh, current }
+}
+
 // Run monitors the leader until the context ends.
 func (p *Promoter) Run(ctx context.Context) {
 	for {
@@ -246,12 +262,14 @@
 		return false
 	}
 	l, ok := p.claim(ctx, why)
+	ok = ok && p.confirm(ctx, l, why)
 	if why == rset.ReplicasBehind {
 		p.group.NoteLagHandover()
 	}
 	if !ok {
 		return false
 	}
+	leader, _ = p.group.Leader()
 	began := time.Now()
 	chosen, ok := "", false
 	if planned(why) {
@@ -273,6 +291,35 @@
 	return true
 }
 
+// confirm checks with the newest registrations that the problem still exists, after the
+// lease was claimed because of it. If it does not, it releases the lease and returns
+// false. A host that can't reach the store goes on with the registrations that it has
+// if they are current.
+func (p *Promoter) confirm(ctx context.Context, l lease.Lease, why string) bool {
+	if l.Reserve {
+		if !p.current() {
+			p.log.Warn("leader not replaced with old registrations", zap.String("Why", why), zap.Uint64("Token", l.Token))
+			return false
+		}
+		return true
+	}
+	refreshing, stop := context.WithTimeout(ctx, claimTimeout)
+	defer stop()
+	if err := p.refresh(refreshing); err != nil {
+		p.log.Warn("registrations not read", zap.String("Why", why), zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
+		return false
+	}
+	found, due, _ := p.group.LeaderProblem()
+	if due && found == why || l.OrderPending() {
+		return true
+	}
+	p.log.Info("leader needs no replacement", zap.String("Why", why), zap.String("Found", found), zap.Uint64("Token", l.Token))
+	if _, err := p.platform.Write(refreshing, l.WithDone()); err != nil {
+		p.log.Info("lease not released", zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
+	}
+	return false
+}
+
 // claim claims the lease and reports whether this host may use it. If the store
 // does not answer, it falls back on the reserved lease, except for a handover.
 // It returns false if the store does not answer and there is no such lease, if
--- a/standin/lstore/leasestore.go
+++ b/standin/lstore/leasestore.go
@@ -56,6 +56,13 @@
 	s.down = down
 }
 
+// Down reports whether the store refuses reads and writes.
+func (s *LeaseStore) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // Copy makes the copy of the lease to which Restore returns.
 func (s *LeaseStore) Copy() {
 	s.mu.Lock()
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
@@ -127,7 +128,7 @@
 	history *history
 	now     func() time.Duration
 	hosts   []hostTables
-	store *lstore.LeaseStore
+	store   *lstore.LeaseStore
 	// restoredEra is the era of the lease store that the hosts know, and restoredAt when
 	// they learned of it; mu guards both.
 	mu          sync.Mutex
@@ -145,10 +146,15 @@
 }
 
 func newTestCluster(ctx context.Context, t *testing.T, hostCount int, options ...func(*qgroup.Group)) *testCluster {
+	return newTestClusterOf(ctx, t, qgroup.New("g", 3, options...), hostCount)
+}
+
+// newTestClusterOf returns a cluster with a given group.
+func newTestClusterOf(ctx context.Context, t *testing.T, group *qgroup.Group, hostCount int) *testCluster {
 	began := time.Now()
 	now := func() time.Duration { return time.Hour + time.Since(began) }
 	c := &testCluster{
-		t: t, group: qgroup.New("g", 3, options...), now: now, ctx: ctx,
+		t: t, group: group, now: now, ctx: ctx,
 		history: &history{acknowledged: map[string][]ack{}, wantValues: map[string]map[string]string{}},
 	}
 	c.group.OnStatement = c.checkValues
@@ -163,10 +169,12 @@
 		})
 		c.hosts = append(c.hosts, hostTables{rs})
 		c.registrationsCut = append(c.registrationsCut, &atomic.Bool{})
-		go c.feedRegistrations(ctx, rs, c.registrationsCut[i])
+		registrations := &feed{group: c.group, replicaSet: rs}
+		go c.feedRegistrations(ctx, registrations, c.registrationsCut[i])
 		isolated := &atomic.Bool{}
 		c.isolated = append(c.isolated, isolated)
-		go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore)).Run(ctx)
+		go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore),
+			promo.WithRegistrations(c.reader(registrations), func() bool { return true })).Run(ctx)
 	}
 	return c
 }
@@ -187,31 +195,59 @@
 
 // feedRegistrations updates a host's replica set from the members'
 // registrations, as the feed of the platform's store does.
-func (c *testCluster) feedRegistrations(ctx context.Context, rs *rset.ReplicaSet, cut *atomic.Bool) {
-	r := roster.New()
-	for revision := uint64(1); ctx.Err() == nil; revision++ {
+func (c *testCluster) feedRegistrations(ctx context.Context, f *feed, cut *atomic.Bool) {
+	for ctx.Err() == nil {
 		if cut.Load() {
 			time.Sleep(time.Second)
 			continue
 		}
-		known := map[string]bool{}
-		for _, t := range c.group.Targets() {
-			known[t.ID] = true
-			before, ok := r.Target(t.ID)
-			if !ok || !t.Same(before) {
-				t.Revision = stamp.New(0, revision)
-				r = r.WithTarget(t)
-			}
+		f.update()
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// reader returns a function that updates a host's replica set from the registrations
+// in the lease store, unless that is down.
+func (c *testCluster) reader(f *feed) func(context.Context) error {
+	return func(context.Context) error {
+		if c.store.Down() {
+			return errors.New("the store is down")
 		}
-		for _, id := range r.IDs() {
-			if !known[id] {
-				r = r.WithoutTarget(id, stamp.New(0, revision))
-			}
+		f.update()
+		return nil
+	}
+}
+
+// feed brings the members' registrations to the replica set of one host.
+type feed struct {
+	mu         sync.Mutex
+	group      *qgroup.Group
+	replicaSet *rset.ReplicaSet
+	roster     roster.Roster
+	revision   uint64
+}
+
+// update updates the replica set.
+func (f *feed) update() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	known := map[string]bool{}
+	for _, t := range f.group.Targets() {
+		known[t.ID] = true
+		before, ok := f.roster.Target(t.ID)
+		if !ok || !t.Same(before) {
+			t.Revision = stamp.New(0, f.revision)
+			f.roster = f.roster.WithTarget(t)
+		}
+	}
+	for _, id := range f.roster.IDs() {
+		if !known[id] {
+			f.roster = f.roster.WithoutTarget(id, stamp.New(0, f.revision))
 		}
-		leader, _ := r.Leader("g")
-		rs.Update(r.Group("g"), leader, 32)
-		time.Sleep(200 * time.Millisecond)
 	}
+	leader, _ := f.roster.Leader("g")
+	f.replicaSet.Update(f.roster.Group("g"), leader, 32)
 }
 
 // checkValues checks that a statement runs with its session's values and
