--- a/process/enroll/registry.go
+++ b/process/enroll/registry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/assign"
@@ -240,11 +241,7 @@
 			continue
 		}
 		var e registration
-		err := json.Unmarshal(r.Value, &e)
-		if err == nil {
-			_, err = netip.ParseAddrPort(e.Address)
-		}
-		if err != nil {
+		if err := decode(r.Value, &e); err != nil {
 			rg.log.Warn("invalid host registration ignored", zap.String("Peer", r.Key), zap.String("Error", err.Error()))
 			continue
 		}
@@ -264,3 +261,16 @@
 		rg.onChange(rg.assignment)
 	}
 }
+
+// decode decodes the value of a host's row. It fails if other hosts can't connect to the
+// host's address.
+func decode(value []byte, e *registration) error {
+	if err := json.Unmarshal(value, e); err != nil {
+		return errors.Wrap(err, "decode host registration")
+	}
+	a, err := netip.ParseAddrPort(e.Address)
+	if err == nil && a.Port() == 0 {
+		err = errors.Errorf("address %q has no port", e.Address)
+	}
+	return wrap.If(err, "decode host registration")
+}
--- a/process/enroll/registry_test.go
+++ b/process/enroll/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +16,8 @@
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/enroll"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/standin/platd"
 )
 
@@ -128,3 +131,22 @@
 		server.Close()
 	}
 }
+
+// A malformed registration must neither end the process nor hide the others.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"Address":"10.0.0.2:7000","Zone":"a","Leaving":false}`))
+	f.Add([]byte(`{"Address":"10.0.0.2:70000"}`))
+	f.Add([]byte(`{"Address":"10.0.0.2:0","Zone":[[[[`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		var known assign.Assignment
+		rg := enroll.New(zap.NewNop(), nil, gossip.New("h1", "10.0.0.1:7000", "a", 0), map[string]string{"a": "r"}, func(a assign.Assignment) { known = a })
+		good := []byte(`{"Address":"10.0.0.3:7000","Zone":"a"}`)
+		rg.Apply([]record.Row{record.New("odd", value).WithVersion(1), record.New("good", good).WithVersion(2)}, stamp.New(1, 2), true)
+		if _, ok := known.Host("good"); !ok {
+			t.Errorf("%q hides another host", value)
+		}
+		if h, ok := known.Host("odd"); ok && (h.Address == "" || strings.HasSuffix(h.Address, ":0")) {
+			t.Errorf("%q is decoded as a host without an address: %+v", value, h)
+		}
+	})
+}
