Hold registrations that expire while the store is away until targets can renew them

Cause: registrations expire at the store while targets can't renew them, and the removal counted at once, although those that live are back within about two seconds.

TestRowsThatExpireWhileTheStoreIsAwayAreKeptForAWhile.

--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -36,22 +36,18 @@
 func (m *Mirror) Handle(name string, handle func(rows []record.Row, at stamp.Stamp, whole bool)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.tables[name] = &table{handle: handle, rows: map[string]record.Row{}, outdated: func(_, _ []byte) bool { return false }}
+	m.tables[name] = &table{handle: handle, rows: map[string]record.Row{}, held: map[string]record.Row{}, outdated: func(_, _ []byte) bool { return false }}
 }
 
-// KeepOnRestore sets what a table that has a handler keeps when the store is restored
-// from a copy, which may lack changes that the store had acknowledged. Rows that the
-// store lacks are kept for the time grace, in which their writers can write them again,
-// or for good if grace is 0. A row is also kept if outdated reports that the value that
+// Keep sets what a table that has a handler keeps while the store is not to be believed.
+// Rows that disappeared while the store was away, or that it lacks after it was restored
+// from a copy, are kept for the time grace, in which their writers can write them again.
+// If the store was restored, a row is also kept if outdated reports that the value that
 // the store has is older than the known one.
-func (m *Mirror) KeepOnRestore(name string, grace time.Duration, outdated func(stored, known []byte) bool) {
+func (m *Mirror) Keep(name string, grace time.Duration, outdated func(stored, known []byte) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := m.tables[name]
-	t.grace = grace
-	if outdated != nil {
-		t.outdated = outdated
-	}
+	m.tables[name].grace, m.tables[name].outdated = grace, outdated
 }
 
 // Apply updates a table. It ignores tables without a handler, rows that are not newer
@@ -67,7 +63,7 @@
 	changed := t.apply(d, m.now())
 	switch {
 	case d.Whole:
-		t.handle(t.live(), t.at, true)
+		t.handle(t.visible(), t.at, true)
 	case len(changed) > 0:
 		t.handle(changed, t.at, false)
 	}
--- a/process/mirror/restore_test.go
+++ b/process/mirror/restore_test.go
@@ -38,7 +38,7 @@
 			}
 		}
 	})
-	m.KeepOnRestore("t", grace, func(stored, known []byte) bool { return string(stored) < string(known) })
+	m.Keep("t", grace, func(stored, known []byte) bool { return string(stored) < string(known) })
 	return m
 }
 
@@ -52,6 +52,14 @@
 	m.Apply(delta.New("t", rows, at))
 }
 
+// pass lets some time pass, in which the store has no changes.
+func (m *restorable) pass(d time.Duration) {
+	for end := m.now + d; m.now < end; {
+		m.now += second
+		m.changes(m.Stamp("t"))
+	}
+}
+
 func valued(key, value string, at stamp.Stamp) record.Row {
 	return record.New(key, []byte(value)).WithVersion(at.Version).WithEra(at.Era)
 }
@@ -97,9 +105,27 @@
 	m.now += second
 	m.changes(stamp.New(2, 21), valued("back", "1", stamp.New(2, 21)))
 	is.Equal(len(m.rows), 2)
-	m.now += grace
-	m.changes(stamp.New(2, 21))
+	m.pass(grace)
+	is.Equal(m.rows, map[string]string{"back": "1"})
+}
+
+func TestRowsThatExpireWhileTheStoreIsAwayAreKeptForAWhile(t *testing.T) {
+	is := is.New(t)
+	m := newRestorable()
+	both := []record.Row{valued("back", "1", stamp.New(1, 25)), valued("gone", "1", stamp.New(1, 26))}
+	m.list(stamp.New(1, 28), both...)
+	m.now += 8 * second
+	m.changes(stamp.New(1, 30), gone("back", 29), gone("gone", 30))
+	is.Equal(len(m.rows), 2)
+	m.now += second / 2
+	m.list(stamp.New(1, 30))
+	is.Equal(len(m.rows), 2)
+	m.changes(stamp.New(1, 31), valued("back", "1", stamp.New(1, 31)))
+	m.pass(grace)
 	is.Equal(m.rows, map[string]string{"back": "1"})
+	// While the store answers, a deletion counts at once.
+	m.changes(stamp.New(1, 32), gone("back", 32))
+	is.Equal(len(m.rows), 0)
 }
 
 // A host that follows another one has to give up the same rows, also those that the
@@ -117,8 +143,9 @@
 	follower.list(stamp.New(1, 30), valued("a", "1", stamp.New(1, 25)), valued("own", "1", stamp.New(1, 30)))
 	upstream.list(stamp.New(2, 20))
 	pass()
-	is.Equal(len(follower.rows), 3)
-	upstream.now, follower.now = upstream.now+2*grace, follower.now+2*grace
+	is.Equal(follower.rows, map[string]string{"a": "1", "own": "1"})
+	upstream.pass(grace)
+	follower.pass(grace)
 	upstream.changes(stamp.New(2, 21), valued("a", "1", stamp.New(2, 21)))
 	pass()
 	is.Equal(follower.rows, map[string]string{"a": "1"})
--- a/process/mirror/table.go
+++ b/process/mirror/table.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +17,9 @@
 	maxDeletions = 1000
 	// firstEra is the highest era of a store that was never restored from a copy.
 	firstEra = 1
+	// minOutage is how old the copy of a table gets at least while the store is away for
+	// so long that targets can't renew their registrations in time.
+	minOutage = 2 * time.Second
 )
 
 // table is the copy of one table.
@@ -24,11 +28,14 @@
 	// outdated reports whether the value that a restored store has of a row is older
 	// than the known one.
 	outdated func(stored, known []byte) bool
-	// grace is how long rows that a restored store lacks are kept, 0 for no limit.
+	// grace is how long rows that disappeared while the store was away are held.
 	grace time.Duration
-	// rows holds the rows by key, including those that were deleted. A row that the
-	// restored store lacks, and that may be written again, has version 0.
+	// rows holds the rows by key, including those that were deleted.
 	rows map[string]record.Row
+	// held holds rows that disappeared while the store was away, and that their writers
+	// may write again until heldUntil. The handler does not know yet that they are gone.
+	held      map[string]record.Row
+	heldUntil time.Duration
 	// deleted is the number of deleted rows in rows.
 	deleted int
 	// at is the position up to which rows is complete, zero if the table was never
@@ -44,8 +51,6 @@
 	// restoredAt is when the table was first read in the present era, 0 if the store
 	// was never restored.
 	restoredAt time.Duration
-	// missing is the number of rows with version 0.
-	missing int
 }
 
 // accepts reports whether changes can be applied to the copy.
@@ -59,21 +64,24 @@
 	return d.Version > 0
 }
 
-// apply applies accepted changes and returns the rows that changed.
+// apply applies accepted changes and returns the rows that changed for the handler.
 func (t *table) apply(d delta.Delta, now time.Duration) []record.Row {
+	if t.freshAt != 0 && (d.Era > t.at.Era || now-t.freshAt > minOutage) {
+		t.heldUntil = now + t.grace
+	}
+	var changed []record.Row
 	if d.Era > t.at.Era || t.at.Version == 0 {
 		t.replace(d, now)
-		t.freshAt = max(t.freshAt, now-d.Age)
-		return nil
-	}
-	changes := d.Rows
-	if d.Whole {
-		changes = append(slices.Clone(d.Rows), t.deletions(d)...)
+	} else {
+		changes := d.Rows
+		if d.Whole {
+			changes = append(slices.Clone(d.Rows), t.deletions(d)...)
+		}
+		changed = t.merge(changes, now < t.heldUntil)
+		t.at = stamp.New(d.Era, max(t.at.Version, d.Version))
 	}
-	changed := t.merge(changes)
-	t.at = stamp.New(d.Era, max(t.at.Version, d.Version))
 	t.freshAt = max(t.freshAt, now-d.Age)
-	return append(changed, t.expire()...)
+	return append(changed, t.release()...)
 }
 
 // replace takes over the first listing, or the first one of a new era. Versions of the
@@ -86,36 +94,39 @@
 		}
 		rows[r.Key] = r
 	}
+	for key := range rows {
+		delete(t.held, key)
+	}
 	for key, r := range t.rows {
 		if _, listed := rows[key]; !listed && !r.Gone {
-			rows[key] = r.WithEra(d.Era).WithVersion(0)
+			t.hold(r)
 		}
 	}
 	if d.Era > firstEra {
 		t.restoredAt = now
 	}
-	t.rows, t.at, t.newest, t.forgotten = rows, d.Stamp(), d.Version, d.Version
-	t.deleted, t.missing = 0, 0
-	for _, r := range rows {
-		if r.Version == 0 {
-			t.missing++
-		}
+	t.rows, t.at, t.newest, t.forgotten, t.deleted = rows, d.Stamp(), d.Version, d.Version, 0
+}
+
+// hold keeps a row that disappeared for the handler, if the table has a grace period.
+func (t *table) hold(r record.Row) {
+	if t.grace > 0 {
+		t.held[r.Key] = r
 	}
 }
 
-// expire deletes the rows that the restored store still lacks after the grace period,
-// and returns their deletions.
-func (t *table) expire() []record.Row {
-	if t.missing == 0 || t.grace == 0 || t.freshAt < t.restoredAt+t.grace {
+// release gives up the rows that were not written again in time, and returns their
+// deletions.
+func (t *table) release() []record.Row {
+	if t.freshAt < t.heldUntil {
 		return nil
 	}
 	var gone []record.Row
-	for key, r := range t.rows {
-		if r.Version == 0 {
-			gone = append(gone, record.Row{Key: key, Version: t.at.Version, Era: t.at.Era, Gone: true})
-		}
+	for _, key := range slices.Sorted(maps.Keys(t.held)) {
+		gone = append(gone, record.Row{Key: key, Version: t.at.Version, Era: t.at.Era, Gone: true})
 	}
-	return t.merge(gone)
+	clear(t.held)
+	return gone
 }
 
 // deletions returns deletions of the rows that a listing of the whole table no longer
@@ -134,16 +145,26 @@
 	return gone
 }
 
-// merge stores the rows that are newer than the copy and returns them.
-func (t *table) merge(rows []record.Row) []record.Row {
+// merge stores the rows that are newer than the copy and returns them. If hold is set,
+// those that were deleted are held instead of returned.
+func (t *table) merge(rows []record.Row, hold bool) []record.Row {
 	var changed []record.Row
 	for _, r := range rows {
 		previous, known := t.rows[r.Key]
 		if known && r.Version <= previous.Version {
 			continue
 		}
-		changed = append(changed, r)
 		t.rows[r.Key] = r
+		if !r.Gone {
+			delete(t.held, r.Key)
+		}
+		if hold && t.grace > 0 && r.Gone {
+			if known && !previous.Gone {
+				t.hold(previous)
+			}
+		} else {
+			changed = append(changed, r)
+		}
 		t.newest = max(t.newest, r.Version)
 		if r.Gone {
 			t.deleted++
@@ -151,12 +172,6 @@
 		if previous.Gone {
 			t.deleted--
 		}
-		if known && previous.Version == 0 {
-			t.missing--
-		}
-		if r.Version == 0 {
-			t.missing++
-		}
 	}
 	if t.deleted > maxDeletions {
 		maps.DeleteFunc(t.rows, func(_ string, r record.Row) bool { return r.Gone })
@@ -176,6 +191,17 @@
 	return rows
 }
 
+// visible returns the rows that the handler knows: those that are not deleted and those
+// that are held, ordered by key.
+func (t *table) visible() []record.Row {
+	rows := t.live()
+	for _, key := range slices.Sorted(maps.Keys(t.held)) {
+		rows = append(rows, t.held[key])
+	}
+	slices.SortFunc(rows, func(a, b record.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return rows
+}
+
 // newerThan reports whether the copy has changes after a position.
 func (t *table) newerThan(known stamp.Stamp) bool {
 	if t.at.Era != known.Era || known.Version == 0 {
