--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -107,6 +107,23 @@
 	return 0
 }
 
+// Metrics returns, for each table, its position in the history of the store, the age of
+// the copy in milliseconds, and the number of rows that are held.
+func (m *Mirror) Metrics() any {
+	type metrics struct {
+		Era, Version uint64
+		AgeMs        int64
+		Held         int
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	tables := map[string]metrics{}
+	for name, t := range m.tables {
+		tables[name] = metrics{t.at.Era, t.at.Version, (m.now() - t.freshAt).Milliseconds(), len(t.held)}
+	}
+	return tables
+}
+
 // Stamps returns the position of each table, the zero Stamp for one that was never read.
 func (m *Mirror) Stamps() map[string]stamp.Stamp {
 	m.mu.Lock()
--- a/process/mirror/restore_test.go
+++ b/process/mirror/restore_test.go
@@ -164,6 +164,18 @@
 	is.Equal(len(news[0].Rows), 1)
 }
 
+func ExampleMirror_Metrics() {
+	now := 100 * second
+	m := mirror.New(func() time.Duration { return now })
+	m.Handle("t", func([]record.Row, stamp.Stamp, bool) {})
+	m.Keep("t", grace, func(_, _ []byte) bool { return false })
+	m.Apply(delta.New("t", []record.Row{valued("a", "1", stamp.New(1, 7))}, stamp.New(1, 9)).WithWhole(true))
+	now += 8 * second
+	m.Apply(delta.New("t", nil, stamp.New(2, 5)).WithWhole(true).WithAge(second / 5))
+	fmt.Printf("%+v\n", m.Metrics())
+	// Output: map[t:{Era:2 Version:5 AgeMs:200 Held:1}]
+}
+
 func ExampleMirror_Restored() {
 	now := 100 * second
 	m := mirror.New(func() time.Duration { return now })
