Write configuration versions again that the store of serve lost

A table service that came back from a copy lacks the newest rows; the next publication gets a number that hosts have in force already, with other content, and no host takes it.

Hosts keep the bodies of the last versions. On each poll, a host that has a later version in force than the store writes the missing ones again, unless the newest one in the store got its number from another publication, which it logs as an error.

TestVersionsThatARestoredStoreLostAreWrittenAgain fails on the commit before: the head stays at version 2.

--- a/process/config/config.go
+++ b/process/config/config.go
@@ -12,8 +12,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/connection/cloud"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/wrap"
 	"github.com/pistachiotray/pistachiotray/version/bundle"
@@ -45,6 +47,11 @@
 	// GetObject returns the content of an object, or cloud.ErrNotFound if there
 	// is none of that name.
 	GetObject(ctx context.Context, name string) ([]byte, error)
+	// PutObject writes an object, unless there is one of that name.
+	PutObject(ctx context.Context, name string, body []byte) error
+	// Commit writes all rows if the stored version of each row is still the given
+	// one. Otherwise it returns cloud.ErrConflict.
+	Commit(ctx context.Context, rows ...record.Row) error
 }
 
 // Config fetches the newest accepted version and puts it in force. It may skip
@@ -178,16 +185,73 @@
 // whose mean is about pollInterval.
 func (c *Config) pollStore() {
 	for c.ctx.Err() == nil {
-		rows, err := c.store.Scan(c.ctx, rowPrefix, true)
-		if err == nil && len(rows) > 0 {
-			if n, err := ParseRowKey(rows[len(rows)-1].Key); err == nil {
-				c.Learn(n)
-			}
+		if err := c.poll(); err != nil && c.ctx.Err() == nil {
+			c.log.Info("newest version not read", zap.Error(err))
 		}
 		c.sleep(c.pollInterval/2 + rand.N(c.pollInterval))
 	}
 }
 
+// poll reads the highest version number in the store. It writes the versions that were
+// accepted after it again: a store that was restored from a copy lacks them and would give
+// their numbers out again, so that the next versions would never come into force.
+func (c *Config) poll() error {
+	rows, err := c.store.Scan(c.ctx, rowPrefix, true)
+	if err != nil {
+		return err
+	}
+	head, name := uint64(0), ""
+	if len(rows) > 0 {
+		name = string(rows[len(rows)-1].Value)
+		if head, err = ParseRowKey(rows[len(rows)-1].Key); err != nil {
+			return err
+		}
+	}
+	c.Learn(head)
+	if head >= c.Policy().Version() {
+		return nil
+	}
+	if body, ok := c.Body(head); ok && objectName(body) != name {
+		return errors.Errorf("version %d was given out again, for %q instead of %q", head, name, objectName(body))
+	}
+	for version := head + 1; version <= c.Policy().Version(); version++ {
+		if body, ok := c.Body(version); ok {
+			c.log.Warn("accepted version missing in the store, writing it again", zap.Uint64("Version", version), zap.Uint64("Head", head))
+			if err := c.writeAgain(version, body); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// writeAgain writes a version that was accepted before, unless the store has its number.
+func (c *Config) writeAgain(version uint64, body []byte) error {
+	ctx, stop := context.WithTimeout(c.ctx, fetchTimeout)
+	defer stop()
+	name := objectName(body)
+	if err := c.store.PutObject(ctx, name, body); err != nil {
+		return errors.Wrap(err, "Config.writeAgain")
+	}
+	err := c.store.Commit(ctx, record.New(RowKey(version), []byte(name)))
+	if errors.Is(err, cloud.ErrConflict) {
+		// Another host was faster, or another version got the number, which the
+		// next poll finds out.
+		return nil
+	}
+	return wrap.If(err, "Config.writeAgain")
+}
+
+// objectName returns the object name of a version's body, or an empty string if the body
+// is invalid.
+func objectName(body []byte) string {
+	b, err := bundle.Decode(body)
+	if err != nil {
+		return ""
+	}
+	return ObjectName(b.Version, b.Publication)
+}
+
 // sleep waits for d or until Close.
 func (c *Config) sleep(d time.Duration) {
 	timer := time.NewTimer(d)
--- a/process/config/config_test.go
+++ b/process/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/connection/cloud"
 	"github.com/pistachiotray/pistachiotray/process/config"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/version/bundle"
@@ -72,6 +74,39 @@
 	return s.bodies[name], nil
 }
 
+func (s *store) PutObject(_ context.Context, name string, body []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodies[name] = body
+	return nil
+}
+
+func (s *store) Commit(_ context.Context, rows ...record.Row) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		if slices.ContainsFunc(s.rows, func(stored record.Row) bool { return stored.Key == r.Key }) {
+			return cloud.ErrConflict
+		}
+		s.rows = append(s.rows, r)
+	}
+	return nil
+}
+
+// restore takes back the versions after the first n rows.
+func (s *store) restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = s.rows[:n]
+}
+
+// head returns the name of the newest version's object.
+func (s *store) head() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.rows[len(s.rows)-1].Value)
+}
+
 func noPeers(context.Context, uint64) ([]byte, bool) { return nil, false }
 
 // A host must skip to the newest version, keep a policy that is in use
@@ -140,3 +175,50 @@
 		is.Equal(c.Policy().Version(), uint64(0))
 	})
 }
+
+// Otherwise the store gives the number of a lost version out again, and hosts that had
+// that version never take the new one.
+func TestVersionsThatARestoredStoreLostAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{bodies: map[string][]byte{}}
+		s.add(t, 1)
+		c := config.New(zap.NewNop(), s)
+		c.Start(noPeers)
+		defer c.Close()
+		for version := uint64(2); version <= 4; version++ {
+			time.Sleep(5 * time.Second)
+			s.add(t, version)
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(c.Policy().Version(), uint64(4))
+		s.restore(2)
+		time.Sleep(5 * time.Second)
+		is.Equal(s.head(), config.ObjectName(4, "p"))
+		s.add(t, 5)
+		time.Sleep(5 * time.Second)
+		is.Equal(c.Policy().Version(), uint64(5))
+	})
+}
+
+// A version that got the number of a lost one must not be hidden by later lost ones.
+func TestVersionsAreNotWrittenAgainAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{bodies: map[string][]byte{}}
+		s.add(t, 1)
+		c := config.New(zap.NewNop(), s)
+		c.Start(noPeers)
+		defer c.Close()
+		for version := uint64(2); version <= 4; version++ {
+			time.Sleep(5 * time.Second)
+			s.add(t, version)
+		}
+		time.Sleep(5 * time.Second)
+		s.restore(2)
+		is.NoErr(s.Commit(t.Context(), record.New(config.RowKey(3), []byte(config.ObjectName(3, "other")))))
+		time.Sleep(5 * time.Second)
+		is.Equal(s.head(), config.ObjectName(3, "other"))
+		is.Equal(c.Policy().Version(), uint64(4))
+	})
+}
