Restore the store in the soak and check every host's configuration at its end

A thirteenth fault copies the store, changes the configuration, takes the store away and brings it back from the copy; the operator and the members then write again what was lost.

--- a/standin/platd/member.go
+++ b/standin/platd/member.go
@@ -65,7 +65,12 @@
 // member is down. It returns after the context has ended.
 func (s *Server) register(ctx context.Context, g *qgroup.Group) {
 	registered := map[string]target.Target{}
-	for ctx.Err() == nil {
+	era := s.currentEra()
+	for sequence := 1; ctx.Err() == nil; sequence++ {
+		if e := s.currentEra(); e != era {
+			// The restored store may lack registrations, or have deleted ones.
+			registered, era = s.registeredTargets(), e
+		}
 		up := map[string]bool{}
 		for _, t := range g.Targets() {
 			up[t.ID] = true
@@ -82,7 +87,7 @@
 			}
 			s.Put("servers", t.ID, map[string]any{
 				"ServiceName": t.Group, "Address": s.addresses[t.ID], "Zone": t.Zone, "Version": "v1", "Slots": t.Slots,
-				"MemberState": state, "DatabaseRole": role, "born": t.Started, "Sequence": 1, "ColdRemainingMs": 0,
+				"MemberState": state, "DatabaseRole": role, "born": t.Started, "Sequence": sequence, "ColdRemainingMs": 0,
 			})
 		}
 		for id := range registered {
@@ -95,6 +100,26 @@
 	}
 }
 
+// registeredTargets returns a zero Target for each member that has a registration.
+func (s *Server) registeredTargets() map[string]target.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	registered := map[string]target.Target{}
+	for id := range s.rows {
+		if id[0] == "servers" {
+			registered[id[1]] = target.Target{}
+		}
+	}
+	return registered
+}
+
+// currentEra returns the store's era.
+func (s *Server) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // accept serves the connections to one member until its listener is closed.
 func (s *Server) accept(ctx context.Context, l net.Listener, g *qgroup.Group, t target.Target) {
 	for {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -71,6 +71,9 @@
 	ackedWrites   []string
 	refusedWrites []string
 	readsServed   int
+	// version is the version of the newest configuration, which has the route
+	// "extra-VERSION".
+	version int
 	// violations holds the violations found. The tests of standin/qgroup describe
 	// the verdicts with which they begin.
 	violations []string
@@ -174,7 +177,7 @@
 	for s.ctx.Err() == nil {
 		time.Sleep(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
 		span := time.Duration(200+s.random.IntN(2500)) * time.Millisecond
-		h, i, kind := s.hosts[s.random.IntN(hostCount)], s.random.IntN(3), s.random.IntN(12)
+		h, i, kind := s.hosts[s.random.IntN(hostCount)], s.random.IntN(3), s.random.IntN(13)
 		mode := 1 + s.random.IntN(4) // any but faulty.Forward
 		running.Go(func() { s.injectFault(h, i, kind, mode, span) })
 		if s.random.IntN(3) > 0 {
@@ -226,6 +229,49 @@
 		s.group.SetLeaving(i, false)
 	case 11:
 		s.group.LoseAnswers(2)
+	case 12:
+		s.platform.Copy()
+		s.configure()
+		time.Sleep(span)
+		s.platform.SetStatus(503)
+		s.platform.Restore()
+		time.Sleep(span / 2)
+		s.configure()
+		s.platform.SetStatus(0)
+	}
+}
+
+// configure stores the next configuration.
+func (s *soakRun) configure() {
+	route := func(name, kind string) map[string]any {
+		return map[string]any{
+			"Name": name, "DatabaseName": name, "RouteKind": kind, "TimeoutMs": 1500, "TargetLatencyMs": 800,
+			"ServiceName": "g", "MaxStalenessMs": 1500,
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.platform.Put("op", "config", map[string]any{
+		"Version": s.version, "Routes": []any{route("orders", "primary"), route("log", "read_your_writes"), route(fmt.Sprint("extra-", s.version), "primary")},
+		"Services": []any{map[string]any{"Name": "g", "MaxConnections": 32}}, "Limits": map[string]any{"TransactionIdleMs": 2000},
+	})
+}
+
+// checkConfiguration checks that every host serves the route of the newest
+// configuration.
+func (s *soakRun) checkConfiguration() {
+	for i, h := range s.hosts {
+		conn, err := net.DialTimeout("tcp", h.front, time.Second)
+		if err != nil {
+			s.addViolation("host %d does not serve at the end: %v", i, err)
+			continue
+		}
+		c := &session{run: s, conn: conn, reader: bufio.NewReader(conn)}
+		if got, _ := c.exchange(fmt.Sprintf("START extra-%d u", s.version)); got != "READY I -" {
+			s.addViolation("CONFIG: host %d answered %q for the newest route", i, got)
+		}
+		c.close()
 	}
 }
 
@@ -465,16 +511,7 @@
 	}
 	server := httptest.NewServer(s.platform.Handler())
 	defer func() { server.CloseClientConnections(); server.Close() }()
-	route := func(name, kind string) map[string]any {
-		return map[string]any{
-			"Name": name, "DatabaseName": name, "RouteKind": kind, "TimeoutMs": 1500, "TargetLatencyMs": 800,
-			"ServiceName": "g", "MaxStalenessMs": 1500,
-		}
-	}
-	s.platform.Put("op", "config", map[string]any{
-		"Version": 1, "Routes": []any{route("orders", "primary"), route("log", "read_your_writes")},
-		"Services": []any{map[string]any{"Name": "g", "MaxConnections": 32}}, "Limits": map[string]any{"TransactionIdleMs": 2000},
-	})
+	s.configure()
 	address := server.Listener.Addr().String()
 	for i := range hostCount {
 		s.addHost(i, address, address)
@@ -491,6 +528,7 @@
 	done.Wait()
 	time.Sleep(settleTime)
 	s.checkLog()
+	s.checkConfiguration()
 	for _, h := range s.hosts {
 		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
