--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,6 +26,11 @@
 	// minLenders is the minimum number of lenders of a target, since one of
 	// them may fail.
 	minLenders = 2
+	// regionPenalty is added to the expected latency of targets in another region.
+	// zonePenalty is added to the expected latency of targets in another zone of the
+	// same region. Both account for network latency and the cost of traffic.
+	regionPenalty = 120 * time.Millisecond
+	zonePenalty   = 20 * time.Millisecond
 )
 
 // Assignment decides which of the known hosts connect to a target. Hosts that
@@ -204,3 +210,18 @@
 func (as Assignment) FirstIndex(t target.Target, n int) int {
 	return int(xxhash.Sum64String(t.ID+"/"+as.self) % uint64(max(n, 1)))
 }
+
+// LatencyPenalty returns a function that returns by how much longer a statement takes to
+// a target in a zone than to one in the host's own zone. regions maps each zone to its
+// region.
+func LatencyPenalty(own string, regions map[string]string) func(zone string) time.Duration {
+	return func(zone string) time.Duration {
+		switch {
+		case zone == own:
+			return 0
+		case regions[zone] == regions[own]:
+			return zonePenalty
+		}
+		return regionPenalty
+	}
+}
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -83,17 +84,21 @@
 	return stamp.Stamp{}
 }
 
-// Restored returns the newest era in which any table was read, and when the Mirror
-// learned that the store had been restored from a copy, or 0 if it never did.
-func (m *Mirror) Restored() (era uint64, at time.Duration) {
+// SinceRestore returns the newest era in which any table was read, and how long ago the
+// Mirror learned that the store had been restored from a copy: forever if it never did.
+func (m *Mirror) SinceRestore() (era uint64, ago time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	at := time.Duration(0)
 	for _, t := range m.tables {
 		if t.at.Era > era || t.at.Era == era && t.restoredAt < at {
 			era, at = t.at.Era, t.restoredAt
 		}
 	}
-	return era, at
+	if at == 0 {
+		return era, math.MaxInt64
+	}
+	return era, m.now() - at
 }
 
 // FreshAt returns the latest time at which the store is known to have had no newer
--- a/process/topo/topology.go
+++ b/process/topo/topology.go
@@ -15,6 +15,9 @@
 	"github.com/pistachiotray/pistachiotray/version/plan"
 )
 
+// trimInterval is the time between two checks for idle connections.
+const trimInterval = 300 * time.Millisecond
+
 // Topology is the plan in force and the state of every group that this plan or
 // an earlier one names. Lock order: the mutex of the Topology, then of a group.
 type Topology struct {
@@ -150,6 +153,20 @@
 	return groups > 1 && failing > reachable
 }
 
+// KeepTrimmed regularly calls Trim until the context ends.
+func (t *Topology) KeepTrimmed(ctx context.Context, limit time.Duration) {
+	ticker := time.NewTicker(trimInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			t.Trim(limit)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Trim closes connections that have been idle for longer than d. The time is
 // shorter for a target to which this host has more connections than its share.
 func (t *Topology) Trim(d time.Duration) {
--- a/process/watch/watcher.go
+++ b/process/watch/watcher.go
@@ -52,9 +52,9 @@
 type mirror interface {
 	// Stamp returns the position up to which a table is known, or the zero Stamp.
 	Stamp(table string) stamp.Stamp
-	// Restored returns the newest era in which any table was read, and when the store
-	// is known to have been restored.
-	Restored() (era uint64, at time.Duration)
+	// SinceRestore returns the newest era in which any table was read, and how long ago
+	// the store is known to have been restored.
+	SinceRestore() (era uint64, ago time.Duration)
 	// Apply updates a table.
 	Apply(d delta.Delta)
 }
@@ -148,7 +148,7 @@
 	w.sleep(ctx, w.initialDelay)
 	for w.gate.Await(ctx, w.table) {
 		known := w.mirror.Stamp(w.table)
-		era, _ := w.mirror.Restored()
+		era, _ := w.mirror.SinceRestore()
 		d, err := w.fetch(ctx, known.Version, known.Version == 0 || dropped || era > known.Era)
 		if err == nil && d.Era != known.Era && !d.Whole {
 			// The store knows the version, but of another era.
@@ -199,11 +199,10 @@
 // have answered as soon as it got the request, or when the wait was over if nothing
 // changed.
 func (w *Watcher) fetch(ctx context.Context, version uint64, whole bool) (delta.Delta, error) {
-	began := time.Now()
 	if whole {
-		rows, next, err := w.source.List(ctx, w.table)
-		return delta.New(w.table, rows, next).WithWhole(true).WithAge(time.Since(began)), err
+		return list(ctx, w.source, w.table)
 	}
+	began := time.Now()
 	rows, next, err := w.source.Feed(ctx, w.table, version, w.wait)
 	age := time.Since(began)
 	if len(rows) == 0 && age >= w.wait {
@@ -212,6 +211,24 @@
 	return delta.New(w.table, rows, next).WithAge(age), err
 }
 
+// list lists a whole table.
+func list(ctx context.Context, s source, table string) (delta.Delta, error) {
+	began := time.Now()
+	rows, at, err := s.List(ctx, table)
+	return delta.New(table, rows, at).WithWhole(true).WithAge(time.Since(began)), err
+}
+
+// List returns a function that lists a table and updates the copy in m.
+func List(s source, m mirror, table string) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		d, err := list(ctx, s, table)
+		if err == nil {
+			m.Apply(d)
+		}
+		return err
+	}
+}
+
 // noteFailure records a failed request. The first failure of a series is logged
 // and starts an outage.
 func (w *Watcher) noteFailure(err error, version uint64) {
