Count a store as away only when the copy is older than it gets in operation

The limit of 2 s from which on removed registrations are held was below the age that a copy reaches at hosts that follow others (2.75 s on the small sites, 3.5 s on the large one). Such a host would have started the grace period anew with each answer and never given a target up. Found by reading. The limit is now the age that process/follow computes from the waits.

TestDeletionsCountAtOnceWhileTheStoreAnswers fails with the fixed limit.

--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -223,7 +223,7 @@
 		return err
 	}
 	for _, d := range news {
-		if f.mirror.FreshAt(d.Table) == 0 && d.Age > f.limit(d.Table, maxHops) {
+		if f.mirror.FreshAt(d.Table) == 0 && d.Age > f.MaxAge(d.Table) {
 			// A host that starts must not begin with what another host knew long
 			// ago: a target may have left, or a route been removed since.
 			f.log.Warn("old copy of a table not taken", zap.String("Peer", link.Host), zap.String("Table", d.Table), zap.Duration("Age", d.Age))
@@ -271,6 +271,11 @@
 	return f.ages[table] + time.Duration(1+hops)*f.wait
 }
 
+// MaxAge returns how old the copy of a table gets at any host while the store answers.
+func (f *Follower) MaxAge(table string) time.Duration {
+	return f.limit(table, maxHops)
+}
+
 // stale reports whether a table is stale.
 func (f *Follower) stale(hops int) bool {
 	for table := range f.ages {
@@ -288,7 +293,7 @@
 	alone := f.knownAt != 0 && len(f.hosts) <= 1
 	answered := f.answeredAt != 0 && f.now()-f.answeredAt <= 2*(f.wait+answerMargin)
 	f.mu.Unlock()
-	return alone || answered || f.age(table) <= f.limit(table, maxHops)
+	return alone || answered || f.age(table) <= f.MaxAge(table)
 }
 
 // age returns for how long the store may have had newer changes of a table.
--- a/process/follow/follower_test.go
+++ b/process/follow/follower_test.go
@@ -243,7 +243,7 @@
 			h.version = version
 		}
 	})
-	h.mirror.Keep(tableName, 0, func(stored, known []byte) bool { return planOf(stored) < planOf(known) })
+	h.mirror.Keep(tableName, 0, 0, func(stored, known []byte) bool { return planOf(stored) < planOf(known) })
 	f.mu.Lock()
 	f.hosts[info.Host] = h
 	f.mu.Unlock()
--- a/process/mirror/restore_test.go
+++ b/process/mirror/restore_test.go
@@ -13,7 +13,11 @@
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
-const grace = 3 * second
+const (
+	grace = 3 * second
+	// outage is the age of the copy from which on the store counts as away.
+	outage = 2500 * time.Millisecond
+)
 
 // restorable is a mirror of the table "t" on a clock of its own.
 type restorable struct {
@@ -38,7 +42,7 @@
 			}
 		}
 	})
-	m.Keep("t", grace, func(stored, known []byte) bool { return string(stored) < string(known) })
+	m.Keep("t", outage, grace, func(stored, known []byte) bool { return string(stored) < string(known) })
 	return m
 }
 
@@ -128,6 +132,20 @@
 	is.Equal(len(m.rows), 0)
 }
 
+// The copy of a host that follows others is some seconds old at each answer.
+func TestDeletionsCountAtOnceWhileTheStoreAnswers(t *testing.T) {
+	is := is.New(t)
+	m := newRestorable()
+	m.list(stamp.New(1, 28), valued("a", "1", stamp.New(1, 25)), valued("b", "1", stamp.New(1, 26)))
+	for range 5 {
+		m.now += outage
+		m.changes(stamp.New(1, 28))
+	}
+	m.now += outage
+	m.changes(stamp.New(1, 29), gone("a", 29))
+	is.Equal(m.rows, map[string]string{"b": "1"})
+}
+
 // A host that follows another one has to give up the same rows, also those that the
 // other host never knew.
 func TestFollowersGiveUpWhatARestoredStoreLacks(t *testing.T) {
@@ -168,7 +186,7 @@
 	now := 100 * second
 	m := mirror.New(func() time.Duration { return now })
 	m.Handle("t", func([]record.Row, stamp.Stamp, bool) {})
-	m.Keep("t", grace, func(_, _ []byte) bool { return false })
+	m.Keep("t", outage, grace, func(_, _ []byte) bool { return false })
 	m.Apply(delta.New("t", []record.Row{valued("a", "1", stamp.New(1, 7))}, stamp.New(1, 9)).WithWhole(true))
 	now += 8 * second
 	m.Apply(delta.New("t", nil, stamp.New(2, 5)).WithWhole(true).WithAge(second / 5))
--- a/process/mirror/table.go
+++ b/process/mirror/table.go
@@ -17,9 +17,6 @@
 	maxDeletions = 1000
 	// firstEra is the highest era of a store that was never restored from a copy.
 	firstEra = 1
-	// minOutage is how old the copy of a table gets at least while the store is away for
-	// so long that targets can't renew their registrations in time.
-	minOutage = 2 * time.Second
 )
 
 // table is the copy of one table.
@@ -28,8 +25,9 @@
 	// outdated reports whether the value that a restored store has of a row is older
 	// than the known one.
 	outdated func(stored, known []byte) bool
-	// grace is how long rows that disappeared while the store was away are held.
-	grace time.Duration
+	// grace is how long rows that disappeared while the store was away are held. The
+	// store was away if the copy is older than outage.
+	grace, outage time.Duration
 	// rows holds the rows by key, including those that were deleted.
 	rows map[string]record.Row
 	// held holds rows that disappeared while the store was away, and that their writers
@@ -66,7 +64,7 @@
 
 // apply applies accepted changes and returns the rows that changed for the handler.
 func (t *table) apply(d delta.Delta, now time.Duration) []record.Row {
-	if t.freshAt != 0 && (d.Era > t.at.Era || now-t.freshAt > minOutage) {
+	if t.freshAt != 0 && (d.Era > t.at.Era || now-t.freshAt > t.outage) {
 		t.heldUntil = now + t.grace
 	}
 	var changed []record.Row
