Compare what a restored store has with held registrations too

A target that was leaving, whose registration expired in an outage and which a store that was then restored lists as ready, was ready again for the host. Found by reading; TestOlderValueOfARestoredStoreIsNotTakenForAHeldRow fails without the change.

--- a/process/enroll/registry.go
+++ b/process/enroll/registry.go
@@ -221,8 +221,8 @@
 }
 
 // Apply updates the known hosts with rows of the table, either changed rows or a
-// full listing, read at a position of the store. A host is removed only if its row is marked as deleted. A host that
-// is merely missing in a full listing stays known.
+// full listing, read at a position of the store. A host is removed only if its row is
+// marked as deleted. A host that is merely missing in a full listing stays known.
 func (rg *Registry) Apply(rows []record.Row, at stamp.Stamp, whole bool) {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
--- a/process/mirror/restore_test.go
+++ b/process/mirror/restore_test.go
@@ -132,6 +132,16 @@
 	is.Equal(len(m.rows), 0)
 }
 
+func TestOlderValueOfARestoredStoreIsNotTakenForAHeldRow(t *testing.T) {
+	is := is.New(t)
+	m := newRestorable()
+	m.list(stamp.New(1, 28), valued("a", "7", stamp.New(1, 25)))
+	m.now += 2 * outage
+	m.changes(stamp.New(1, 29), gone("a", 29))
+	m.list(stamp.New(2, 20), valued("a", "5", stamp.New(2, 12)))
+	is.Equal(m.rows, map[string]string{"a": "7"})
+}
+
 // The copy of a host that follows others is some seconds old at each answer.
 func TestDeletionsCountAtOnceWhileTheStoreAnswers(t *testing.T) {
 	is := is.New(t)
--- a/process/mirror/table.go
+++ b/process/mirror/table.go
@@ -87,7 +87,7 @@
 func (t *table) replace(d delta.Delta, now time.Duration) {
 	rows := make(map[string]record.Row, len(d.Rows))
 	for _, r := range d.Rows {
-		if known, ok := t.rows[r.Key]; ok && !known.Gone && t.outdated(r.Value, known.Value) {
+		if known, ok := t.known(r.Key); ok && t.outdated(r.Value, known.Value) {
 			r.Value = known.Value
 		}
 		rows[r.Key] = r
@@ -106,6 +106,15 @@
 	t.rows, t.at, t.newest, t.forgotten, t.deleted = rows, d.Stamp(), d.Version, d.Version, 0
 }
 
+// known returns the row that the handler knows, or false if it knows none.
+func (t *table) known(key string) (record.Row, bool) {
+	if r, ok := t.held[key]; ok {
+		return r, true
+	}
+	r, ok := t.rows[key]
+	return r, ok && !r.Gone
+}
+
 // hold keeps a row that disappeared for the handler, if the table has a grace period.
 func (t *table) hold(r record.Row) {
 	if t.grace > 0 {
