Give each held registration an end of its own

Trace: the hosts that read the store first are turned away by it, so that the others read it themselves, each time only once their copy is old. Each such answer began the grace period anew, and the registration of a primary that had crashed at 2.8 s was held beyond 13 s; a takeover needs all targets that are registered to stop, so that it waited for that one ('target not paused: the target does not answer').

TestHeldRowsAreGivenUpAlthoughTheCopyStaysOld fails before.

--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -37,7 +37,7 @@
 func (m *Mirror) Handle(name string, handle func(rows []record.Row, at stamp.Stamp, whole bool)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.tables[name] = &table{handle: handle, rows: map[string]record.Row{}, held: map[string]record.Row{}, outdated: func(_, _ []byte) bool { return false }}
+	m.tables[name] = &table{handle: handle, rows: map[string]record.Row{}, held: map[string]heldRow{}, outdated: func(_, _ []byte) bool { return false }}
 }
 
 // Keep sets what a table that has a handler keeps while the store is not to be believed.
--- a/process/mirror/restore_test.go
+++ b/process/mirror/restore_test.go
@@ -156,6 +156,20 @@
 	is.Equal(m.rows, map[string]string{"b": "1"})
 }
 
+// A host that reads the store only once its copy is old, since its upstream hosts can't,
+// must not hold a row again and again.
+func TestHeldRowsAreGivenUpAlthoughTheCopyStaysOld(t *testing.T) {
+	is := is.New(t)
+	m := newRestorable()
+	m.list(stamp.New(1, 28), valued("a", "1", stamp.New(1, 25)))
+	m.now += 2 * outage
+	m.changes(stamp.New(1, 29), gone("a", 29))
+	is.Equal(len(m.rows), 1)
+	m.now += 2 * outage
+	m.changes(stamp.New(1, 30))
+	is.Equal(len(m.rows), 0)
+}
+
 // A host that follows another one has to give up the same rows, also those that the
 // other host never knew.
 func TestFollowersGiveUpWhatARestoredStoreLacks(t *testing.T) {
--- a/process/mirror/table.go
+++ b/process/mirror/table.go
@@ -31,9 +31,8 @@
 	// rows holds the rows by key, including those that were deleted.
 	rows map[string]record.Row
 	// held holds rows that disappeared while the store was away, and that their writers
-	// may write again until heldUntil. The handler does not know yet that they are gone.
-	held      map[string]record.Row
-	heldUntil time.Duration
+	// may write again. The handler does not know yet that they are gone.
+	held map[string]heldRow
 	// deleted is the number of deleted rows in rows.
 	deleted int
 	// at is the position up to which rows is complete, zero if the table was never
@@ -51,6 +50,12 @@
 	restoredAt time.Duration
 }
 
+// heldRow is a row that is held until a time.
+type heldRow struct {
+	record.Row
+	until time.Duration
+}
+
 // accepts reports whether changes can be applied to the copy.
 func (t *table) accepts(d delta.Delta) bool {
 	switch {
@@ -64,9 +69,7 @@
 
 // apply applies accepted changes and returns the rows that changed for the handler.
 func (t *table) apply(d delta.Delta, now time.Duration) []record.Row {
-	if t.freshAt != 0 && (d.Era > t.at.Era || now-t.freshAt > t.outage) {
-		t.heldUntil = now + t.grace
-	}
+	away := t.freshAt != 0 && now-t.freshAt > t.outage
 	var changed []record.Row
 	if d.Era > t.at.Era || t.at.Version == 0 {
 		t.replace(d, now)
@@ -75,7 +78,7 @@
 		if d.Whole {
 			changes = append(slices.Clone(d.Rows), t.deletions(d)...)
 		}
-		changed = t.merge(changes, now < t.heldUntil)
+		changed = t.merge(changes, away, now)
 		t.at = stamp.New(d.Era, max(t.at.Version, d.Version))
 	}
 	t.freshAt = max(t.freshAt, now-d.Age)
@@ -97,7 +100,7 @@
 	}
 	for key, r := range t.rows {
 		if _, listed := rows[key]; !listed && !r.Gone {
-			t.hold(r)
+			t.hold(r, now)
 		}
 	}
 	if d.Era > firstEra {
@@ -108,31 +111,30 @@
 
 // known returns the row that the handler knows, or false if it knows none.
 func (t *table) known(key string) (record.Row, bool) {
-	if r, ok := t.held[key]; ok {
-		return r, true
+	if h, ok := t.held[key]; ok {
+		return h.Row, true
 	}
 	r, ok := t.rows[key]
 	return r, ok && !r.Gone
 }
 
 // hold keeps a row that disappeared for the handler, if the table has a grace period.
-func (t *table) hold(r record.Row) {
+func (t *table) hold(r record.Row, now time.Duration) {
 	if t.grace > 0 {
-		t.held[r.Key] = r
+		t.held[r.Key] = heldRow{r, now + t.grace}
 	}
 }
 
 // release gives up the rows that were not written again in time, and returns their
 // deletions.
 func (t *table) release() []record.Row {
-	if t.freshAt < t.heldUntil {
-		return nil
-	}
 	var gone []record.Row
 	for _, key := range slices.Sorted(maps.Keys(t.held)) {
-		gone = append(gone, record.Row{Key: key, Version: t.at.Version, Era: t.at.Era, Gone: true})
+		if t.freshAt >= t.held[key].until {
+			gone = append(gone, record.Row{Key: key, Version: t.at.Version, Era: t.at.Era, Gone: true})
+			delete(t.held, key)
+		}
 	}
-	clear(t.held)
 	return gone
 }
 
@@ -154,7 +156,7 @@
 
 // merge stores the rows that are newer than the copy and returns them. If hold is set,
 // those that were deleted are held instead of returned.
-func (t *table) merge(rows []record.Row, hold bool) []record.Row {
+func (t *table) merge(rows []record.Row, hold bool, now time.Duration) []record.Row {
 	var changed []record.Row
 	for _, r := range rows {
 		previous, known := t.rows[r.Key]
@@ -167,7 +169,7 @@
 		}
 		if hold && t.grace > 0 && r.Gone {
 			if known && !previous.Gone {
-				t.hold(previous)
+				t.hold(previous, now)
 			}
 		} else {
 			changed = append(changed, r)
@@ -203,7 +205,7 @@
 func (t *table) visible() []record.Row {
 	rows := t.live()
 	for _, key := range slices.Sorted(maps.Keys(t.held)) {
-		rows = append(rows, t.held[key])
+		rows = append(rows, t.held[key].Row)
 	}
 	slices.SortFunc(rows, func(a, b record.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return rows
