--- a/process/config/config_test.go
+++ b/process/config/config_test.go
@@ -176,23 +176,30 @@
 	})
 }
 
-// Otherwise the store gives the number of a lost version out again, and hosts that had
-// that version never take the new one.
-func TestVersionsThatARestoredStoreLostAreWrittenAgain(t *testing.T) {
+// withLostVersions runs a test with a host that has version 4 in force, and a store that
+// has lost versions 3 and 4.
+func withLostVersions(t *testing.T, test func(is *is.I, s *store, c *config.Config)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &store{bodies: map[string][]byte{}}
-		s.add(t, 1)
 		c := config.New(zap.NewNop(), s)
 		c.Start(noPeers)
 		defer c.Close()
-		for version := uint64(2); version <= 4; version++ {
-			time.Sleep(5 * time.Second)
+		for version := uint64(1); version <= 4; version++ {
 			s.add(t, version)
+			time.Sleep(5 * time.Second)
 		}
-		time.Sleep(5 * time.Second)
 		is.Equal(c.Policy().Version(), uint64(4))
 		s.restore(2)
+		test(is, s, c)
+	})
+}
+
+// Otherwise the store gives the number of a lost version out again, and hosts that had
+// that version never take the new one.
+func TestVersionsThatARestoredStoreLostAreWrittenAgain(t *testing.T) {
+	withLostVersions(t, func(is *is.I, s *store, c *config.Config) {
 		time.Sleep(5 * time.Second)
 		is.Equal(s.head(), config.ObjectName(4, "p"))
 		s.add(t, 5)
@@ -203,19 +210,7 @@
 
 // A version that got the number of a lost one must not be hidden by later lost ones.
 func TestVersionsAreNotWrittenAgainAfterAnother(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &store{bodies: map[string][]byte{}}
-		s.add(t, 1)
-		c := config.New(zap.NewNop(), s)
-		c.Start(noPeers)
-		defer c.Close()
-		for version := uint64(2); version <= 4; version++ {
-			time.Sleep(5 * time.Second)
-			s.add(t, version)
-		}
-		time.Sleep(5 * time.Second)
-		s.restore(2)
+	withLostVersions(t, func(is *is.I, s *store, c *config.Config) {
 		is.NoErr(s.Commit(t.Context(), record.New(config.RowKey(3), []byte(config.ObjectName(3, "other")))))
 		time.Sleep(5 * time.Second)
 		is.Equal(s.head(), config.ObjectName(3, "other"))
