Go on until an order is answered after a takeover too

The other replicas had been stopped, but one that joined some seconds later had not: with it the leader acknowledged writes again, until the order was carried out 7 s late and promoted a target without them.

Cause: only a handover for lag went on until an order was answered. Now every order that was not confirmed does: the host hands the lead over to the target that it had ordered, which receives everything acknowledged meanwhile.

--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -108,10 +108,10 @@
 	// current reports whether the group's targets are as new as this host could know
 	// them while the store does not answer.
 	current func() bool
-	// orderPending is set after a handover for replica lag whose order was not
-	// confirmed, while that order may still be carried out. Run then repeats
-	// the replacement even if the leader serves, since replicas must not
-	// receive log entries again before an order is answered.
+	// orderPending is set after an order that was not confirmed, while that order
+	// may still be carried out. Run then hands the lead over to the ordered target
+	// even if the leader serves again, since replicas must not receive log entries
+	// before an order is answered, and one that joins meanwhile would.
 	orderPending bool
 	// isolated reports whether a silent leader is more likely a fault of this
 	// host than of the leader.
@@ -242,7 +242,7 @@
 		}
 		return true
 	}
-	p.orderPending = !p.promote(ctx, l, chosen, why, began) && why == rset.ReplicasBehind
+	p.orderPending = !p.promote(ctx, l, chosen, why, began)
 	return true
 }
 
--- a/standin/qgroup/unknown_test.go
+++ b/standin/qgroup/unknown_test.go
@@ -13,15 +13,16 @@
 	"github.com/pistachiotray/pistachiotray/standin/qgroup"
 )
 
-// Host 0 misses that all members were replaced. The new ones go on acknowledging writes
-// while it stops the old ones from receiving.
-func TestHostThatDoesNotKnowTheNewTargetsReplacesNobody(t *testing.T) {
+// withMembers runs a test with a group of n members and two hosts. The members after the
+// third are down at first.
+func withMembers(t *testing.T, n int, test func(ctx context.Context, t *testing.T, c *testCluster)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		ctx, stop := context.WithCancel(t.Context())
-		group := qgroup.New("g", 5)
-		group.Crash(3)
-		group.Crash(4)
+		group := qgroup.New("g", n)
+		for i := 3; i < n; i++ {
+			group.Crash(i)
+		}
 		c := newTestClusterOf(ctx, t, group, 2)
 		c.group.OnStatement = func(string, map[string]string, string) {}
 		time.Sleep(time.Second)
@@ -32,6 +33,46 @@
 			}
 			time.Sleep(time.Minute)
 		}()
+		test(ctx, t, c)
+	})
+}
+
+// A target that joins while an order may still be carried out has not been stopped from
+// receiving. The leader that is back must not acknowledge writes with it alone.
+func TestTargetThatJoinsWhileAnOrderIsPendingLosesNoWrites(t *testing.T) {
+	withMembers(t, 4, func(ctx context.Context, t *testing.T, c *testCluster) {
+		is := is.New(t)
+		cl := c.newClient(0, "primary")
+		is.True(cl.run(stmt.Write, "a", "a").OK())
+		c.group.DelayOrder(8 * time.Second)
+		c.group.SetSilent(0, true)
+		go func() {
+			for l, _, _ := c.store.Read(ctx, "g"); !l.OrderPending(); l, _, _ = c.store.Read(ctx, "g") {
+				time.Sleep(10 * time.Millisecond)
+			}
+			c.group.SetSilent(0, false)
+			time.Sleep(time.Second)
+			c.group.StartEmpty(3)
+		}()
+		acknowledged := 1
+		for end := c.now() + 20*time.Second; c.now() < end; {
+			if cl.run(stmt.Write, "a", "a").OK() {
+				acknowledged++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(acknowledged > 50)
+		// Writes without an answer may be kept too.
+		is.True(c.group.WriteCounts(c.group.Leader())["a a"] >= acknowledged)
+	})
+}
+
+// Host 0 misses that all members were replaced. The new ones go on acknowledging writes
+// while it stops the old ones from receiving.
+func TestHostThatDoesNotKnowTheNewTargetsReplacesNobody(t *testing.T) {
+	withMembers(t, 5, func(ctx context.Context, t *testing.T, c *testCluster) {
+		is := is.New(t)
+		group := c.group
 		c.registrationsCut[0].Store(true)
 		group.StartEmpty(3)
 		group.StartEmpty(4)
