--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -502,8 +502,8 @@
 // injectRestores injects random faults while the lease store comes back again and again
 // from a copy that is some seconds old. The hosts learn of it late.
 func (c *testCluster) injectRestores(random *rand.Rand) {
+	restores := rand.New(rand.NewPCG(random.Uint64(), 0))
 	go func() {
-		restores := rand.New(rand.NewPCG(random.Uint64(), 0))
 		for c.ctx.Err() == nil {
 			time.Sleep(time.Duration(restores.IntN(2500)) * time.Millisecond)
 			c.store.Copy()
