--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -624,6 +624,7 @@
 	t.Helper()
 	for seed := uint64(1); seed <= seedCount(t); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel() // each run has a clock of its own
 			violations, readsServed := runFaults(t, seed, inject)
 			for _, v := range violations {
 				t.Error(v)
