--- a/review/standins/cluster.go
+++ b/review/standins/cluster.go
@@ -23,6 +23,8 @@
 const (
 	groupCount  = 3
 	memberCount = 3
+	// registerTime is how long the registration of a group's members takes.
+	registerTime = 300 * time.Millisecond
 	// gracePeriod, drainTime and the route times are those of strih-pool.
 	gracePeriod = 6 * time.Second
 	drainTime   = 7 * time.Second
@@ -104,6 +106,9 @@
 		if err = errors.Join(err, failed); err != nil {
 			return c, err
 		}
+		// The stand-in must have registered the members of one group before it serves
+		// the next one.
+		time.Sleep(registerTime)
 		routes = append(routes, route("orders", name, "primary", 1000, 0), route("updates", name, "read_your_writes", 1000, 2500), route("lookups", name, "bounded_staleness", 3000, 1500))
 		services = append(services, map[string]any{"Name": name, "MaxConnections": 32})
 	}
