--- a/review/standins/stale_holder.go
+++ b/review/standins/stale_holder.go
@@ -33,7 +33,7 @@
 		if trouble {
 			d.setLag(replicaLag)
 			time.Sleep(lagLead)
-			f.arm(d.name)
+			f.arm(d.name, leader)
 		}
 		c.record.add("round %d: member %d of %s leads and begins to drain", round+1, leader, d.name)
 		began := time.Now()
@@ -85,19 +85,22 @@
 	return lost
 }
 
-// freezer freezes the first host that claims the lease of a group after arm.
+// freezer freezes the first host that claims the lease of a group after arm, unless it is
+// in the zone of the leader: such a host does not read at replicas, so it knows of no lag.
 type freezer struct {
 	cluster *cluster
 	mu      sync.Mutex
-	// group is the group whose first claim is awaited, empty if there is none.
+	// group is the group whose first claim is awaited, empty if there is none, and leader
+	// the member that leads it.
 	group  string
+	leader int
 	frozen *host
 }
 
-func (f *freezer) arm(group string) {
+func (f *freezer) arm(group string, leader int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.group = group
+	f.group, f.leader = group, leader
 }
 
 // disarm wakes a host that is still frozen.
@@ -131,6 +134,8 @@
 	switch {
 	case path == "/promotion":
 		f.wake()
+	case ok && lease.claim() && lease.group == f.group && h.zone == f.leader:
+		f.group = ""
 	case ok && lease.claim() && lease.group == f.group:
 		f.group, f.frozen = "", h
 		f.cluster.signal(h, syscall.SIGSTOP)
