Demote the leader before its successor is ordered

Cause: a host that was frozen while it claimed the lease wakes when the next holder's order is being carried out, stops the replica that was chosen and lets the other one receive. The platform checks the token of orders only; a RESUME is carried out for anyone, however late. Until the promotion the leader acknowledges commits that only the other replica has.

A leader that answers is now demoted before the order, and all other targets are heard once more after that. A demoted leader acknowledges nothing, so that no late RESUME and no restart of a replica can make the next leader lack a commit. RESUME is sent only while the claim excludes other hosts, by a clock that counts suspensions, and no more after a promotion, which ends the stops.

The note in the lease now names the leader that is replaced and its term; TestUnansweredOrderIsRepeatedAfterADemotion fails without.

Callers wait for the promotion at a planned replacement.

--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -28,6 +28,10 @@
 	// order. After a claim in advance, it is the target that was leader at that
 	// time.
 	Target string
+	// Former is the target that the order replaces, and FormerTerm the term that it led.
+	// They are kept with Target while the order may still be carried out.
+	Former     string
+	FormerTerm uint64
 	// Done is set when the order was carried out, and by a claim in advance.
 	Done bool
 	// At is the time of the last claim that was not made in advance, by the
@@ -55,7 +59,7 @@
 	l.Holder = host
 	l.Token = 0
 	if l.Done {
-		l.Target = ""
+		l.Target, l.Former, l.FormerTerm = "", "", 0
 	}
 	l.Done = false
 	l.Reserve = false
@@ -73,7 +77,7 @@
 	}
 	l.Holder = host
 	l.Token = 0
-	l.Target = leader
+	l.Target, l.Former, l.FormerTerm = leader, "", 0
 	l.Done = true
 	l.Reserve = true
 	l.Reserves++
@@ -108,6 +112,13 @@
 	return l
 }
 
+// WithFormer returns the lease with the target that the order replaces and the term that
+// this target led.
+func (l Lease) WithFormer(former string, term uint64) Lease {
+	l.Former, l.FormerTerm = former, term
+	return l
+}
+
 // WithDone returns the lease with its order marked as carried out.
 func (l Lease) WithDone() Lease {
 	l.Done = true
--- a/process/promo/claim.go
+++ b/process/promo/claim.go
@@ -92,6 +92,8 @@
 // replaced. If another host has just replaced the leader, claim records the new
 // leader and returns false.
 func (p *Promoter) claim(ctx context.Context, why string) (lease.Lease, bool) {
+	p.heldUntil = 0
+	began := p.now()
 	reading, stop := context.WithTimeout(ctx, p.storeTimeout())
 	defer stop()
 	l, now, err := p.platform.Read(reading, p.group.Name)
@@ -121,6 +123,7 @@
 		p.log.Info("lease not claimed", zap.String("Why", why), zap.Uint64("Token", claimed.Token), zap.String("Error", err.Error()))
 		return claimed, false
 	}
+	p.heldUntil = began + claimHold
 	p.log.Info("lease claimed", zap.String("Why", why), zap.Uint64("Token", claimed.Token), zap.String("Before", l.Holder))
 	return claimed, true
 }
--- /dev/null
+++ b/process/promo/fence.go
@@ -0,0 +1,77 @@
+package promo
+
+import (
+	"context"
+	"slices"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+)
+
+// withTerm returns a command for an election in the given term.
+func withTerm(kind int, term uint64) stmt.Stmt {
+	return stmt.New(stmt.ProxyID, kind, "").WithName("", strconv.FormatUint(term, 10))
+}
+
+// holds reports whether this host's claim still keeps other hosts from claiming the
+// lease, and does so until a command that is sent now has ended. A reserved lease keeps
+// nobody from it.
+func (p *Promoter) holds() bool {
+	return p.now() < p.heldUntil-stepTimeout
+}
+
+// demote makes the leader a replica, so that it acknowledges no more commits. It returns
+// the leader's report, whose position covers all commits acknowledged in its term. The
+// result is false if the leader does not answer or did not lead any more.
+func (p *Promoter) demote(ctx context.Context, leader target.Target) (report.Report, bool) {
+	if leader.ID == "" {
+		return report.Report{}, false
+	}
+	ctx, stop := context.WithTimeout(ctx, stepTimeout)
+	defer stop()
+	before, err := p.group.Report(ctx, leader, withTerm(stmt.Pause, p.group.Term()+1))
+	if err != nil || !before.Primary {
+		p.log.Info("leader not demoted", zap.Any("Report", before), zap.Bool("Asked", err == nil), zap.NamedError("Error", err))
+		return report.Report{}, false
+	}
+	after, err := p.group.Report(ctx, leader, withTerm(stmt.Demote, before.Term+1))
+	// If the term has changed, another target leads, and has entries that this one lacks.
+	if err != nil || after.Primary || after.Term != before.Term {
+		p.log.Warn("leader not demoted", zap.Any("Before", before), zap.Any("Report", after), zap.NamedError("Error", err))
+		return report.Report{}, false
+	}
+	p.log.Info("leader demoted", zap.Any("Report", after))
+	return after, true
+}
+
+// elect demotes the leader, if that answers, and stops all other targets. It then
+// returns the report of the target that may be ordered to lead: one that has all
+// acknowledged commits.
+// A demoted leader acknowledges nothing more, whatever the replicas do after their
+// reports: they may restart, or a former holder of the lease may make them receive
+// again. If several targets received equally much, elect prefers the given one. It
+// returns false if a target did not stop and the leader was not demoted.
+func (p *Promoter) elect(ctx context.Context, leader target.Target, preferred string) (report.Report, bool) {
+	ctx, stop := context.WithTimeout(ctx, electTimeout)
+	defer stop()
+	last, demoted := p.demote(ctx, leader)
+	reports, complete := p.pauseReplicas(ctx, leader.ID)
+	switch {
+	case complete:
+	case !demoted:
+		return report.Report{}, false
+	default:
+		// A target with all of the leader's entries has the acknowledged ones.
+		reports = slices.DeleteFunc(reports, func(r report.Report) bool { return !r.Received.AtLeast(last.Received) })
+		if len(reports) == 0 && p.pending.Token == 0 {
+			reports = append(reports, last)
+		}
+	}
+	best, ok := mostReceived(reports, preferred)
+	p.log.Info("target elected", zap.Any("Reports", reports), zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", complete))
+	return best, ok
+}
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 
 	"go.uber.org/zap"
 
@@ -16,7 +15,9 @@
 // pauseReplicas orders all targets except the given ones to stop receiving log
 // entries, until all of them have stopped or the context ends. It returns the
 // reports of those that stopped. The result complete is false if any did not,
-// including targets that are no longer registered.
+// including targets that are no longer registered. The target that a pending order
+// replaces is left out, unless another one has led since: what it received alone was
+// never acknowledged.
 func (p *Promoter) pauseReplicas(ctx context.Context, except ...string) (reports []report.Report, complete bool) {
 	term := p.group.Term() + 1
 	for {
@@ -37,12 +38,13 @@
 // term that it has already reached.
 func (p *Promoter) pauseOnce(ctx context.Context, except []string, term uint64) ([]report.Report, bool, uint64) {
 	type outcome struct {
+		id     string
 		report report.Report
 		err    error
 	}
 	targets := p.group.Targets()
 	results := make(chan outcome, len(targets))
-	pause := stmt.New(stmt.ProxyID, stmt.Pause, "").WithName("", strconv.FormatUint(term, 10))
+	pause := withTerm(stmt.Pause, term)
 	asked := 0
 	for _, t := range targets {
 		if slices.Contains(except, t.ID) {
@@ -53,25 +55,39 @@
 			ctx, stop := context.WithTimeout(ctx, stepTimeout)
 			defer stop()
 			r, err := p.group.Report(ctx, t, pause)
-			results <- outcome{r, err}
+			results <- outcome{t.ID, r, err}
 		}()
 	}
-	var reports []report.Report
+	var outcomes []outcome
 	var highest uint64
 	for range asked {
 		o := <-results
+		outcomes = append(outcomes, o)
+		highest = max(highest, o.report.Term)
+	}
+	former := p.pending.Former
+	if highest > p.pending.FormerTerm {
+		former = ""
+	}
+	var reports []report.Report
+	stopped := 0
+	for _, o := range outcomes {
+		if o.id == former {
+			stopped++
+			continue
+		}
 		if o.err != nil {
 			p.log.Info("target not paused", zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
 			continue
 		}
-		highest = max(highest, o.report.Term)
 		if o.report.Held >= term {
+			stopped++
 			reports = append(reports, o.report)
 		} else {
 			p.log.Info("target did not stop receiving", zap.Uint64("Term", term), zap.Any("Report", o.report))
 		}
 	}
-	return reports, len(reports) == asked && asked >= p.group.LargestSize()-len(except), highest
+	return reports, stopped == asked && asked >= p.group.LargestSize()-len(except), highest
 }
 
 // mostReceived returns the report of the target that received most of the log.
--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -24,32 +24,33 @@
 }
 
 // handover prepares the replacement of a leader that still serves. One replica,
-// the successor, keeps receiving log entries and the others stop, so that every
-// commit acknowledged from then on is in the successor's log. Once the
-// successor's log also includes everything that the others received, it may
-// lead. Writes are served meanwhile. The parameter ordered is the target of an
-// earlier order that may still be carried out, or empty. The function returns
-// the successor, or false if the preparation did not succeed in time.
-func (p *Promoter) handover(ctx context.Context, leader target.Target, ordered string) (string, bool) {
-	ctx, stop := context.WithTimeout(ctx, prepareTimeout)
+// the successor, keeps receiving log entries and the others stop. Once the
+// successor's log also includes everything that the others received, the leader
+// is demoted and the target to lead elected, which is the successor unless
+// another one received more meanwhile. Writes are served until then. The
+// parameter ordered is the target of an earlier order that may still be carried
+// out, or empty. The function returns the report of the target to lead, or
+// false if the preparation did not succeed in time.
+func (p *Promoter) handover(ctx context.Context, leader target.Target, ordered string) (report.Report, bool) {
+	preparing, stop := context.WithTimeout(ctx, prepareTimeout)
 	defer stop()
-	next, ok := p.successor(ctx, leader.ID, ordered)
+	next, ok := p.successor(preparing, leader.ID, ordered)
 	if !ok {
-		return "", false
+		return report.Report{}, false
 	}
-	reports, complete := p.pauseReplicas(ctx, leader.ID, next.ID)
+	reports, complete := p.pauseReplicas(preparing, leader.ID, next.ID)
 	if !complete {
-		return "", false
+		return report.Report{}, false
 	}
-	for ctx.Err() == nil {
-		r, err := p.group.Report(ctx, next, stmt.New(stmt.ProxyID, stmt.Resume, ""))
+	for preparing.Err() == nil && p.holds() {
+		r, err := p.group.Report(preparing, next, stmt.New(stmt.ProxyID, stmt.Resume, ""))
 		if err == nil && receivedAll(r, reports) {
 			p.log.Info("handover ready", zap.Any("Heir", r), zap.Any("Others", reports))
-			return next.ID, true
+			return p.elect(ctx, leader, next.ID)
 		}
-		sleep.For(ctx, checkPause)
+		sleep.For(preparing, checkPause)
 	}
-	return "", false
+	return report.Report{}, false
 }
 
 // successor returns the replica that takes over from a leader that still
@@ -136,19 +137,22 @@
 }
 
 // takeover prepares the replacement of a leader that does not serve. All other
-// targets stop receiving log entries, and takeover chooses the one that
-// received most. If several received equally much, it prefers the target that
-// an earlier order names, so that both orders name the same target. It returns
-// false if a replica did not stop or no target may be chosen.
-func (p *Promoter) takeover(ctx context.Context, leader target.Target, ordered, why string) (string, bool) {
-	ctx, stop := context.WithTimeout(ctx, prepareTimeout)
+// targets stop receiving log entries, and the one that received most is elected.
+// If several received equally much, takeover prefers the target that an earlier
+// order names, so that both orders name the same target. It returns false if a
+// replica did not stop or no target may be chosen.
+func (p *Promoter) takeover(ctx context.Context, leader target.Target, ordered, why string) (report.Report, bool) {
+	preparing, stop := context.WithTimeout(ctx, prepareTimeout)
 	defer stop()
-	reports, complete := p.pauseReplicas(ctx, leader.ID)
+	reports, complete := p.pauseReplicas(preparing, leader.ID)
 	if !complete {
-		return "", false
+		return report.Report{}, false
 	}
 	best, ok := mostReceived(reports, ordered)
 	p.log.Info("takeover ready", zap.Any("Reports", reports), zap.String("Chosen", best.Member))
 	// A leader that still answers is not replaced by a target that is leaving.
-	return best.Member, ok && !(why == rset.LeaderStalled && best.Leaving)
+	if !ok || why == rset.LeaderStalled && best.Leaving {
+		return report.Report{}, false
+	}
+	return p.elect(ctx, leader, ordered)
 }
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/lease"
+	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/rset"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -38,6 +39,9 @@
 	// prepareTimeout is the maximum duration of the preparation of a
 	// replacement, in which the replicas stop receiving log entries.
 	prepareTimeout = 1500 * time.Millisecond
+	// electTimeout is the maximum duration of an election: of the commands that
+	// demote the leader, and of those that stop the other targets once more.
+	electTimeout = 900 * time.Millisecond
 	// receiveTime is how long replicas may take to receive an entry that the
 	// leader wrote: several times the latency between regions.
 	receiveTime = 400 * time.Millisecond
@@ -108,11 +112,21 @@
 	// current reports whether the group's targets are as new as this host could know
 	// them while the store does not answer.
 	current func() bool
+	// now returns the time since some moment, including time when the machine was
+	// suspended. heldUntil is when other hosts may claim the lease that this host
+	// claimed last.
+	now       func() time.Duration
+	heldUntil time.Duration
 	// orderPending is set after an order that was not confirmed, while that order
 	// may still be carried out. Run then hands the lead over to the ordered target
 	// even if the leader serves again, since replicas must not receive log entries
 	// before an order is answered, and one that joins meanwhile would.
 	orderPending bool
+	// pending is the lease with the order that may still be carried out while this host
+	// prepares the next one. Its token is 0 if there is none.
+	pending lease.Lease
+	// sent is the lease with the last order that this host sent.
+	sent lease.Lease
 	// isolated reports whether a silent leader is more likely a fault of this
 	// host than of the leader.
 	isolated func() bool
@@ -127,6 +141,8 @@
 // New returns a Promoter for one group on one host.
 func New(host string, log *zap.Logger, rs *rset.ReplicaSet, pl platform, options ...func(*Promoter)) *Promoter {
 	p := &Promoter{host: host, log: log.With(zap.String("Group", rs.Name)), group: rs, platform: pl, isolated: func() bool { return false }}
+	began := time.Now()
+	p.now = func() time.Duration { return time.Since(began) }
 	p.restored = func() (uint64, time.Duration) { return math.MaxUint64, math.MaxInt64 }
 	p.refresh = func(context.Context) error { return nil }
 	p.current = func() bool { return true }
@@ -144,6 +160,12 @@
 	return func(p *Promoter) { p.isolated = isolated }
 }
 
+// WithClock returns an option that sets the clock by which a claim of the lease ends. It
+// includes time when the machine was suspended.
+func WithClock(now func() time.Duration) func(*Promoter) {
+	return func(p *Promoter) { p.now = now }
+}
+
 // WithRestores returns an option that sets the function restored, which returns the
 // newest era of the store that this host has seen, and how long ago it learned that the
 // store had been restored from a copy. The store may have lost the claim of a host that
@@ -224,28 +246,46 @@
 	if !ok {
 		return false
 	}
+	p.pending = p.pendingOrder(l)
 	leader, _ = p.group.Leader()
 	began := time.Now()
-	chosen, ok := "", false
+	var chosen report.Report
 	if planned(why) {
-		chosen, ok = p.handover(ctx, leader, l.Target)
+		chosen, ok = p.handover(ctx, leader, p.pending.Target)
 	} else {
-		chosen, ok = p.takeover(ctx, leader, l.Target, why)
+		chosen, ok = p.takeover(ctx, leader, p.pending.Target, why)
 	}
 	if !ok {
 		p.log.Warn("replacement not safe", zap.String("Why", why), zap.Uint64("Token", l.Token), zap.String("Noted", l.Target))
 		// A stored order may still be carried out. Until a further order is
 		// answered, no target may receive entries that the ordered target does
-		// not have.
-		if l.Target == "" && !l.Reserve {
-			p.resume(ctx, "")
+		// not have. After the claim has ended, another host may have ordered one.
+		if p.pending.Token == 0 && p.holds() {
+			p.resume(ctx)
 		}
 		return true
 	}
-	p.orderPending = !p.promote(ctx, l, chosen, why, began)
+	former, term := p.pending.Former, p.pending.FormerTerm
+	if leader.ID != "" {
+		former, term = leader.ID, chosen.Term
+	}
+	p.orderPending = !p.promote(ctx, l.WithFormer(former, term), chosen.Member, why, began)
 	return true
 }
 
+// pendingOrder returns the lease with the order that may still be carried out when this
+// host holds the lease l, or one with the token 0 if there is none. An order with a
+// reserved lease is not stored.
+func (p *Promoter) pendingOrder(l lease.Lease) lease.Lease {
+	switch {
+	case l.OrderPending():
+		return l
+	case l.Reserve && p.sent.Token == l.Token:
+		return p.sent
+	}
+	return lease.Lease{}
+}
+
 // promote orders the chosen target to lead and waits until it does. It returns
 // false if the promotion was not confirmed. An order that was sent may be
 // carried out at any later time, so further orders with higher tokens follow
@@ -262,6 +302,7 @@
 			return false
 		}
 	}
+	p.sent = ordered
 	err = p.platform.Promote(ctx, ordered)
 	if l.Reserve && (err == nil || errors.Is(err, ErrFenced)) {
 		// A token that was used or refused is never sent again.
@@ -278,8 +319,8 @@
 		return false
 	}
 	p.log.Info("promotion done", zap.String("Target", chosen), zap.Uint64("Token", ordered.Token), zap.Duration("Took", time.Since(began)))
+	// The promotion lets the other targets receive again.
 	p.group.SetLeader(chosen, "promoted")
-	p.resume(ctx, chosen)
 	if l.Reserve {
 		return true
 	}
@@ -312,13 +353,10 @@
 	return false
 }
 
-// resume orders all targets except one to receive log entries again, and does
-// not wait for their answers.
-func (p *Promoter) resume(ctx context.Context, except string) {
+// resume orders all targets to receive log entries again, and does not wait for
+// their answers.
+func (p *Promoter) resume(ctx context.Context) {
 	for _, t := range p.group.Targets() {
-		if t.ID == except {
-			continue
-		}
 		go func() {
 			ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), stepTimeout)
 			defer stop()
--- a/request/stmt/stmt.go
+++ b/request/stmt/stmt.go
@@ -43,6 +43,8 @@
 	// Status asks a target for its replication state and load. It occupies a slot of
 	// the target while it runs.
 	Status
+	// Demote makes a target that leads a lower term than the term in Rest a replica.
+	Demote
 )
 
 // ProxyID is the id of all statements that the proxy sends on its own behalf.
@@ -52,7 +54,7 @@
 type Stmt struct {
 	// ID is the caller's id of the statement, or ProxyID.
 	ID string
-	// Kind is the kind of statement, from Unknown to Status.
+	// Kind is the kind of statement, from Unknown to Demote.
 	Kind int
 	// Text is the statement as the caller sent it. It is empty in statements of
 	// the proxy.
@@ -62,7 +64,7 @@
 	Name string
 	// Rest is the text after the name: the new content of an item, a session
 	// value, the shape of a prepared statement, the arguments of an execution, or
-	// the term of a Pause.
+	// the term of a Pause or a Demote.
 	Rest string
 	// Writes means, for Prepare and Execute, that the prepared statement writes.
 	Writes bool
--- a/standin/lstore/leasestore.go
+++ b/standin/lstore/leasestore.go
@@ -41,6 +41,9 @@
 	// that two holders sent.
 	holders map[uint64]string
 	shared  []uint64
+	// heldAnswer is closed to release the answer that HoldAnswer holds back, nil if the
+	// next claim is answered at once.
+	heldAnswer chan struct{}
 }
 
 // New returns the store of the named group's lease. Read returns the time of the
@@ -70,6 +73,16 @@
 	s.copy = s.lease
 }
 
+// HoldAnswer holds back the answer to the next claim that is not made in advance, until
+// release is called. The claim is stored at once.
+func (s *LeaseStore) HoldAnswer() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(chan struct{})
+	s.heldAnswer = held
+	return sync.OnceFunc(func() { close(held) })
+}
+
 // Restore starts a new era with the lease as it was at the last call of Copy. Versions
 // are given out again.
 func (s *LeaseStore) Restore() {
@@ -124,6 +137,22 @@
 // Write stores the lease and returns it as stored. It returns promo.ErrTaken if the
 // stored lease has another version than l, or was restored since l was read.
 func (s *LeaseStore) Write(_ context.Context, l lease.Lease) (lease.Lease, error) {
+	isClaim := l.Token == 0 && !l.Done
+	written, err := s.write(l)
+	if isClaim && err == nil {
+		s.mu.Lock()
+		held := s.heldAnswer
+		s.heldAnswer = nil
+		s.mu.Unlock()
+		if held != nil {
+			<-held
+		}
+	}
+	return written, err
+}
+
+// write stores the lease and returns it as stored.
+func (s *LeaseStore) write(l lease.Lease) (lease.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/standin/platd/member.go
+++ b/standin/platd/member.go
@@ -184,7 +184,7 @@
 		return nil, false
 	}
 	s := parseStatement(id, text)
-	if s.Kind == stmt.Pause || s.Kind == stmt.Resume || s.Kind == stmt.Status {
+	if s.Kind == stmt.Pause || s.Kind == stmt.Resume || s.Kind == stmt.Status || s.Kind == stmt.Demote {
 		r, err := conn.Report(ctx, s)
 		if err != nil {
 			return nil, false
@@ -229,6 +229,8 @@
 		s.Kind = stmt.BeginRead
 	case fields[0] == "PAUSE":
 		s = stmt.New(id, stmt.Pause, text).WithName("", fields[1])
+	case fields[0] == "DEMOTE":
+		s = stmt.New(id, stmt.Demote, text).WithName("", fields[1])
 	case fields[0] == "PREPARE":
 		kind, preparedText, _ := strings.Cut(fields[2], " ")
 		s = stmt.New(id, stmt.Prepare, text).WithName(fields[1], preparedText).WithWrites(kind == "WRITE")
--- a/standin/qgroup/connection.go
+++ b/standin/qgroup/connection.go
@@ -70,9 +70,9 @@
 	}
 }
 
-// Report returns the member's report, after running s if s is a Pause or a
-// Resume. A Pause has an effect only at a replica, and only if its term is later
-// than the replica's.
+// Report returns the member's report, after running s if s is a Pause, a Resume
+// or a Demote. A Pause has an effect only at a replica, and a Demote only at the
+// leader, and only if its term is later than the member's.
 func (c *connection) Report(ctx context.Context, s stmt.Stmt) (report.Report, error) {
 	if err := c.awaitReachable(ctx); err != nil {
 		return report.Report{}, err
@@ -80,15 +80,24 @@
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
 	m := c.member
-	switch s.Kind {
-	case stmt.Pause:
-		term, err := strconv.ParseUint(s.Rest, 10, 64)
-		if err != nil {
+	var term uint64
+	if s.Kind == stmt.Pause || s.Kind == stmt.Demote {
+		var err error
+		if term, err = strconv.ParseUint(s.Rest, 10, 64); err != nil {
 			return report.Report{}, err
 		}
+	}
+	switch s.Kind {
+	case stmt.Pause:
 		if !m.leads && term > m.term {
 			m.pauseTerm = term
 		}
+	case stmt.Demote:
+		if m.leads && term > m.term {
+			m.leads, m.demoted = false, true
+			m.minApplied = len(m.log)
+			m.notify()
+		}
 	case stmt.Resume:
 		m.pauseTerm = 0
 		c.group.scheduleShipping()
--- a/standin/qgroup/failover_test.go
+++ b/standin/qgroup/failover_test.go
@@ -33,6 +33,12 @@
 // runWithMembers is like runOnVirtualClock, with a group of n members. Those after the
 // third are down at first. The context ends before the targets are removed.
 func runWithMembers(t *testing.T, n int, f func(ctx context.Context, t *testing.T, c *testCluster)) {
+	t.Helper()
+	runWithHosts(t, n, 2, f)
+}
+
+// runWithHosts is like runWithMembers, with the given number of hosts.
+func runWithHosts(t *testing.T, n, hosts int, f func(ctx context.Context, t *testing.T, c *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
@@ -40,7 +46,7 @@
 		for i := 3; i < n; i++ {
 			group.Crash(i)
 		}
-		c := newTestClusterOf(ctx, t, group, 2)
+		c := newTestClusterOf(ctx, t, group, hosts)
 		c.group.OnStatement = func(string, map[string]string, string) {}
 		time.Sleep(time.Second)
 		defer func() {
@@ -224,6 +230,28 @@
 	})
 }
 
+// A demoted leader may have entries that no replica received. They were never
+// acknowledged, and must not make it the target of the next order while the order for
+// another target may still be carried out.
+func TestUnansweredOrderIsRepeatedAfterADemotion(t *testing.T) {
+	runOnVirtualClock(t, func(t *testing.T, c *testCluster) {
+		is := is.New(t)
+		cl := c.newClient(0, "primary")
+		is.True(cl.run(stmt.Write, "a", "a").OK())
+		for range 2 {
+			c.group.DelayOrder(4 * time.Second)
+		}
+		c.group.SetReceiveBlocked(1, true)
+		c.group.SetReceiveBlocked(2, true)
+		_, ok := cl.writeUntilOK(12 * time.Second)
+		is.True(ok)
+		time.Sleep(6 * time.Second)
+		orders := slices.Compact(c.group.Orders())
+		is.Equal(len(orders), 1)
+		is.True(orders[0] != "g-0")
+	})
+}
+
 // Writes that time out because they are slow don't count as a stalled leader.
 func TestSlowWritesCauseNoFailover(t *testing.T) {
 	runOnVirtualClock(t, func(t *testing.T, c *testCluster) {
--- a/standin/qgroup/fault.go
+++ b/standin/qgroup/fault.go
@@ -12,11 +12,13 @@
 }
 
 // Start starts a stopped member. If it was the leader and no other member was
-// promoted meanwhile, it still leads.
+// promoted meanwhile, it leads, even if it was demoted.
 func (g *Group) Start(i int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.members[i].up = true
+	g.members[i].leads = g.members[i].leads || g.members[i].demoted
+	g.members[i].demoted = false
 	g.members[i].target.Started++
 	g.scheduleShipping()
 }
@@ -26,7 +28,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[i]
-	m.up, m.log, m.leads = true, nil, false
+	m.up, m.log, m.leads, m.demoted = true, nil, false, false
 	m.target.Started++
 	g.scheduleShipping()
 }
--- a/standin/qgroup/group.go
+++ b/standin/qgroup/group.go
@@ -76,7 +76,10 @@
 	// the member accepts entries.
 	pauseTerm uint64
 	leads     bool
-	up        bool
+	// demoted means that the member was the leader until a Demote, and that no other
+	// was promoted since.
+	demoted bool
+	up      bool
 	// silent means that the member answers nothing and does not replicate.
 	silent bool
 	// receiveBlocked means that the leader's entries do not reach the member.
@@ -180,12 +183,13 @@
 	return targets
 }
 
-// Leader returns the index of the member that leads, or -1 if none does.
+// Leader returns the index of the member that leads, or that was the last to lead if it
+// was demoted. It returns -1 if there is none.
 func (g *Group) Leader() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for i, m := range g.members {
-		if m.leads {
+		if m.leads || m.demoted {
 			return i
 		}
 	}
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -519,18 +519,32 @@
 	c.injectFaults(random)
 }
 
-// injectForgottenLeaders makes host 1 replace the leader again and again while host
-// 0 gets no registrations, and keeps the replaced leaders from receiving. A read of a
-// primary route at host 0 is fresh only if a replaced leader refuses it.
+// injectForgottenLeaders makes host 1 replace the leader again and again, by a takeover
+// or a handover, while host 0 gets no registrations. It keeps the replaced leaders from
+// receiving, and host 0 from reaching the other members. A read of a primary route at
+// host 0 is fresh only if a replaced leader refuses it.
 func (c *testCluster) injectForgottenLeaders(random *rand.Rand) {
 	for c.ctx.Err() == nil {
 		leader := max(c.group.Leader(), 0)
+		takeover := random.IntN(4) == 0
 		c.registrationsCut[0].Store(true)
-		c.group.SetPartitioned(leader, 1, true)
-		time.Sleep(time.Duration(1500+random.IntN(1500)) * time.Millisecond)
+		c.group.SetPartitioned(leader, 1, takeover)
+		c.group.SetLeaving(leader, !takeover)
+		end := c.now() + time.Duration(1500+random.IntN(1500))*time.Millisecond
+		for c.now() < end && c.group.Leader() == leader {
+			time.Sleep(10 * time.Millisecond)
+		}
 		c.group.SetReceiveBlocked(leader, true)
+		isolate := func(partitioned bool) {
+			for i := range 3 {
+				c.group.SetPartitioned(i, 0, partitioned && i != leader)
+			}
+		}
+		isolate(true)
 		time.Sleep(time.Duration(500+random.IntN(1000)) * time.Millisecond)
+		isolate(false)
 		c.group.SetReceiveBlocked(leader, false)
+		c.group.SetLeaving(leader, false)
 		c.group.SetPartitioned(leader, 1, false)
 		c.registrationsCut[0].Store(false)
 		time.Sleep(time.Second)
--- a/standin/qgroup/promotion.go
+++ b/standin/qgroup/promotion.go
@@ -64,7 +64,7 @@
 		if o.leads || o == m {
 			o.minApplied = len(o.log)
 		}
-		o.leads = o == m
+		o.leads, o.demoted = o == m, false
 		o.pauseTerm = 0
 		o.term = g.term
 		if o != m && !isPrefix(o.log, m.log) {
