Keep the members of each group in the store

Cause: which targets belong to a group was the largest number that one process had seen at once. A host that starts while a replica's registration is missing counts two of three, and replaces the leader without the replica that goes on acknowledging; the log shows "takeover ready" with one report. A host that saw a member's old and new registration counts four.

The table "member" now keeps the members of each group. All of them are heard before a leader is replaced, those without a registration at their addresses. A member counts no more once a later process has its address, once it has ended after leaving, or 8 s after its registration disappeared. The new leader is no longer sought among the registered targets alone: a leader whose registration lapsed is known from the table and demoted.

A handover for lag is no longer excluded for good once a release made the group look larger than it is; with a member missing it is not begun.

--- /dev/null
+++ b/process/keeper/keeper.go
@@ -0,0 +1,217 @@
+// Package keeper keeps the members of a database group in the table store, so that a host
+// that starts while a member is not registered knows it.
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/member"
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
+	"github.com/pistachiotray/pistachiotray/process/target"
+)
+
+// Table is the table of members, with one row per group.
+const Table = "member"
+
+const (
+	// writers is the number of hosts that write a change of a group's members. The
+	// others rely on them.
+	writers = 3
+	// rankDelay is how much later than the one before each of them checks the row.
+	// settleDelay lets the changes that come together be written together, and startDelay
+	// lets a host that starts learn of the others.
+	rankDelay   = 700 * time.Millisecond
+	settleDelay = 500 * time.Millisecond
+	startDelay  = 3 * time.Second
+	// callTimeout bounds a check of the row. minRetryPause and maxRetryPause bound the
+	// pause after one that failed, which doubles.
+	callTimeout   = 2 * time.Second
+	minRetryPause = time.Second
+	maxRetryPause = 15 * time.Second
+)
+
+// table is the table store.
+type table interface {
+	// Get returns one row and the store's time. The row has version 0 if the store
+	// has none with that key.
+	Get(ctx context.Context, table, key string) (record.Row, time.Duration, error)
+	// CompareAndSwap writes a row if the stored one still has the row's version, and
+	// returns the position of the write.
+	CompareAndSwap(ctx context.Context, table string, r record.Row) (stamp.Stamp, error)
+}
+
+// group is a database group as this host sees it.
+type group interface {
+	// Targets returns the registered targets.
+	Targets() []target.Target
+	// TargetsChanged returns a channel that receives a value when they change.
+	TargetsChanged() <-chan struct{}
+	// Rank returns how many live hosts precede this one in an order by their distance
+	// to a target.
+	Rank(t target.Target) int
+}
+
+// stored is the value of a group's row.
+type stored struct {
+	Members []storedMember
+}
+
+// storedMember is one member. Fields without a comment are those of the Target.
+type storedMember struct {
+	ID      string
+	Address string
+	Zone    string
+	Started int64
+	Leaving bool `json:",omitempty"`
+	Primary bool `json:",omitempty"`
+	// MissingMs is the time by the store's clock at which the registration was found
+	// missing, in milliseconds, and 0 if the member is registered.
+	MissingMs int64 `json:",omitempty"`
+}
+
+// Keeper knows the members of one group.
+type Keeper struct {
+	name  string
+	log   *zap.Logger
+	store table
+	group group
+	now   func() time.Duration
+	// mu guards the fields below. ahead is how much the store's clock is ahead of now.
+	mu      sync.Mutex
+	members member.Set
+	ahead   time.Duration
+}
+
+// New returns the Keeper of the named group. The clock now includes time when the machine
+// was suspended.
+func New(name string, log *zap.Logger, store table, g group, now func() time.Duration) *Keeper {
+	return &Keeper{name: name, log: log.With(zap.String("Group", name)), store: store, group: g, now: now, members: member.New(name)}
+}
+
+// Known returns the members as this host knows them.
+func (k *Keeper) Known() member.Set {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.members = k.members.WithRegistered(k.group.Targets(), k.now()+k.ahead)
+	return k.members
+}
+
+// Refresh reads the members from the store.
+func (k *Keeper) Refresh(ctx context.Context) error {
+	_, err := k.refresh(ctx)
+	return err
+}
+
+// refresh reads the members from the store and returns them.
+func (k *Keeper) refresh(ctx context.Context) (member.Set, error) {
+	r, now, err := k.store.Get(ctx, Table, k.name)
+	if err != nil {
+		return member.Set{}, errors.Wrap(err, "read members")
+	}
+	read, err := k.decode(r)
+	if err != nil {
+		// The registered targets count, and the row is written anew.
+		k.log.Error("members can't be decoded", zap.Uint64("Version", r.Version), zap.String("Error", err.Error()))
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	merged := read
+	if k.members.Stored.Era != read.Stored.Era {
+		// A restored store may have lost members.
+		for _, t := range k.members.Members() {
+			merged = merged.WithMember(t, k.members.MissingSince(t.ID))
+		}
+	}
+	k.members, k.ahead = merged, now-k.now()
+	return read, nil
+}
+
+func (k *Keeper) decode(r record.Row) (member.Set, error) {
+	s := member.New(k.name).WithStored(r.Stamp())
+	if r.Version == 0 {
+		return s, nil
+	}
+	var value stored
+	if err := json.Unmarshal(r.Value, &value); err != nil {
+		return s, errors.Wrap(err, "decode members")
+	}
+	for _, m := range value.Members {
+		t := target.New(m.ID, k.name, m.Address, m.Zone).WithStarted(m.Started).WithLeaving(m.Leaving).WithRole(m.Primary)
+		s = s.WithMember(t, time.Duration(m.MissingMs)*time.Millisecond)
+	}
+	return s, nil
+}
+
+// Run writes changes of the members to the store until the context ends, if this host is
+// one of those that do.
+func (k *Keeper) Run(ctx context.Context) {
+	began := k.now()
+	due := time.NewTimer(startDelay)
+	defer due.Stop()
+	pause := minRetryPause
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.group.TargetsChanged():
+			due.Reset(max(settleDelay+time.Duration(k.rank())*rankDelay, startDelay-(k.now()-began)))
+		case <-due.C:
+			if k.rank() >= writers {
+				continue
+			}
+			if err := k.write(ctx); err != nil {
+				k.log.Info("members not written", zap.String("Error", err.Error()))
+				due.Reset(pause)
+				pause = min(2*pause, maxRetryPause)
+				continue
+			}
+			pause = minRetryPause
+			if k.Known().Missing() {
+				due.Reset(member.ForgetAfter)
+			}
+		}
+	}
+}
+
+// rank returns how many live hosts precede this one among those that write the members.
+func (k *Keeper) rank() int {
+	return min(k.group.Rank(target.Target{Group: k.name}), writers)
+}
+
+// write writes the members to the store if the row there differs.
+func (k *Keeper) write(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	read, err := k.refresh(ctx)
+	if err != nil {
+		return err
+	}
+	members := k.Known()
+	if len(members.Members()) == 0 || !members.Differs(read) {
+		return nil
+	}
+	var value stored
+	for _, t := range members.Members() {
+		value.Members = append(value.Members, storedMember{t.ID, t.Address, t.Zone, t.Started, t.Leaving, t.Primary, members.MissingSince(t.ID).Milliseconds()})
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode members")
+	}
+	at, err := k.store.CompareAndSwap(ctx, Table, record.New(k.name, encoded).WithVersion(read.Stored.Version))
+	if err != nil {
+		return errors.Wrap(err, "write members")
+	}
+	k.mu.Lock()
+	k.members = k.members.WithStored(at)
+	k.mu.Unlock()
+	k.log.Info("members written", zap.Int("Members", len(value.Members)), zap.Bool("Missing", members.Missing()))
+	return nil
+}
--- /dev/null
+++ b/process/member/set.go
@@ -0,0 +1,130 @@
+// Package member defines the members of a database group: the targets that may have
+// acknowledged a commit of its leader.
+package member
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/process/stamp"
+	"github.com/pistachiotray/pistachiotray/process/target"
+)
+
+// ForgetAfter is how long a target that is no longer registered remains a member: longer
+// than a restart takes, or a partition that hides the target from the store only.
+const ForgetAfter = 8 * time.Second
+
+// entry is one member. missingSince is when its registration was found missing, by the
+// store's clock, and 0 while it is registered.
+type entry struct {
+	target       target.Target
+	missingSince time.Duration
+}
+
+// Set holds the members of one group, whether they are registered at present or not. A
+// Set is immutable. The zero Set has no members.
+type Set struct {
+	// Group is the group's name.
+	Group string
+	// Stored is the position of the stored row, zero if the Set was never stored.
+	Stored  stamp.Stamp
+	entries map[string]entry
+}
+
+// New returns the Set of a group without members.
+func New(group string) Set {
+	return Set{Group: group}
+}
+
+// WithStored returns the Set as stored at a position.
+func (s Set) WithStored(at stamp.Stamp) Set {
+	s.Stored = at
+	return s
+}
+
+// WithMember returns the Set with a member added or replaced. missingSince is when its
+// registration was found missing, by the store's clock, and 0 if it is registered.
+func (s Set) WithMember(t target.Target, missingSince time.Duration) Set {
+	s.entries = maps.Clone(s.entries)
+	if s.entries == nil {
+		s.entries = map[string]entry{}
+	}
+	s.entries[t.ID] = entry{t, missingSince}
+	return s
+}
+
+// WithRegistered returns the Set as of a time by the store's clock, at which the given
+// targets are registered. Members that are not registered remain for ForgetAfter. A
+// target does not remain if a later one has its address, since its process has ended.
+func (s Set) WithRegistered(targets []target.Target, now time.Duration) Set {
+	entries := maps.Clone(s.entries)
+	if entries == nil {
+		entries = map[string]entry{}
+	}
+	for id, e := range entries {
+		if e.missingSince == 0 {
+			entries[id] = entry{e.target, max(now, 1)}
+		}
+	}
+	for _, t := range targets {
+		entries[t.ID] = entry{t, 0}
+	}
+	latest := map[string]int64{}
+	for _, e := range entries {
+		latest[e.target.Address] = max(latest[e.target.Address], e.target.Started)
+	}
+	maps.DeleteFunc(entries, func(_ string, e entry) bool {
+		return e.target.Started < latest[e.target.Address] || e.missingSince != 0 && now-e.missingSince >= ForgetAfter
+	})
+	s.entries = entries
+	return s
+}
+
+// Members returns all members in the order of their IDs.
+func (s Set) Members() []target.Target {
+	members := make([]target.Target, 0, len(s.entries))
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		members = append(members, s.entries[id].target)
+	}
+	return members
+}
+
+// MissingSince returns when a member's registration was found missing, by the store's
+// clock. It returns 0 if the member is registered.
+func (s Set) MissingSince(id string) time.Duration {
+	return s.entries[id].missingSince
+}
+
+// Missing reports whether any member is not registered.
+func (s Set) Missing() bool {
+	for _, e := range s.entries {
+		if e.missingSince != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// LostLeader returns the member that was registered as leader until its registration
+// disappeared. It returns false if there is none, or more than one.
+func (s Set) LostLeader() (target.Target, bool) {
+	var found []target.Target
+	for _, e := range s.entries {
+		if e.missingSince != 0 && e.target.Primary {
+			found = append(found, e.target)
+		}
+	}
+	if len(found) != 1 {
+		return target.Target{}, false
+	}
+	return found[0], true
+}
+
+// Differs reports whether two Sets have other members, or another one of them is
+// registered, leaving or the leader. It ignores since when members are missing.
+func (s Set) Differs(o Set) bool {
+	return !maps.EqualFunc(s.entries, o.entries, func(a, b entry) bool {
+		return a.target.Same(b.target) && (a.missingSince == 0) == (b.missingSince == 0)
+	})
+}
--- a/process/promo/claim.go
+++ b/process/promo/claim.go
@@ -1,6 +1,7 @@
 package promo
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -70,7 +71,10 @@
 	}
 	refreshing, stop := context.WithTimeout(ctx, claimTimeout)
 	defer stop()
-	if err := p.refresh(refreshing); err != nil {
+	membersRead := make(chan error, 1)
+	go func() { membersRead <- p.refreshMembers(refreshing) }()
+	err := p.refresh(refreshing)
+	if err = cmp.Or(err, <-membersRead); err != nil {
 		p.log.Warn("registrations not read", zap.String("Why", why), zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
 		return false
 	}
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -33,12 +33,13 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, stepTimeout)
 	defer stop()
-	before, err := p.group.Report(ctx, leader, withTerm(stmt.Pause, p.group.Term()+1))
+	members := p.members()
+	before, err := p.report(ctx, members, leader, withTerm(stmt.Pause, p.group.Term()+1))
 	if err != nil || !before.Primary {
 		p.log.Info("leader not demoted", zap.Any("Report", before), zap.Bool("Asked", err == nil), zap.NamedError("Error", err))
 		return report.Report{}, false
 	}
-	after, err := p.group.Report(ctx, leader, withTerm(stmt.Demote, before.Term+1))
+	after, err := p.report(ctx, members, leader, withTerm(stmt.Demote, before.Term+1))
 	// If the term has changed, another target leads, and has entries that this one lacks.
 	if err != nil || after.Primary || after.Term != before.Term {
 		p.log.Warn("leader not demoted", zap.Any("Before", before), zap.Any("Report", after), zap.NamedError("Error", err))
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -4,18 +4,24 @@
 	"cmp"
 	"context"
 	"slices"
+	"syscall"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/member"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
 // pauseReplicas orders all targets except the given ones to stop receiving log
 // entries, until all of them have stopped or the context ends. It returns the
 // reports of those that stopped. The result complete is false if any did not,
-// including targets that are no longer registered. The target that a pending order
+// including members that are not registered. The log of one that left is gone, so that
+// it is not waited for once its process has ended. The target that a pending order
 // replaces is left out, unless another one has led since: what it received alone was
 // never acknowledged.
 func (p *Promoter) pauseReplicas(ctx context.Context, except ...string) (reports []report.Report, complete bool) {
@@ -38,11 +44,12 @@
 // term that it has already reached.
 func (p *Promoter) pauseOnce(ctx context.Context, except []string, term uint64) ([]report.Report, bool, uint64) {
 	type outcome struct {
-		id     string
+		target target.Target
 		report report.Report
 		err    error
 	}
-	targets := p.group.Targets()
+	members := p.members()
+	targets := members.Members()
 	results := make(chan outcome, len(targets))
 	pause := withTerm(stmt.Pause, term)
 	asked := 0
@@ -54,8 +61,8 @@
 		go func() {
 			ctx, stop := context.WithTimeout(ctx, stepTimeout)
 			defer stop()
-			r, err := p.group.Report(ctx, t, pause)
-			results <- outcome{t.ID, r, err}
+			r, err := p.report(ctx, members, t, pause)
+			results <- outcome{t, r, err}
 		}()
 	}
 	var outcomes []outcome
@@ -72,7 +79,7 @@
 	var reports []report.Report
 	stopped := 0
 	for _, o := range outcomes {
-		if o.id == former {
+		if o.target.ID == former || o.target.Leaving && members.MissingSince(o.target.ID) != 0 && hasEnded(o.err) {
 			stopped++
 			continue
 		}
@@ -87,7 +94,23 @@
 			p.log.Info("target did not stop receiving", zap.Uint64("Term", term), zap.Any("Report", o.report))
 		}
 	}
-	return reports, stopped == asked && asked >= p.group.LargestSize()-len(except), highest
+	return reports, stopped == asked && asked > 0, highest
+}
+
+// report runs a command at a member and returns its report. A member that is not
+// registered counts as leaving, since no host can use it.
+func (p *Promoter) report(ctx context.Context, members member.Set, t target.Target, s stmt.Stmt) (report.Report, error) {
+	if members.MissingSince(t.ID) == 0 {
+		return p.group.Report(ctx, t, s)
+	}
+	r, err := p.group.ReportUnregistered(ctx, t, s)
+	return r.WithLeaving(true), err
+}
+
+// hasEnded reports whether an error shows that a target's process has ended: nothing, or
+// another target, is at its address.
+func hasEnded(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, code.NotRunWrongTarget)
 }
 
 // mostReceived returns the report of the target that received most of the log.
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/lease"
+	"github.com/pistachiotray/pistachiotray/process/member"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/rset"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
@@ -112,6 +113,10 @@
 	// current reports whether the group's targets are as new as this host could know
 	// them while the store does not answer.
 	current func() bool
+	// members returns the group's members, registered or not, and refreshMembers reads
+	// them from the store.
+	members        func() member.Set
+	refreshMembers func(ctx context.Context) error
 	// now returns the time since some moment, including time when the machine was
 	// suspended. heldUntil is when other hosts may claim the lease that this host
 	// claimed last.
@@ -146,6 +151,8 @@
 	p.restored = func() (uint64, time.Duration) { return math.MaxUint64, math.MaxInt64 }
 	p.refresh = func(context.Context) error { return nil }
 	p.current = func() bool { return true }
+	p.members = func() member.Set { return member.New(rs.Name).WithRegistered(rs.Targets(), 0) }
+	p.refreshMembers = func(context.Context) error { return nil }
 	for _, set := range options {
 		set(p)
 	}
@@ -183,6 +190,13 @@
 	return func(p *Promoter) { p.refresh, p.current = refresh, current }
 }
 
+// WithMembers returns an option that sets the functions refresh, which reads the group's
+// members from the store, and known, which returns them, registered or not. All members
+// must be heard before a leader is replaced that was not demoted.
+func WithMembers(refresh func(ctx context.Context) error, known func() member.Set) func(*Promoter) {
+	return func(p *Promoter) { p.refreshMembers, p.members = refresh, known }
+}
+
 // Run monitors the leader until the context ends.
 func (p *Promoter) Run(ctx context.Context) {
 	for {
@@ -238,6 +252,10 @@
 		p.group.ClearStall(leader.ID)
 		return false
 	}
+	if why == rset.ReplicasBehind && !p.orderPending && p.members().Missing() {
+		p.group.NoteLagHandover()
+		return false
+	}
 	l, ok := p.claim(ctx, why)
 	ok = ok && p.confirm(ctx, l, why)
 	if why == rset.ReplicasBehind {
@@ -247,7 +265,9 @@
 		return false
 	}
 	p.pending = p.pendingOrder(l)
-	leader, _ = p.group.Leader()
+	if leader, ok = p.group.Leader(); !ok {
+		leader, _ = p.members().LostLeader()
+	}
 	began := time.Now()
 	var chosen report.Report
 	if planned(why) {
--- a/process/rset/lag.go
+++ b/process/rset/lag.go
@@ -94,12 +94,12 @@
 // lagHandoverDue reports whether leadership should be handed over because
 // replicas lag: the old leader then becomes a replica without lag. All replicas
 // must have been behind for allBehindAfter, or one for oneBehindAfter. Also,
-// this host must connect to the leader directly, every target of the group must
-// be registered, not leaving and answering, and the pause after the last
-// handover must be over; the caller holds the lock.
+// this host must connect to the leader directly, every registered target must
+// be answering and not leaving, and the pause after the last handover must be
+// over; the caller holds the lock.
 func (rs *ReplicaSet) lagHandoverDue(now time.Duration) bool {
 	leader, ok := rs.states[rs.leader]
-	if !ok || !leader.direct || len(rs.states) < rs.size || len(rs.states) < 2 || now < rs.nextLagHandover {
+	if !ok || !leader.direct || len(rs.states) < 2 || now < rs.nextLagHandover {
 		return false
 	}
 	all, stuck := true, false
--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -193,6 +193,18 @@
 	return r, nil
 }
 
+// ReportUnregistered runs a command at a target that is not registered, on a connection
+// of its own, and returns the target's report.
+func (rs *ReplicaSet) ReportUnregistered(ctx context.Context, t target.Target, s stmt.Stmt) (report.Report, error) {
+	cn, err := rs.dialer.Open(ctx, t)
+	if err != nil {
+		return report.Report{}, err
+	}
+	defer cn.Close()
+	r, err := cn.Report(ctx, s)
+	return r.WithLeaving(t.Leaving), err
+}
+
 // AcceptsWrites reports whether a target accepts a transaction that may write,
 // which only the leader does. The error is nil if the target answered.
 func (rs *ReplicaSet) AcceptsWrites(ctx context.Context, t target.Target) (bool, error) {
--- a/process/rset/problem.go
+++ b/process/rset/problem.go
@@ -116,14 +116,6 @@
 	}
 }
 
-// LargestSize returns the largest number of targets that the group has had at
-// once, not counting those that were leaving.
-func (rs *ReplicaSet) LargestSize() int {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	return rs.size
-}
-
 // Term returns the highest term that any target reported.
 func (rs *ReplicaSet) Term() uint64 {
 	rs.mu.Lock()
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -82,9 +82,6 @@
 	// is when the first of them was reported, 0 if there is none.
 	stalledSince  time.Duration
 	stalledWrites int
-	// size is the largest number of targets that the group has had at once, not
-	// counting targets that were leaving.
-	size int
 	// term is the highest term that any target reported.
 	term uint64
 	// searching is set while searchLoop runs.
@@ -105,6 +102,8 @@
 	renewal *renewal
 	// alarm has a value while a check of the leader is due.
 	alarm chan struct{}
+	// targetsChanged has a value while a change of the registered targets was not noticed.
+	targetsChanged chan struct{}
 	// nextLagHandover is the earliest time of the next handover for replica
 	// lag. lagHandoverPause is the current minimum pause between two such
 	// handovers.
@@ -161,7 +160,7 @@
 	rs := &ReplicaSet{
 		Name: name, log: log, dialer: d, now: now, distance: distance,
 		states: map[string]*targetState{}, changed: make(chan struct{}), watermarks: wmark.New(),
-		alarm: make(chan struct{}, 1), drainTime: defaultDrainTime,
+		alarm: make(chan struct{}, 1), targetsChanged: make(chan struct{}, 1), drainTime: defaultDrainTime,
 	}
 	for _, o := range options {
 		o(rs)
@@ -235,13 +234,6 @@
 		rs.registeredLeader, rs.registeredSince = leader.ID, leader.LedSince
 		rs.setLeader(leader.ID, "registration")
 	}
-	remaining := 0
-	for _, ts := range rs.states {
-		if !ts.target.Leaving {
-			remaining++
-		}
-	}
-	rs.size = max(rs.size, remaining)
 	if leader, ok := rs.states[rs.leader]; !ok || leader.target.Leaving {
 		rs.raiseAlarm()
 	}
@@ -276,6 +268,9 @@
 	case !ts.target.Leaving:
 		ts.drainUntil = rs.now() + rs.drainTime
 	}
+	if !ts.target.Same(t) {
+		signal(rs.targetsChanged)
+	}
 	if ts.target.Leaving != t.Leaving {
 		rs.log.Info("target changed", zap.String("Group", rs.Name), zap.String("Target", t.ID), zap.Bool("Leaving", t.Leaving), zap.Uint64("Era", t.Revision.Era), zap.Uint64("Revision", t.Revision.Version))
 	}
@@ -288,6 +283,7 @@
 func (rs *ReplicaSet) removeTarget(id string, ts *targetState) {
 	ts.pool.Close()
 	delete(rs.states, id)
+	signal(rs.targetsChanged)
 	rs.log.Info("target removed", zap.String("Group", rs.Name), zap.String("Target", id))
 	if rs.leader == id {
 		rs.setLeader("", "registration removed")
@@ -368,21 +364,6 @@
 	rs.changed = make(chan struct{})
 }
 
-// raiseAlarm asks the promoter to check the leader. It never blocks: if an
-// alarm is pending already, it does nothing.
-func (rs *ReplicaSet) raiseAlarm() {
-	select {
-	case rs.alarm <- struct{}{}:
-	default:
-	}
-}
-
-// LeaderAlarm returns a channel that receives a value when the leader may need
-// to be replaced.
-func (rs *ReplicaSet) LeaderAlarm() <-chan struct{} {
-	return rs.alarm
-}
-
 // Trim closes connections that have been idle for longer than d. The time is
 // shorter for a target to which this host has more connections than its share.
 func (rs *ReplicaSet) Trim(d time.Duration) {
--- a/standin/lstore/leasestore.go
+++ b/standin/lstore/leasestore.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/pistachiotray/pistachiotray/process/lease"
 	"github.com/pistachiotray/pistachiotray/process/promo"
+	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 )
 
@@ -24,7 +26,7 @@
 	Order(ctx context.Context, id string, token uint64) error
 }
 
-// LeaseStore stores the lease of one group.
+// LeaseStore stores the lease of one group, and rows of other tables.
 type LeaseStore struct {
 	mu    sync.Mutex
 	group group
@@ -36,7 +38,9 @@
 	era     uint64
 	copy    lease.Lease
 	down    bool
-	reads   int
+	// rows holds the rows of other tables by table and key, and copiedRows their copy.
+	rows, copiedRows map[[2]string]record.Row
+	reads            int
 	// holders holds the holder that sent each fencing token, and shared the tokens
 	// that two holders sent.
 	holders map[uint64]string
@@ -49,7 +53,7 @@
 // New returns the store of the named group's lease. Read returns the time of the
 // clock now.
 func New(name string, group group, now func() time.Duration) *LeaseStore {
-	return &LeaseStore{group: group, now: now, lease: lease.New(name), copy: lease.New(name), era: 1, holders: map[uint64]string{}}
+	return &LeaseStore{group: group, now: now, lease: lease.New(name), copy: lease.New(name), era: 1, holders: map[uint64]string{}, rows: map[[2]string]record.Row{}, copiedRows: map[[2]string]record.Row{}}
 }
 
 // SetDown sets whether the store refuses reads and writes.
@@ -70,7 +74,7 @@
 func (s *LeaseStore) Copy() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copy = s.lease
+	s.copy, s.copiedRows = s.lease, maps.Clone(s.rows)
 }
 
 // HoldAnswer holds back the answer to the next claim that is not made in advance, until
@@ -90,6 +94,7 @@
 	defer s.mu.Unlock()
 	s.era++
 	s.lease, s.version = s.copy, s.copy.Stored.Version
+	s.rows = maps.Clone(s.copiedRows)
 }
 
 // Era returns the store's era.
@@ -169,6 +174,37 @@
 	return s.lease, nil
 }
 
+// Get returns a row of another table and the time of the store's clock.
+func (s *LeaseStore) Get(_ context.Context, table, key string) (record.Row, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return record.Row{}, 0, errStoreDown
+	}
+	r, ok := s.rows[[2]string{table, key}]
+	if !ok {
+		r = record.New(key, nil)
+	}
+	return r.WithEra(s.era), s.now(), nil
+}
+
+// CompareAndSwap writes a row of another table if the stored one still has the row's
+// version, and returns the position of the write.
+func (s *LeaseStore) CompareAndSwap(_ context.Context, table string, r record.Row) (stamp.Stamp, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := [2]string{table, r.Key}
+	switch {
+	case s.down:
+		return stamp.Stamp{}, errStoreDown
+	case r.Version != s.rows[id].Version:
+		return stamp.Stamp{}, promo.ErrTaken
+	}
+	s.version++
+	s.rows[id] = r.WithVersion(s.version)
+	return stamp.New(s.era, s.version), nil
+}
+
 // Promote orders the promotion of the lease's target. It fails if the order gets
 // no answer within the timeout; the order may still be carried out then.
 func (s *LeaseStore) Promote(ctx context.Context, l lease.Lease) error {
--- a/standin/qgroup/fault.go
+++ b/standin/qgroup/fault.go
@@ -109,6 +109,14 @@
 	g.members[i].target = g.members[i].target.WithLeaving(leaving)
 }
 
+// SetUnregistered sets whether a member that is up has no registration, as one that
+// can't reach the store.
+func (g *Group) SetUnregistered(i int, unregistered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[i].unregistered = unregistered
+}
+
 // LoseAnswers makes the group lose the answers to the next n reads, writes and
 // commits of callers, after these statements ran.
 func (g *Group) LoseAnswers(n int) {
--- a/standin/qgroup/group.go
+++ b/standin/qgroup/group.go
@@ -76,6 +76,8 @@
 	// the member accepts entries.
 	pauseTerm uint64
 	leads     bool
+	// unregistered means that the member has no registration, although it is up.
+	unregistered bool
 	// demoted means that the member was the leader until a Demote, and that no other
 	// was promoted since.
 	demoted bool
@@ -176,7 +178,7 @@
 	defer g.mu.Unlock()
 	var targets []target.Target
 	for _, m := range g.members {
-		if m.up {
+		if m.up && !m.unregistered {
 			targets = append(targets, m.target.WithRole(m.leads))
 		}
 	}
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/runner"
+	"github.com/pistachiotray/pistachiotray/process/keeper"
 	"github.com/pistachiotray/pistachiotray/process/meter"
 	"github.com/pistachiotray/pistachiotray/process/promo"
 	"github.com/pistachiotray/pistachiotray/process/roster"
@@ -160,25 +161,34 @@
 	c.group.OnStatement = c.checkValues
 	c.store = lstore.New("g", c.group, now)
 	c.restoredEra = c.store.Era()
-	for i := range hostCount {
-		rs := rset.New("g", zap.NewNop(), c.group.From(i), now, func(zone string) time.Duration {
-			if zone == fmt.Sprintf("zone-%d", i) {
-				return 0
-			}
-			return 100 * time.Millisecond
-		})
-		c.hosts = append(c.hosts, hostTables{rs})
-		c.registrationsCut = append(c.registrationsCut, &atomic.Bool{})
-		registrations := &feed{group: c.group, replicaSet: rs}
-		go c.feedRegistrations(ctx, registrations, c.registrationsCut[i])
-		isolated := &atomic.Bool{}
-		c.isolated = append(c.isolated, isolated)
-		go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore),
-			promo.WithRegistrations(c.reader(registrations), func() bool { return true })).Run(ctx)
+	for range hostCount {
+		c.startHost(ctx)
 	}
 	return c
 }
 
+// startHost starts one more host.
+func (c *testCluster) startHost(ctx context.Context) {
+	i, now := len(c.hosts), c.now
+	rs := rset.New("g", zap.NewNop(), c.group.From(i), now, func(zone string) time.Duration {
+		if zone == fmt.Sprintf("zone-%d", i) {
+			return 0
+		}
+		return 100 * time.Millisecond
+	})
+	c.hosts = append(c.hosts, hostTables{rs})
+	c.registrationsCut = append(c.registrationsCut, &atomic.Bool{})
+	registrations := &feed{group: c.group, replicaSet: rs}
+	go c.feedRegistrations(ctx, registrations, c.registrationsCut[i])
+	members := keeper.New("g", zap.NewNop(), c.store, rs, now)
+	go members.Run(ctx)
+	isolated := &atomic.Bool{}
+	c.isolated = append(c.isolated, isolated)
+	go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore),
+		promo.WithMembers(members.Refresh, members.Known), promo.WithClock(now),
+		promo.WithRegistrations(c.reader(registrations), func() bool { return true })).Run(ctx)
+}
+
 // noteEra makes the hosts learn of the store's era.
 func (c *testCluster) noteEra() {
 	c.mu.Lock()
