Demote a leader through any host that reaches it

Cause: a replica that restarts has forgotten that it was stopped. If that happens while a promotion is carried out, a leader that is cut off from the ordering host only acknowledges the other hosts' writes with that replica, and the next leader lacks them. The demotion before the order did not help, since the ordering host does not reach the leader.

A host that does not reach the leader now asks all other hosts that connect to it. No replica can be made to refuse entries after a restart, so the fence is at the leader.

--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -51,6 +51,11 @@
 	return Assignment{self: self.Host, regions: regions}.WithHost(self)
 }
 
+// Self returns the name of the host whose Assignment this is.
+func (as Assignment) Self() string {
+	return as.self
+}
+
 // WithHost returns the Assignment with a host added or updated.
 func (as Assignment) WithHost(h gossip.HostInfo) Assignment {
 	return as.WithHosts(h)
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -24,22 +24,26 @@
 	return p.now() < p.heldUntil-stepTimeout
 }
 
-// demote makes the leader a replica, so that it acknowledges no more commits. It returns
-// the leader's report, whose position covers all commits acknowledged in its term. The
-// result is false if the leader does not answer or did not lead any more.
+// demote makes the leader a replica, so that it acknowledges no more commits, through
+// any host that reaches it. It returns the leader's report, whose position covers all
+// commits acknowledged in its term. The result is false if the leader answers no host or
+// did not lead any more.
 func (p *Promoter) demote(ctx context.Context, leader target.Target) (report.Report, bool) {
 	if leader.ID == "" {
 		return report.Report{}, false
 	}
-	ctx, stop := context.WithTimeout(ctx, stepTimeout)
+	ctx, stop := context.WithTimeout(ctx, demoteTimeout)
 	defer stop()
-	members := p.members()
-	before, err := p.report(ctx, members, leader, withTerm(stmt.Pause, p.group.Term()+1))
+	ask := p.group.ReportFromAny
+	if p.members().MissingSince(leader.ID) != 0 {
+		ask = p.group.ReportUnregistered
+	}
+	before, err := ask(ctx, leader, withTerm(stmt.Pause, p.group.Term()+1))
 	if err != nil || !before.Primary {
 		p.log.Info("leader not demoted", zap.Any("Report", before), zap.Bool("Asked", err == nil), zap.NamedError("Error", err))
 		return report.Report{}, false
 	}
-	after, err := p.report(ctx, members, leader, withTerm(stmt.Demote, before.Term+1))
+	after, err := ask(ctx, leader, withTerm(stmt.Demote, before.Term+1))
 	// If the term has changed, another target leads, and has entries that this one lacks.
 	if err != nil || after.Primary || after.Term != before.Term {
 		p.log.Warn("leader not demoted", zap.Any("Before", before), zap.Any("Report", after), zap.NamedError("Error", err))
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -40,6 +40,9 @@
 	// prepareTimeout is the maximum duration of the preparation of a
 	// replacement, in which the replicas stop receiving log entries.
 	prepareTimeout = 1500 * time.Millisecond
+	// demoteTimeout is the maximum duration of a demotion. Callers wait for it if the
+	// leader has failed and a host that was asked does not know that yet.
+	demoteTimeout = 400 * time.Millisecond
 	// electTimeout is the maximum duration of an election: of the commands that
 	// demote the leader, and of those that stop the other targets once more.
 	electTimeout = 900 * time.Millisecond
--- /dev/null
+++ b/standin/qgroup/network_test.go
@@ -0,0 +1,92 @@
+package qgroup_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/relay"
+	"github.com/pistachiotray/pistachiotray/connection/remote"
+	"github.com/pistachiotray/pistachiotray/process/assign"
+	"github.com/pistachiotray/pistachiotray/process/gossip"
+)
+
+// network connects the hosts of a cluster in memory.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	// conns are the ends of all connections opened.
+	conns []net.Conn
+}
+
+// listener accepts the connections of other hosts to one host.
+type listener struct {
+	incoming chan net.Conn
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, ok := <-l.incoming
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (l *listener) Close() error   { return nil }
+func (l *listener) Addr() net.Addr { return nil }
+
+// hostInfo returns what other hosts know of host i.
+func hostInfo(i int) gossip.HostInfo {
+	return gossip.New(fmt.Sprintf("host-%d", i), fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", i), 0)
+}
+
+// Host opens a connection to a host. It implements the dialer of package borrow.
+func (n *network) Host(_ context.Context, h gossip.HostInfo) (*remote.Remote, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.listeners[h.Host]
+	if !ok {
+		return nil, errors.New("refused")
+	}
+	near, far := net.Pipe()
+	n.conns = append(n.conns, near, far)
+	l.incoming <- far
+	return remote.New(h.Host, near), nil
+}
+
+// serve makes host i lend its connections to other hosts.
+func (n *network) serve(i int, tables hostTables) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	const backlog = 16
+	l := &listener{incoming: make(chan net.Conn, backlog)}
+	n.listeners[hostInfo(i).Host] = l
+	go relay.New(zap.NewNop(), tables, nil).Serve(l)
+}
+
+// close closes all connections and stops the hosts' relays.
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+	for _, l := range n.listeners {
+		close(l.incoming)
+	}
+	n.listeners = nil
+}
+
+// introduce lets every host know all hosts.
+func (c *testCluster) introduce() {
+	for i, h := range c.hosts {
+		a := assign.New(hostInfo(i), map[string]string{})
+		for j := range c.hosts {
+			a = a.WithHost(hostInfo(j))
+		}
+		h.replicaSet.SetAssignment(a)
+	}
+}
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/runner"
+	"github.com/pistachiotray/pistachiotray/process/borrow"
 	"github.com/pistachiotray/pistachiotray/process/keeper"
 	"github.com/pistachiotray/pistachiotray/process/meter"
 	"github.com/pistachiotray/pistachiotray/process/promo"
@@ -129,6 +130,7 @@
 	history *history
 	now     func() time.Duration
 	hosts   []hostTables
+	network *network
 	store   *lstore.LeaseStore
 	// restoredEra is the era of the lease store that the hosts know, and restoredAt when
 	// they learned of it; mu guards both.
@@ -155,12 +157,13 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Hour + time.Since(began) }
 	c := &testCluster{
-		t: t, group: group, now: now, ctx: ctx,
+		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}},
 		history: &history{acknowledged: map[string][]ack{}, wantValues: map[string]map[string]string{}},
 	}
 	c.group.OnStatement = c.checkValues
 	c.store = lstore.New("g", c.group, now)
 	c.restoredEra = c.store.Era()
+	context.AfterFunc(ctx, c.network.close)
 	for range hostCount {
 		c.startHost(ctx)
 	}
@@ -175,8 +178,9 @@
 			return 0
 		}
 		return 100 * time.Millisecond
-	})
+	}, rset.WithBorrower(borrow.New(c.network, now)))
 	c.hosts = append(c.hosts, hostTables{rs})
+	c.network.serve(i, hostTables{rs})
 	c.registrationsCut = append(c.registrationsCut, &atomic.Bool{})
 	registrations := &feed{group: c.group, replicaSet: rs}
 	go c.feedRegistrations(ctx, registrations, c.registrationsCut[i])
@@ -599,6 +603,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		runCtx, endRun := context.WithCancel(ctx)
 		c := newTestCluster(ctx, t, 2, options...)
+		c.introduce()
 		c.ctx = runCtx
 		time.Sleep(500 * time.Millisecond)
 		var done sync.WaitGroup
--- /dev/null
+++ b/standin/qgroup/restart_test.go
@@ -0,0 +1,60 @@
+package qgroup_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+)
+
+// A replica that restarts after its report has forgotten that it was stopped. A leader that
+// only other hosts reach must not acknowledge commits with it until the next one leads.
+func TestReplicaThatRestartsDuringAPromotionLosesNoWrites(t *testing.T) {
+	runWithMembers(t, 3, func(_ context.Context, t *testing.T, c *testCluster) {
+		is := is.New(t)
+		c.introduce()
+		cl := c.newClient(0, "primary")
+		acknowledged := cl.writeFor(time.Second)
+		c.group.SetPartitioned(0, 1, true)
+		go c.newClient(1, "primary").writeUntilOK(4 * time.Second)
+		go func() {
+			for len(c.group.Orders()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			restarted := 1
+			if c.group.Orders()[0] == "g-1" {
+				restarted = 2
+			}
+			c.group.Crash(restarted)
+			c.group.Start(restarted)
+		}()
+		acknowledged += cl.writeFor(5 * time.Second)
+		is.True(c.group.Leader() != 0)
+		is.True(acknowledged > 100)
+		// Writes without an answer may be kept too.
+		is.True(c.group.WriteCounts(c.group.Leader())["a a"] >= acknowledged)
+	})
+}
+
+// A leader must be demoted even if the host that replaces it does not reach it.
+func TestLeaderIsDemotedThroughAnotherHost(t *testing.T) {
+	runWithMembers(t, 3, func(ctx context.Context, t *testing.T, c *testCluster) {
+		is := is.New(t)
+		c.introduce()
+		is.True(c.newClient(0, "primary").run(stmt.Write, "a", "a").OK())
+		c.group.SetPartitioned(0, 1, true)
+		go c.newClient(1, "primary").writeUntilOK(4 * time.Second)
+		for end := c.now() + 4*time.Second; len(c.group.Orders()) == 0 && c.now() < end; {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(len(c.group.Orders()) > 0)
+		// The order takes 300 ms.
+		is.Equal(c.group.Leader(), 0)
+		leads, err := c.hosts[0].replicaSet.AcceptsWrites(ctx, c.group.Targets()[0])
+		is.NoErr(err)
+		is.True(!leads)
+	})
+}
