Look after an order whose host was lost

Cause: an order that got no answer is noted in the lease, but a host reads the note only while it has a problem with the leader. If the host that sent the order is lost and the leader comes back, nobody looks; with a replica that restarted the leader acknowledges writes again, and the order is carried out seconds later for a target that lacks them.

A host whose leader answers again or restarted reads the lease before it considers the replacement settled. While another host's order is noted, it demotes the leader, and gives the order again once the claim has run out. A host that starts finds the note when it reads the lease to reserve it. A host's own order with a reserved lease is no longer forgotten when the store is back.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -28,7 +28,7 @@
 	// settleDelay lets the changes that come together be written together, and startDelay
 	// lets a host that starts learn of the others.
 	rankDelay   = 700 * time.Millisecond
-	settleDelay = 500 * time.Millisecond
+	settleDelay = 1500 * time.Millisecond
 	startDelay  = 3 * time.Second
 	// callTimeout bounds a check of the row. minRetryPause and maxRetryPause bound the
 	// pause after one that failed, which doubles.
--- a/process/promo/claim.go
+++ b/process/promo/claim.go
@@ -29,32 +29,34 @@
 // A host that is far from the leader first waits for about farHostDelay. During
 // an outage of the store, the host may order a promotion with a reserved lease.
 // This is safe because each reserved lease has its own token, and the platform
-// refuses an order with a lower token than it has seen.
-func (p *Promoter) reserveLease(ctx context.Context) {
+// refuses an order with a lower token than it has seen. It returns true if the
+// lease has an order of a host that may have failed since.
+func (p *Promoter) reserveLease(ctx context.Context) (pending bool) {
 	leader, ok := p.group.Leader()
 	if !ok || p.settledLeader == leader.ID || !p.group.ConnectsTo(leader.ID) {
-		return
+		return false
 	}
 	if rank := p.group.Rank(leader); p.deferredLeader != leader.ID && rank >= maxReserves {
 		p.deferredLeader, p.reservePause = leader.ID, farHostDelay/2*time.Duration(rank-maxReserves+1)
-		return
+		return false
 	}
 	l, _, err := p.platform.Read(ctx, p.group.Name)
 	if err == nil && l.ReserveCount(leader.ID) >= maxReserves {
 		p.settledLeader = leader.ID
-		return
+		return false
 	}
 	if err != nil || !l.Free() {
-		return
+		return err == nil && l.OrderPending()
 	}
 	claimed, err := p.platform.Write(ctx, l.WithReserve(p.host, leader.ID))
 	if err != nil {
 		p.log.Info("lease not reserved", zap.String("Error", err.Error()))
-		return
+		return false
 	}
 	p.reservedLease = claimed
 	p.reservePause = 0
 	p.log.Info("lease reserved", zap.Uint64("Token", claimed.Token))
+	return false
 }
 
 // confirm checks with the newest registrations that the problem still exists, after the
@@ -79,7 +81,7 @@
 		return false
 	}
 	found, due, _ := p.group.LeaderProblem()
-	if due && found == why || l.OrderPending() {
+	if due && found == why || l.OrderPending() || p.orderPending {
 		return true
 	}
 	p.log.Info("leader needs no replacement", zap.String("Why", why), zap.String("Found", found), zap.Uint64("Token", l.Token))
@@ -113,10 +115,11 @@
 		return l, false
 	}
 	if l.HeldByOther(p.host, now, claimHold) {
+		p.fence(ctx, l)
 		return l, false
 	}
-	p.orderPending = p.orderPending && l.OrderPending()
-	if _, due, _ := p.group.LeaderProblem(); !due && !l.OrderPending() {
+	p.orderPending = p.orderPending && !p.carriedOut(l)
+	if _, due, _ := p.group.LeaderProblem(); !due && !l.OrderPending() && !p.orderPending {
 		return l, false
 	}
 	claimed, err := p.platform.Write(reading, l.WithClaim(p.host, now))
--- /dev/null
+++ b/process/promo/pending.go
@@ -0,0 +1,54 @@
+package promo
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/lease"
+)
+
+// underWay reports whether another host may be replacing the leader, although this host
+// finds no problem with it: the host has claimed the lease, or its order may still be
+// carried out. The host may have failed since, and the leader may serve again. The leader
+// is demoted then, since the ordered target lacks what it acknowledges. It returns false
+// if the store does not answer.
+func (p *Promoter) underWay(ctx context.Context) bool {
+	leader, ok := p.group.Leader()
+	if !ok || !p.group.ConnectsTo(leader.ID) {
+		return false
+	}
+	ctx, stop := context.WithTimeout(ctx, claimTimeout)
+	defer stop()
+	l, now, err := p.platform.Read(ctx, p.group.Name)
+	if err != nil {
+		p.log.Info("lease not read", zap.String("Why", "leader serves again"), zap.String("Error", err.Error()))
+		return false
+	}
+	if l.OrderPending() {
+		p.fence(ctx, l)
+		return leader.ID != l.Target
+	}
+	return l.HeldByOther(p.host, now, claimHold)
+}
+
+// fence demotes a leader that serves while the order of another host for another target
+// may still be carried out.
+func (p *Promoter) fence(ctx context.Context, l lease.Lease) {
+	leader, ok := p.group.Leader()
+	if since, _ := p.group.Down(leader.ID); !ok || since != 0 || !l.OrderPending() || leader.ID == l.Target {
+		return
+	}
+	p.log.Warn("leader serves while an order is pending", zap.String("Leader", leader.ID), zap.String("Ordered", l.Target), zap.String("Holder", l.Holder), zap.Uint64("Token", l.Token))
+	if _, ok := p.demote(ctx, leader); ok {
+		p.group.ClearLeader(leader.ID)
+	}
+}
+
+// carriedOut reports whether the last order of this host was carried out, or can't be
+// any more because the platform has accepted one with a higher token. l is the stored
+// lease.
+func (p *Promoter) carriedOut(l lease.Lease) bool {
+	leader, ok := p.group.Leader()
+	return ok && leader.ID == p.sent.Target || l.Done && l.Reserves == 0 && l.Token > p.sent.Token
+}
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -27,7 +27,8 @@
 	// problem, and between two attempts to prepare its replacement.
 	checkPause = 100 * time.Millisecond
 	// maxCheckPause is the longest pause between two checks. The pause doubles
-	// while another host holds the lease or the store does not answer.
+	// while another host holds the lease, has an order pending, or the store does
+	// not answer.
 	maxCheckPause = 800 * time.Millisecond
 	// startJitter is the longest random delay before an attempt to replace the
 	// leader. It spreads the attempts of hosts that notice a problem at the
@@ -125,8 +126,8 @@
 	// claimed last.
 	now       func() time.Duration
 	heldUntil time.Duration
-	// orderPending is set after an order that was not confirmed, while that order
-	// may still be carried out. Run then hands the lead over to the ordered target
+	// orderPending is set after an order of this host that was not confirmed, while that
+	// order may still be carried out. Run then hands the lead over to the ordered target
 	// even if the leader serves again, since replicas must not receive log entries
 	// before an order is answered, and one that joins meanwhile would.
 	orderPending bool
@@ -209,8 +210,9 @@
 			stop()
 			return
 		case <-reserveDue:
-			p.reserveLease(ctx)
-			continue
+			if !p.reserveLease(ctx) {
+				continue
+			}
 		case <-p.group.LeaderAlarm():
 			stop()
 		}
@@ -223,17 +225,20 @@
 			if p.orderPending && !due {
 				why, due, trouble = rset.ReplicasBehind, true, true
 			}
-			if !trouble {
+			if !trouble && !p.underWay(ctx) {
 				break
 			}
-			if !due {
-				wait = checkPause
-			} else {
+			switch {
+			case due:
 				sleep.For(ctx, rand.N(startJitter))
 				wait = min(2*wait, maxCheckPause)
 				if p.replace(ctx, why) {
 					wait = checkPause
 				}
+			case trouble:
+				wait = checkPause
+			default:
+				wait = min(2*wait, maxCheckPause)
 			}
 			sleep.For(ctx, wait)
 		}
@@ -298,12 +303,12 @@
 
 // pendingOrder returns the lease with the order that may still be carried out when this
 // host holds the lease l, or one with the token 0 if there is none. An order with a
-// reserved lease is not stored.
+// reserved lease was not stored, and one that was stored may be lost.
 func (p *Promoter) pendingOrder(l lease.Lease) lease.Lease {
 	switch {
 	case l.OrderPending():
 		return l
-	case l.Reserve && p.sent.Token == l.Token:
+	case p.orderPending:
 		return p.sent
 	}
 	return lease.Lease{}
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -141,6 +141,10 @@
 		rs.log.Info("target answers again", zap.String("Group", rs.Name), zap.String("Target", ts.target.ID), zap.Duration("Failed", ts.lastHeard-ts.failingSince))
 		ts.failingSince = 0
 		rs.notifyChanged()
+		if ts.target.ID == rs.leader {
+			// Another host may have begun to replace the leader.
+			rs.raiseAlarm()
+		}
 	}
 }
 
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -248,6 +248,10 @@
 		rs.removeTarget(t.ID, ts)
 		ok = false
 	}
+	if !ok && t.Primary && rs.registeredLeader != "" {
+		// A leader that restarted may have been replaced by an order that is pending.
+		rs.raiseAlarm()
+	}
 	if !ok {
 		ts = &targetState{cancels: map[uint64]func(){}}
 		opened := t
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -131,7 +131,9 @@
 	now     func() time.Duration
 	hosts   []hostTables
 	network *network
-	store   *lstore.LeaseStore
+	// stopHosts holds a function for each host that ends it.
+	stopHosts []func()
+	store     *lstore.LeaseStore
 	// restoredEra is the era of the lease store that the hosts know, and restoredAt when
 	// they learned of it; mu guards both.
 	mu          sync.Mutex
@@ -173,6 +175,8 @@
 // startHost starts one more host.
 func (c *testCluster) startHost(ctx context.Context) {
 	i, now := len(c.hosts), c.now
+	ctx, stop := context.WithCancel(ctx)
+	c.stopHosts = append(c.stopHosts, stop)
 	rs := rset.New("g", zap.NewNop(), c.group.From(i), now, func(zone string) time.Duration {
 		if zone == fmt.Sprintf("zone-%d", i) {
 			return 0
--- a/standin/qgroup/unknown_test.go
+++ b/standin/qgroup/unknown_test.go
@@ -76,3 +76,63 @@
 		is.Equal(group.WriteCounts(group.Leader())["a a"], acknowledged)
 	})
 }
+
+// An order that is noted as not done may be carried out late, after the host that sent it
+// was lost. The leader that is back must not acknowledge writes that the ordered target
+// lacks, even with a replica that restarted.
+func TestOrderOfALostHostLosesNoWrites(t *testing.T) {
+	for name, restart := range map[string]bool{"other hosts run": false, "all hosts start again": true} {
+		t.Run(name, func(t *testing.T) {
+			const hosts = 3
+			runWithHosts(t, 3, hosts, func(ctx context.Context, t *testing.T, c *testCluster) {
+				is := is.New(t)
+				c.introduce()
+				clients := []*client{c.newClient(0, "primary"), c.newClient(1, "primary"), c.newClient(2, "primary")}
+				for _, cl := range clients {
+					is.True(cl.run(stmt.Write, "b", "b").OK())
+				}
+				c.group.DelayOrder(8 * time.Second)
+				c.group.Crash(0)
+				holder, ordered := "", ""
+				for _, cl := range clients {
+					go cl.writeUntilOK(4 * time.Second)
+				}
+				for holder == "" {
+					time.Sleep(time.Millisecond)
+					if l, _, err := c.store.Read(ctx, "g"); err == nil && l.OrderPending() {
+						holder, ordered = l.Holder, l.Target
+					}
+				}
+				time.Sleep(100 * time.Millisecond)
+				survivor := 0
+				for i := range hosts {
+					if restart || holder == hostInfo(i).Host {
+						c.stopHosts[i]()
+					} else {
+						survivor = i
+					}
+				}
+				if restart {
+					c.startHost(ctx)
+					survivor = hosts
+					c.introduce()
+				}
+				time.Sleep(100 * time.Millisecond)
+				c.group.Start(0)
+				time.Sleep(400 * time.Millisecond)
+				for i, id := range []string{"g-1", "g-2"} {
+					if id != ordered {
+						c.group.Crash(i + 1)
+						time.Sleep(300 * time.Millisecond)
+						c.group.Start(i + 1)
+					}
+				}
+				cl := c.newClient(survivor, "primary")
+				acknowledged := cl.writeFor(15 * time.Second)
+				is.True(acknowledged > 100)
+				// Writes without an answer may be kept too.
+				is.True(c.group.WriteCounts(c.group.Leader())["a a"] >= acknowledged)
+			})
+		})
+	}
+}
