Count an order as pending only once it was sent

A host whose note in the lease could not be stored had sent nothing, but took the order before that one, perhaps long carried out, for pending.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -76,7 +76,8 @@
 	MissingMs int64 `json:",omitempty"`
 }
 
-// Keeper knows the members of one group.
+// Keeper knows the members of one group. Lock order: the mutex of the Keeper, then of the
+// ReplicaSet.
 type Keeper struct {
 	name  string
 	log   *zap.Logger
--- /dev/null
+++ b/process/keeper/keeper_test.go
@@ -0,0 +1,110 @@
+package keeper_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/keeper"
+	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/standin/lstore"
+)
+
+// registrations is a group as one host sees it.
+type registrations struct {
+	targets []target.Target
+	changed chan struct{}
+	rank    int
+}
+
+func (g *registrations) Targets() []target.Target        { return g.targets }
+func (g *registrations) TargetsChanged() <-chan struct{} { return g.changed }
+func (g *registrations) Rank(target.Target) int          { return g.rank }
+
+var (
+	first  = target.New("a", "g", "10.0.0.1:1", "zone").WithStarted(1)
+	second = target.New("b", "g", "10.0.0.2:1", "zone").WithStarted(1)
+)
+
+// run runs f on a virtual clock with a store and a function that starts a host, which
+// finds the given targets registered.
+func run(t *testing.T, f func(ctx context.Context, is *is.I, s *lstore.LeaseStore, start func(rank int, targets ...target.Target) *keeper.Keeper)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		began := time.Now()
+		now := func() time.Duration { return time.Hour + time.Since(began) }
+		s := lstore.New("g", nil, now)
+		f(ctx, is.New(t), s, func(rank int, targets ...target.Target) *keeper.Keeper {
+			k := keeper.New("g", zap.NewNop(), s, &registrations{targets, make(chan struct{}), rank}, now)
+			go k.Run(ctx)
+			return k
+		})
+	})
+}
+
+func TestHostThatStartsKnowsUnregisteredMembers(t *testing.T) {
+	run(t, func(ctx context.Context, is *is.I, _ *lstore.LeaseStore, start func(int, ...target.Target) *keeper.Keeper) {
+		start(0, first, second)
+		time.Sleep(5 * time.Second)
+		k := start(1, first)
+		is.Equal(len(k.Known().Members()), 1)
+		is.NoErr(k.Refresh(ctx))
+		is.Equal(len(k.Known().Members()), 2)
+		time.Sleep(20 * time.Second)
+		is.Equal(len(k.Known().Members()), 1) // it counts as gone
+	})
+}
+
+func TestOnlyTheFirstHostsWrite(t *testing.T) {
+	run(t, func(ctx context.Context, is *is.I, s *lstore.LeaseStore, start func(int, ...target.Target) *keeper.Keeper) {
+		start(3, first, second)
+		time.Sleep(time.Minute)
+		r, _, err := s.Get(ctx, keeper.Table, "g")
+		is.NoErr(err)
+		is.Equal(r.Version, uint64(0))
+	})
+}
+
+// A row that a restored store lost, or that can't be decoded, is written again.
+func TestRowIsWrittenAgain(t *testing.T) {
+	run(t, func(ctx context.Context, is *is.I, s *lstore.LeaseStore, start func(int, ...target.Target) *keeper.Keeper) {
+		k := start(0, first, second)
+		s.Copy()
+		time.Sleep(5 * time.Second)
+		s.Restore()
+		is.NoErr(k.Refresh(ctx))
+		is.Equal(len(k.Known().Members()), 2)
+		r, _, err := s.Get(ctx, keeper.Table, "g")
+		is.NoErr(err)
+		_, err = s.CompareAndSwap(ctx, keeper.Table, record.New("g", []byte("{")).WithVersion(r.Version))
+		is.NoErr(err)
+		start(0, first)
+		time.Sleep(5 * time.Second)
+		other := start(0)
+		is.NoErr(other.Refresh(ctx))
+		is.Equal(len(other.Known().Members()), 1)
+	})
+}
+
+func FuzzRefresh(f *testing.F) {
+	f.Add([]byte(`{"Members":[{"ID":"a","Address":"10.0.0.1:1","Started":1,"MissingMs":5}]}`))
+	f.Add([]byte(`{"Members":[{"ID":7}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s := lstore.New("g", nil, func() time.Duration { return time.Hour })
+		if _, err := s.CompareAndSwap(t.Context(), keeper.Table, record.New("g", value)); err != nil {
+			t.Fatal(err)
+		}
+		k := keeper.New("g", zap.NewNop(), s, &registrations{targets: []target.Target{first}}, func() time.Duration { return time.Hour })
+		if err := k.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		k.Known()
+	})
+}
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -55,11 +55,12 @@
 
 // elect demotes the leader, if that answers, and stops all other targets. It then
 // returns the report of the target that may be ordered to lead: one that has all
-// acknowledged commits.
+// acknowledged commits. If several received equally much, it prefers the given one. It
+// returns false if a target did not stop and the leader was not demoted.
+//
 // A demoted leader acknowledges nothing more, whatever the replicas do after their
 // reports: they may restart, or a former holder of the lease may make them receive
-// again. If several targets received equally much, elect prefers the given one. It
-// returns false if a target did not stop and the leader was not demoted.
+// again.
 func (p *Promoter) elect(ctx context.Context, leader target.Target, preferred string) (report.Report, bool) {
 	ctx, stop := context.WithTimeout(ctx, electTimeout)
 	defer stop()
--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -35,7 +35,7 @@
 	preparing, stop := context.WithTimeout(ctx, prepareTimeout)
 	defer stop()
 	next, ok := p.successor(preparing, leader.ID, ordered)
-	if !ok {
+	if !ok || !p.holds() {
 		return report.Report{}, false
 	}
 	reports, complete := p.pauseReplicas(preparing, leader.ID, next.ID)
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -297,7 +297,9 @@
 	if leader.ID != "" {
 		former, term = leader.ID, chosen.Term
 	}
-	p.orderPending = !p.promote(ctx, l.WithFormer(former, term), chosen.Member, why, began)
+	if p.promote(ctx, l.WithFormer(former, term), chosen.Member, why, began) {
+		p.orderPending = false
+	}
 	return true
 }
 
@@ -315,7 +317,7 @@
 }
 
 // promote orders the chosen target to lead and waits until it does. It returns
-// false if the promotion was not confirmed. An order that was sent may be
+// false if the order was not sent or the promotion not confirmed. An order that was sent may be
 // carried out at any later time, so further orders with higher tokens follow
 // until one is answered; until then no target may receive entries of the old
 // term.
@@ -330,7 +332,7 @@
 			return false
 		}
 	}
-	p.sent = ordered
+	p.sent, p.orderPending = ordered, true
 	err = p.platform.Promote(ctx, ordered)
 	if l.Reserve && (err == nil || errors.Is(err, ErrFenced)) {
 		// A token that was used or refused is never sent again.
