--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -308,10 +308,10 @@
 }
 
 // promote orders the chosen target to lead and waits until it does. It returns
-// false if the order was not sent or the promotion not confirmed. An order that was sent may be
-// carried out at any later time, so further orders with higher tokens follow
-// until one is answered; until then no target may receive entries of the old
-// term.
+// false if the order was not sent or the promotion not confirmed. An order that
+// was sent may be carried out at any later time, so further orders with higher
+// tokens follow until one is answered; until then no target may receive entries
+// of the old term.
 func (p *Promoter) promote(ctx context.Context, l lease.Lease, chosen, why string, began time.Time) bool {
 	ctx, stop := context.WithTimeout(ctx, orderTimeout)
 	defer stop()
--- a/standin/qgroup/failover_test.go
+++ b/standin/qgroup/failover_test.go
@@ -90,6 +90,18 @@
 	return 0, false
 }
 
+// writeFor writes at a host for a duration and returns how many writes were
+// acknowledged.
+func (cl *client) writeFor(d time.Duration) int {
+	acknowledged := 0
+	for end := cl.cluster.now() + d; cl.cluster.now() < end; time.Sleep(5 * time.Millisecond) {
+		if cl.run(stmt.Write, "a", "a").OK() {
+			acknowledged++
+		}
+	}
+	return acknowledged
+}
+
 // maxWriteGap is the promised maximum duration of a failover: the time from the last write
 // that the failed primary answers to the first write that its successor answers.
 const maxWriteGap = 3 * time.Second
--- a/standin/qgroup/holder_test.go
+++ b/standin/qgroup/holder_test.go
@@ -10,18 +10,6 @@
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
-// writeFor writes at a host for a duration and returns how many writes were
-// acknowledged.
-func (cl *client) writeFor(d time.Duration) int {
-	acknowledged := 0
-	for end := cl.cluster.now() + d; cl.cluster.now() < end; time.Sleep(5 * time.Millisecond) {
-		if cl.run(stmt.Write, "a", "a").OK() {
-			acknowledged++
-		}
-	}
-	return acknowledged
-}
-
 // A holder of the lease that was frozen while it claimed must not let a replica receive
 // while the next holder's order for another one is carried out.
 func TestHolderThatWakesLateLosesNoWrites(t *testing.T) {
--- a/standin/qgroup/replacement_test.go
+++ b/standin/qgroup/replacement_test.go
@@ -31,8 +31,7 @@
 	for c.ctx.Err() == nil {
 		leader := max(c.group.Leader(), 0)
 		replica := (leader + 1 + random.IntN(2)) % 3
-		kind := random.IntN(4)
-		switch kind {
+		switch random.IntN(4) {
 		case 0:
 			after(millis(2900, 3600), c.store.HoldAnswer())
 		case 1:
@@ -53,8 +52,7 @@
 		}
 		host := random.IntN(len(c.hosts)+1) - 1 // one of them, or AllHosts
 		span := millis(1000, 4000)
-		why := random.IntN(3)
-		switch why {
+		switch random.IntN(3) {
 		case 0:
 			c.group.SetLeaving(leader, true)
 			time.Sleep(span)
