Promote no target that lacks a commit known to be acknowledged

Callers saw acknowledged commits disappear after a change of leader: the promoted replica had received nothing for a while, and the members with the commits were absent for longer than their registrations last and member.ForgetAfter, so that the replacement went on without them.

Cause: a replacement rested on who had been heard, and a member stopped counting since time passed. Nothing compared the log of the target with the commits that callers had been told of.

Each host now keeps a lower bound of the newest acknowledged commit: a commit is later in the log than all that was reported before it was sent. The table of members keeps the bound for hosts that start.

--- a/connection/conn/conn.go
+++ b/connection/conn/conn.go
@@ -58,6 +58,9 @@
 	// LastUsed is when the connection was last returned to its pool, as time since
 	// the machine started.
 	LastUsed time.Duration
+	// Wrote is set while a statement on the connection may write, or a transaction that
+	// has written is open.
+	Wrote bool
 	// Borrowed is set if the connection belongs to another host.
 	Borrowed bool
 	// direct is this host's own connection to the target, nil if the connection is
--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -31,6 +31,8 @@
 	// TakeFresh is like Take, but the other host determines the log position that the
 	// target must have reached, by MaxAgeMs.
 	TakeFresh
+	// Acknowledged asks which commits of Group the other host knows to be acknowledged.
+	Acknowledged
 )
 
 // Parcel is a request or an answer. It is encoded by encoding/gob, which writes
@@ -63,7 +65,8 @@
 	Prepared []stmt.Stmt
 	// Replies are the replies to the stages, up to the first that failed.
 	Replies []reply.Reply
-	// Report is the target's report, in the answer to the verb Report.
+	// Report is the target's report, in the answer to the verb Report. In the answer to
+	// Acknowledged, its Received is the position that a log must reach.
 	Report report.Report
 	// Sent matters only with a Fault: if it is unset, nothing was sent to the target.
 	Sent bool
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
 	"github.com/pistachiotray/pistachiotray/process/delta"
+	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/process/rset"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
@@ -134,6 +135,8 @@
 		return b.run(ctx, p)
 	case (p.Verb == parcel.Take || p.Verb == parcel.TakeFresh && p.MaxAgeMs > 0) && b.conn == nil:
 		return b.take(ctx, p)
+	case p.Verb == parcel.Acknowledged:
+		return b.relay.acknowledged(p)
 	case p.Verb == parcel.Report && b.conn == nil && len(p.Stages) == 1 && len(p.Stages[0]) == 1:
 		return b.report(ctx, p)
 	}
@@ -215,6 +218,16 @@
 	return parcel.Parcel{Report: rep, Sent: err != nil, Fault: faultText(err)}
 }
 
+// acknowledged tells another host which commits of a group this host knows to be
+// acknowledged, also while this host stops.
+func (r *Relay) acknowledged(p parcel.Parcel) parcel.Parcel {
+	group, ok := r.groups.ReplicaSet(p.Group)
+	if !ok {
+		return notServed()
+	}
+	return parcel.Parcel{Report: report.Report{Received: group.Acknowledged().Floor}}
+}
+
 // put returns the lent connection, if there is one, to its pool.
 func (b *borrower) put() {
 	if b.conn == nil {
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -21,6 +21,7 @@
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -109,6 +110,16 @@
 	return answer.Report, refusal(answer)
 }
 
+// Acknowledged asks which commits of a group the other host knows to be acknowledged. It
+// returns a position that a log must reach to have them.
+func (r *Remote) Acknowledged(ctx context.Context, group string) (mark.Mark, error) {
+	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Acknowledged, Group: group, TimeMs: timeLeft(ctx).Milliseconds()})
+	if err != nil {
+		return mark.Mark{}, errors.Wrap(err, "Remote.Acknowledged")
+	}
+	return answer.Report.Received, refusal(answer)
+}
+
 // Follow asks the other host for the changes of the platform's tables after the known
 // positions, and waits for a change for up to wait. The age of the changes counts the
 // time on the way in both directions.
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/skips"
 	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -109,6 +110,18 @@
 	return result, err
 }
 
+// Acknowledged asks a host which commits of a group it knows to be acknowledged. It returns
+// a position that a log must reach to have them.
+func (br *Borrower) Acknowledged(ctx context.Context, group string, h gossip.HostInfo) (mark.Mark, error) {
+	var floor mark.Mark
+	err := br.tryEach(ctx, []gossip.HostInfo{h}, 0, func(r *remote.Remote) (bool, error) {
+		var err error
+		floor, err = r.Acknowledged(ctx, group)
+		return false, err
+	})
+	return floor, err
+}
+
 // lenderWait returns how long a lending host may wait for a connection: at most
 // limit, and short enough for its answer to arrive before the context ends.
 func lenderWait(ctx context.Context, limit time.Duration) time.Duration {
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -11,10 +11,12 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/acked"
 	"github.com/pistachiotray/pistachiotray/process/member"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 )
 
 // Table is the table of members, with one row per group.
@@ -53,6 +55,10 @@
 	Targets() []target.Target
 	// TargetsChanged returns a channel that receives a value when they change.
 	TargetsChanged() <-chan struct{}
+	// Acknowledged returns what this host knows of acknowledged commits, and
+	// LearnAcknowledged adds what others know.
+	Acknowledged() acked.Acked
+	LearnAcknowledged(floor mark.Mark)
 	// Rank returns how many live hosts precede this one in an order by their distance
 	// to a target.
 	Rank(t target.Target) int
@@ -61,6 +67,9 @@
 // stored is the value of a group's row.
 type stored struct {
 	Members []storedMember
+	// Acknowledged is a log position that a member must have reached to lead, so that hosts
+	// that start know of commits that were acknowledged before.
+	Acknowledged mark.Mark
 }
 
 // storedMember is one member. Fields without a comment are those of the Target.
@@ -141,6 +150,7 @@
 	if err := json.Unmarshal(r.Value, &value); err != nil {
 		return s, errors.Wrap(err, "decode members")
 	}
+	k.group.LearnAcknowledged(value.Acknowledged)
 	for _, m := range value.Members {
 		t := target.New(m.ID, k.name, m.Address, m.Zone).WithStarted(m.Started).WithLeaving(m.Leaving)
 		s = s.WithMember(t, time.Duration(m.MissingMs)*time.Millisecond)
@@ -198,7 +208,7 @@
 	if len(members.Members()) == 0 || !members.Differs(read) {
 		return nil
 	}
-	var value stored
+	value := stored{Acknowledged: k.group.Acknowledged().Floor}
 	for _, t := range members.Members() {
 		value.Members = append(value.Members, storedMember{t.ID, t.Address, t.Zone, t.Started, t.Leaving, members.MissingSince(t.ID).Milliseconds()})
 	}
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -9,9 +9,11 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/acked"
 	"github.com/pistachiotray/pistachiotray/process/keeper"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/standin/lstore"
 )
 
@@ -20,11 +22,14 @@
 	targets []target.Target
 	changed chan struct{}
 	rank    int
+	acked   acked.Acked
 }
 
 func (g *registrations) Targets() []target.Target        { return g.targets }
 func (g *registrations) TargetsChanged() <-chan struct{} { return g.changed }
 func (g *registrations) Rank(target.Target) int          { return g.rank }
+func (g *registrations) Acknowledged() acked.Acked       { return g.acked }
+func (g *registrations) LearnAcknowledged(m mark.Mark)   { g.acked = g.acked.WithFloor(m) }
 
 var (
 	first  = target.New("a", "g", "10.0.0.1:1", "zone").WithStarted(1)
@@ -42,7 +47,7 @@
 		now := func() time.Duration { return time.Hour + time.Since(began) }
 		s := lstore.New("g", nil, now)
 		f(ctx, is.New(t), s, func(rank int, targets ...target.Target) *keeper.Keeper {
-			k := keeper.New("g", zap.NewNop(), s, &registrations{targets, make(chan struct{}), rank}, now)
+			k := keeper.New("g", zap.NewNop(), s, &registrations{targets: targets, changed: make(chan struct{}), rank: rank}, now)
 			go k.Run(ctx)
 			return k
 		})
@@ -108,3 +113,21 @@
 		k.Known()
 	})
 }
+
+// When all hosts restart, nobody has seen the commits that a member must have to lead.
+func TestHostThatStartsKnowsOfAcknowledgedCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		began := time.Now()
+		now := func() time.Duration { return time.Hour + time.Since(began) }
+		s := lstore.New("g", nil, now)
+		before := &registrations{targets: []target.Target{first, second}, changed: make(chan struct{}, 1), acked: acked.New().WithFloor(mark.New(1, 7))}
+		go keeper.New("g", zap.NewNop(), s, before, now).Run(ctx)
+		time.Sleep(5 * time.Second)
+		started := &registrations{targets: []target.Target{first}, changed: make(chan struct{})}
+		is.NoErr(keeper.New("g", zap.NewNop(), s, started, now).Refresh(ctx))
+		is.Equal(started.acked.Floor, mark.New(1, 7))
+	})
+}
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -56,7 +56,8 @@
 // elect demotes the leader, if that answers, and stops all other targets. It then
 // returns the report of the target that may be ordered to lead: one that has all
 // acknowledged commits. If several received equally much, it prefers the given one. It
-// returns false if a target did not stop and the leader was not demoted.
+// returns false if a target did not stop and the leader was not demoted, or if the target
+// lacks a commit that any host knows to be acknowledged.
 //
 // A demoted leader acknowledges nothing more, whatever the replicas do after their
 // reports: they may restart, or a former holder of the lease may make them receive
@@ -64,6 +65,7 @@
 func (p *Promoter) elect(ctx context.Context, leader target.Target, preferred string) (report.Report, bool) {
 	ctx, stop := context.WithTimeout(ctx, electTimeout)
 	defer stop()
+	gathered := p.gatherAcknowledged(ctx)
 	last, demoted := p.demote(ctx, leader)
 	reports, complete := p.pauseReplicas(ctx, leader.ID)
 	switch {
@@ -79,5 +81,12 @@
 	}
 	best, ok := mostReceived(reports, preferred)
 	p.log.Info("target elected", zap.Any("Reports", reports), zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", complete))
-	return best, ok
+	if !ok {
+		return best, false
+	}
+	known := p.group.Acknowledged()
+	if !demoted {
+		known = gathered()
+	}
+	return best, p.hasAcknowledged(best, known)
 }
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -47,6 +47,9 @@
 	// electTimeout is the maximum duration of an election: of the commands that
 	// demote the leader, and of those that stop the other targets once more.
 	electTimeout = 900 * time.Millisecond
+	// gatherTimeout is how long other hosts may take to tell which commits were
+	// acknowledged to them: two round trips between regions and a little more.
+	gatherTimeout = 250 * time.Millisecond
 	// receiveTime is how long replicas may take to receive an entry that the
 	// leader wrote: several times the latency between regions.
 	receiveTime = 400 * time.Millisecond
--- /dev/null
+++ b/process/rset/commits.go
@@ -0,0 +1,88 @@
+package rset
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/process/acked"
+	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/request/mark"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
+)
+
+// Acknowledged returns what this host knows of the group's acknowledged commits.
+func (rs *ReplicaSet) Acknowledged() acked.Acked {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.acked
+}
+
+// LearnAcknowledged adds a position that a log must reach to have all commits that another
+// host knows to be acknowledged.
+func (rs *ReplicaSet) LearnAcknowledged(floor mark.Mark) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.acked = rs.acked.WithFloor(floor)
+}
+
+// noteCommits records the commits that were acknowledged by the replies to a stage. sent is
+// what was known when the stage was sent.
+func (rs *ReplicaSet) noteCommits(cn *conn.Conn, sent acked.Acked, stage []stmt.Stmt, replies []reply.Reply) {
+	for i, r := range replies {
+		s := stage[i]
+		begins := s.Kind == stmt.Begin || s.Kind == stmt.BeginRead
+		cn.Wrote = !begins && (cn.Wrote || s.WritesData())
+		if r.Status == reply.Open {
+			continue
+		}
+		if cn.Wrote && r.OK() && (s.WritesData() || s.Kind == stmt.Commit) {
+			rs.mu.Lock()
+			rs.acked = rs.acked.WithCommit(sent)
+			rs.mu.Unlock()
+		}
+		cn.Wrote = false
+	}
+}
+
+// GatherAcknowledged asks the other hosts that connect to the group which commits they know
+// to be acknowledged. It returns what all that answer before the context ends know, and this
+// host, and how many were asked and answered.
+func (rs *ReplicaSet) GatherAcknowledged(ctx context.Context) (known acked.Acked, asked, answered int) {
+	type answer struct {
+		floor mark.Mark
+		err   error
+	}
+	hosts := rs.peers()
+	answers := make(chan answer, len(hosts))
+	for _, h := range hosts {
+		go func() {
+			floor, err := rs.borrower.Acknowledged(ctx, rs.Name, h)
+			answers <- answer{floor, err}
+		}()
+	}
+	for range hosts {
+		select {
+		case a := <-answers:
+			if a.err == nil {
+				answered++
+				rs.LearnAcknowledged(a.floor)
+			}
+		case <-ctx.Done():
+			return rs.Acknowledged(), len(hosts), answered
+		}
+	}
+	return rs.Acknowledged(), len(hosts), answered
+}
+
+// peers returns the other live hosts that connect to any target of the group.
+func (rs *ReplicaSet) peers() []gossip.HostInfo {
+	var all []gossip.HostInfo
+	for _, t := range rs.Targets() {
+		all = append(all, rs.otherHosts(t.ID)...)
+	}
+	slices.SortFunc(all, func(a, b gossip.HostInfo) int { return cmp.Compare(a.Host, b.Host) })
+	return slices.CompactFunc(all, func(a, b gossip.HostInfo) bool { return a.Host == b.Host })
+}
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -58,7 +58,12 @@
 // answer arrives within probeAfter, and updates the target's health and lag
 // from the replies.
 func (rs *ReplicaSet) Run(ctx context.Context, cn *conn.Conn, who caller.Caller, stage ...stmt.Stmt) ([]reply.Reply, error) {
-	return rs.runMonitored(cn.Target, probeAfter, func() ([]reply.Reply, error) { return cn.Run(ctx, who, stage...) })
+	sent := rs.Acknowledged()
+	replies, err := rs.runMonitored(cn.Target, probeAfter, func() ([]reply.Reply, error) { return cn.Run(ctx, who, stage...) })
+	if err == nil {
+		rs.noteCommits(cn, sent, stage, replies)
+	}
+	return replies, err
 }
 
 // cancelOnFailure registers a function to be called when a target stops
@@ -126,6 +131,7 @@
 	rs.noteAnswer(ts)
 	for _, r := range replies {
 		rs.term = max(rs.term, r.Mark.Term)
+		rs.acked = rs.acked.WithReported(r.Mark)
 	}
 	if n := len(replies); n > 0 && ts.target.ID != rs.leader {
 		rs.observeMark(ts, replies[n-1].Mark)
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/process/acked"
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/borrow"
 	"github.com/pistachiotray/pistachiotray/process/conns"
@@ -85,8 +86,10 @@
 	// is when the first of them was reported, 0 if there is none.
 	stalledSince  time.Duration
 	stalledWrites int
-	// term is the highest term that any target reported.
-	term uint64
+	// term is the highest term that any target reported, and acked what is known of the
+	// commits that were acknowledged.
+	term  uint64
+	acked acked.Acked
 	// searching is set while searchLoop runs.
 	searching bool
 	// changed is closed and replaced when the targets or the leader change, or
