--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -114,21 +114,23 @@
 
 // Refresh reads the members from the store.
 func (k *Keeper) Refresh(ctx context.Context) error {
-	_, err := k.refresh(ctx)
+	_, _, err := k.refresh(ctx)
 	return err
 }
 
-// refresh reads the members from the store and returns them.
-func (k *Keeper) refresh(ctx context.Context) (member.Set, error) {
+// refresh reads the members from the store and returns them, and the position that is stored
+// with them.
+func (k *Keeper) refresh(ctx context.Context) (member.Set, mark.Mark, error) {
 	r, now, err := k.store.Get(ctx, Table, k.name)
 	if err != nil {
-		return member.Set{}, errors.Wrap(err, "read members")
+		return member.Set{}, mark.Mark{}, errors.Wrap(err, "read members")
 	}
-	read, err := k.decode(r)
+	read, floor, err := k.decode(r)
 	if err != nil {
 		// The registered targets count, and the row is written anew.
 		k.log.Error("members can't be decoded", zap.Uint64("Version", r.Version), zap.String("Error", err.Error()))
 	}
+	k.group.LearnAcknowledged(floor)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	// What this host saw of a member counts more than the row, which may not have been
@@ -138,24 +140,23 @@
 		merged = merged.WithMember(t, k.members.MissingSince(t.ID))
 	}
 	k.members, k.ahead = merged, now-k.now()
-	return read, nil
+	return read, floor, nil
 }
 
-func (k *Keeper) decode(r record.Row) (member.Set, error) {
+func (k *Keeper) decode(r record.Row) (member.Set, mark.Mark, error) {
 	s := member.New(k.name).WithStored(r.Stamp())
 	if r.Version == 0 {
-		return s, nil
+		return s, mark.Mark{}, nil
 	}
 	var value stored
 	if err := json.Unmarshal(r.Value, &value); err != nil {
-		return s, errors.Wrap(err, "decode members")
+		return s, mark.Mark{}, errors.Wrap(err, "decode members")
 	}
-	k.group.LearnAcknowledged(value.Acknowledged)
 	for _, m := range value.Members {
 		t := target.New(m.ID, k.name, m.Address, m.Zone).WithStarted(m.Started).WithLeaving(m.Leaving)
 		s = s.WithMember(t, time.Duration(m.MissingMs)*time.Millisecond)
 	}
-	return s, nil
+	return s, value.Acknowledged, nil
 }
 
 // Run writes changes of the members to the store until the context ends, if this host is
@@ -196,19 +197,22 @@
 	return min(k.group.Rank(target.Target{Group: k.name}), writers)
 }
 
-// write writes the members to the store if the row there differs.
+// write writes the members to the store if the row there differs. While a member is not
+// registered, hosts also write the acknowledged commits that they know, since they may not
+// be there when the leader is replaced.
 func (k *Keeper) write(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	read, err := k.refresh(ctx)
+	read, storedFloor, err := k.refresh(ctx)
 	if err != nil {
 		return err
 	}
 	members := k.Known()
-	if len(members.Members()) == 0 || !members.Differs(read) {
+	floor := k.group.Acknowledged().Floor
+	if len(members.Members()) == 0 || !members.Differs(read) && (!members.Missing() || floor == storedFloor) {
 		return nil
 	}
-	value := stored{Acknowledged: k.group.Acknowledged().Floor}
+	value := stored{Acknowledged: floor}
 	for _, t := range members.Members() {
 		value.Members = append(value.Members, storedMember{t.ID, t.Address, t.Zone, t.Started, t.Leaving, members.MissingSince(t.ID).Milliseconds()})
 	}
