Log members that are dropped

The log of an incident did not show that a target had stopped to count in replacements, nor since when: member.Set forgets it after 8 s without a registration, or when a target that started later has its address, and logs nothing. The Set now records former members with the reason and both times for 5 min, and the Keeper logs each of them once. Which members count is unchanged.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,7 +100,14 @@
 func (k *Keeper) Known() member.Set {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	before := k.members.Gone()
 	k.members = k.members.WithRegistered(k.group.Targets(), k.now()+k.ahead)
+	for _, m := range k.members.Gone() {
+		if !slices.Contains(before, m) {
+			k.log.Info("member dropped", zap.String("Target", m.Target.ID), zap.String("Address", m.Target.Address), zap.Int64("Started", m.Target.Started),
+				zap.String("Why", m.Why), zap.Duration("Missing", m.MissingFor()))
+		}
+	}
 	return k.members
 }
 
@@ -124,7 +132,7 @@
 	defer k.mu.Unlock()
 	// What this host saw of a member counts more than the row, which may not have been
 	// written since, or be that of a restored store.
-	merged := read
+	merged := read.WithGone(k.members)
 	for _, t := range k.members.Members() {
 		merged = merged.WithMember(t, k.members.MissingSince(t.ID))
 	}
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/pistachiotray/pistachiotray/process/keeper"
+	"github.com/pistachiotray/pistachiotray/process/member"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/standin/lstore"
@@ -93,6 +95,28 @@
 	})
 }
 
+func TestDroppedMemberIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.InfoLevel)
+	now := time.Hour
+	clock := func() time.Duration { return now }
+	g := &registrations{targets: []target.Target{first, second}}
+	k := keeper.New("g", zap.New(core), lstore.New("g", nil, clock), g, clock)
+	k.Known()
+	g.targets = g.targets[:1]
+	k.Known()
+	now += member.ForgetAfter
+	k.Known()
+	is.NoErr(k.Refresh(t.Context()))
+	k.Known()
+	lines := logs.FilterMessage("member dropped").All()
+	is.Equal(len(lines), 1)
+	fields := lines[0].ContextMap()
+	is.Equal(fields["Target"], second.ID)
+	is.Equal(fields["Why"], "not registered")
+	is.Equal(fields["Missing"], member.ForgetAfter)
+}
+
 func FuzzRefresh(f *testing.F) {
 	f.Add([]byte(`{"Members":[{"ID":"a","Address":"10.0.0.1:1","Started":1,"MissingMs":5}]}`))
 	f.Add([]byte(`{"Members":[{"ID":7}]}`))
--- a/process/member/set.go
+++ b/process/member/set.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiotray/pistachiotray/process/gone"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
 )
@@ -15,6 +16,10 @@
 // than a restart takes, or a partition that hides the target from the store only.
 const ForgetAfter = 8 * time.Second
 
+// recordFor is how long a Set records a former member, so that the log of a replacement
+// names it.
+const recordFor = 5 * time.Minute
+
 // entry is one member. missingSince is when its registration was found missing, by the
 // store's clock, and 0 while it is registered.
 type entry struct {
@@ -28,8 +33,12 @@
 	// Group is the group's name.
 	Group string
 	// Stored is the position of the stored row, zero if the Set was never stored.
-	Stored  stamp.Stamp
+	Stored stamp.Stamp
+	// At is the time of the last WithRegistered, by the store's clock.
+	At      time.Duration
 	entries map[string]entry
+	// gone holds the former members by ID.
+	gone map[string]gone.Member
 }
 
 // New returns the Set of a group without members.
@@ -54,33 +63,69 @@
 	return s
 }
 
+// WithGone returns the Set with the former members of another one.
+func (s Set) WithGone(o Set) Set {
+	s.gone = o.gone
+	return s
+}
+
 // WithRegistered returns the Set as of a time by the store's clock, at which the given
 // targets are registered. Members that are not registered remain for ForgetAfter. A
 // target does not remain if a later one has its address, since its process has ended.
 func (s Set) WithRegistered(targets []target.Target, now time.Duration) Set {
-	entries := maps.Clone(s.entries)
+	entries, former := maps.Clone(s.entries), maps.Clone(s.gone)
 	if entries == nil {
 		entries = map[string]entry{}
 	}
+	if former == nil {
+		former = map[string]gone.Member{}
+	}
 	for id, e := range entries {
 		if e.missingSince == 0 {
 			entries[id] = entry{e.target, max(now, 1)}
 		}
 	}
 	for _, t := range targets {
+		if e, ok := entries[t.ID]; ok && e.target.Started != t.Started {
+			former[t.ID] = gone.New(e.target, gone.Restarted, s.MissingSince(t.ID), now)
+		}
 		entries[t.ID] = entry{t, 0}
 	}
 	latest := map[string]int64{}
 	for _, e := range entries {
 		latest[e.target.Address] = max(latest[e.target.Address], e.target.Started)
 	}
-	maps.DeleteFunc(entries, func(_ string, e entry) bool {
-		return e.target.Started < latest[e.target.Address] || e.missingSince != 0 && now-e.missingSince >= ForgetAfter
-	})
-	s.entries = entries
+	for id, e := range entries {
+		why := e.goneBecause(latest[e.target.Address], now)
+		if why == "" {
+			if former[id].Target.Started == e.target.Started {
+				delete(former, id)
+			}
+			continue
+		}
+		delete(entries, id)
+		// A target that still has a row is dropped each time.
+		if m := former[id]; m.Why != why || m.Target.Started != e.target.Started {
+			former[id] = gone.New(e.target, why, e.missingSince, now)
+		}
+	}
+	maps.DeleteFunc(former, func(_ string, m gone.Member) bool { return now-m.At > recordFor })
+	s.entries, s.gone, s.At = entries, former, now
 	return s
 }
 
+// goneBecause returns why the target is no longer a member at a time, or "" if it is one.
+// latest is the latest start of a target at its address.
+func (e entry) goneBecause(latest int64, now time.Duration) string {
+	switch {
+	case e.target.Started < latest:
+		return gone.Replaced
+	case e.missingSince != 0 && now-e.missingSince >= ForgetAfter:
+		return gone.Unregistered
+	}
+	return ""
+}
+
 // Members returns all members in the order of their IDs.
 func (s Set) Members() []target.Target {
 	members := make([]target.Target, 0, len(s.entries))
@@ -90,6 +135,15 @@
 	return members
 }
 
+// Gone returns the former members in the order of their IDs.
+func (s Set) Gone() []gone.Member {
+	former := make([]gone.Member, 0, len(s.gone))
+	for _, id := range slices.Sorted(maps.Keys(s.gone)) {
+		former = append(former, s.gone[id])
+	}
+	return former
+}
+
 // MissingSince returns when a member's registration was found missing, by the store's
 // clock. It returns 0 if the member is registered.
 func (s Set) MissingSince(id string) time.Duration {
--- a/process/member/set_test.go
+++ b/process/member/set_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/pistachiotray/pistachiotray/process/gone"
 	"github.com/pistachiotray/pistachiotray/process/member"
 	"github.com/pistachiotray/pistachiotray/process/target"
 )
@@ -27,6 +28,36 @@
 	// 1
 }
 
+func ExampleSet_Gone() {
+	a, b := newTarget("a", "10.0.0.1:1", 1), newTarget("b", "10.0.0.2:1", 1)
+	s := member.New("g").WithRegistered([]target.Target{a, b}, time.Second)
+	s = s.WithRegistered([]target.Target{a}, 2*time.Second)
+	s = s.WithRegistered([]target.Target{newTarget("c", "10.0.0.1:1", 2)}, 2*time.Second+member.ForgetAfter)
+	for _, m := range s.Gone() {
+		fmt.Println(m.Target.ID, m.Why, m.MissingFor())
+	}
+	// Output:
+	// a address taken 0s
+	// b not registered 8s
+}
+
+func TestFormerMemberIsRecordedUntilItIsBack(t *testing.T) {
+	is := is.New(t)
+	a, b := newTarget("a", "10.0.0.1:1", 1), newTarget("b", "10.0.0.2:1", 1)
+	s := member.New("g").WithRegistered([]target.Target{a, b}, time.Second).WithRegistered([]target.Target{a}, 2*time.Second)
+	s = s.WithRegistered([]target.Target{a}, 20*time.Second)
+	dropped := s.Gone()
+	is.Equal(len(dropped), 1)
+	is.Equal(dropped[0].At, 20*time.Second)
+	// A host reads it once more from an old row.
+	is.Equal(s.WithMember(b, 2*time.Second).WithRegistered([]target.Target{a}, 30*time.Second).Gone(), dropped)
+	is.Equal(len(s.WithRegistered([]target.Target{a, b}, 30*time.Second).Gone()), 0)
+	restarted := s.WithRegistered([]target.Target{a.WithStarted(2)}, 30*time.Second).Gone()
+	is.Equal(restarted[0].Why, gone.Restarted)
+	is.Equal(restarted[0].Target, a)
+	is.Equal(len(s.WithRegistered([]target.Target{a}, time.Hour).Gone()), 0)
+}
+
 // A member that restarted has two registrations until the earlier one expires.
 func TestRestartedMemberCountsOnce(t *testing.T) {
 	is := is.New(t)
