Log how each member was counted in a replacement

A replacement logged the reports that it used, but not the members that it left out, and not why. Each preparation, whether an order follows or not, now ends with one line "members counted": each member with its start, registration, report or error and how it was counted, and former members with the reason and its age. While the members are asked again and again, "target not paused" and "target did not stop receiving" are logged only when a member's outcome changes; they, "leader not demoted" and the order's lines name the target, and "promotion ordered" the platform's answer (accepted, refused, none). "target elected" no longer repeats the reports. No decision changes.

--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -40,13 +40,13 @@
 	}
 	before, err := ask(ctx, leader, withTerm(stmt.Pause, p.group.Term()+1))
 	if err != nil || !before.Primary {
-		p.log.Info("leader not demoted", zap.Any("Report", before), zap.Bool("Asked", err == nil), zap.NamedError("Error", err))
+		p.log.Info("leader not demoted", zap.String("Target", leader.ID), zap.Any("Report", before), zap.Bool("Asked", err == nil), zap.NamedError("Error", err))
 		return report.Report{}, false
 	}
 	after, err := ask(ctx, leader, withTerm(stmt.Demote, before.Term+1))
 	// If the term has changed, another target leads, and has entries that this one lacks.
 	if err != nil || after.Primary || after.Term != before.Term {
-		p.log.Warn("leader not demoted", zap.Any("Before", before), zap.Any("Report", after), zap.NamedError("Error", err))
+		p.log.Warn("leader not demoted", zap.String("Target", leader.ID), zap.Any("Before", before), zap.Any("Report", after), zap.NamedError("Error", err))
 		return report.Report{}, false
 	}
 	p.log.Info("leader demoted", zap.Any("Report", after))
@@ -65,6 +65,11 @@
 	ctx, stop := context.WithTimeout(ctx, electTimeout)
 	defer stop()
 	last, demoted := p.demote(ctx, leader)
+	if demoted {
+		p.count(leader, countedDemoted, last, nil)
+	} else if leader.ID != "" {
+		p.count(leader, countedNotDemoted, last, nil)
+	}
 	reports, complete := p.pauseReplicas(ctx, leader.ID)
 	switch {
 	case complete:
@@ -78,6 +83,6 @@
 		}
 	}
 	best, ok := mostReceived(reports, preferred)
-	p.log.Info("target elected", zap.Any("Reports", reports), zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", complete))
+	p.log.Info("target elected", zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", complete))
 	return best, ok
 }
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -49,6 +49,7 @@
 		err    error
 	}
 	members := p.members()
+	p.tally.members = members
 	targets := members.Members()
 	results := make(chan outcome, len(targets))
 	pause := withTerm(stmt.Pause, term)
@@ -79,18 +80,22 @@
 	var reports []report.Report
 	stopped := 0
 	for _, o := range outcomes {
-		if o.target.ID == former || o.target.Leaving && members.MissingSince(o.target.ID) != 0 && hasEnded(o.err) {
+		switch {
+		case o.target.ID == former:
 			stopped++
-			continue
-		}
-		if o.err != nil {
-			p.log.Info("target not paused", zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
-			continue
-		}
-		if o.report.Held >= term {
+			p.count(o.target, countedFormer, o.report, o.err)
+		case o.target.Leaving && members.MissingSince(o.target.ID) != 0 && hasEnded(o.err):
+			stopped++
+			p.count(o.target, countedEnded, o.report, o.err)
+		case o.err != nil:
+			if p.count(o.target, countedNotHeard, o.report, o.err) {
+				p.log.Info("target not paused", zap.String("Target", o.target.ID), zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
+			}
+		case o.report.Held >= term:
 			stopped++
 			reports = append(reports, o.report)
-		} else {
+			p.count(o.target, countedStopped, o.report, nil)
+		case p.count(o.target, countedReceives, o.report, nil):
 			p.log.Info("target did not stop receiving", zap.Uint64("Term", term), zap.Any("Report", o.report))
 		}
 	}
--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -44,6 +44,7 @@
 	}
 	for preparing.Err() == nil && p.holds() {
 		r, err := p.group.Report(preparing, next, stmt.New(stmt.ProxyID, stmt.Resume, ""))
+		p.count(next, countedSuccessor, r, err)
 		if err == nil && receivedAll(r, reports) {
 			p.log.Info("handover ready", zap.Any("Heir", r), zap.Any("Others", reports))
 			return p.elect(ctx, leader, next.ID)
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -136,6 +136,8 @@
 	pending lease.Lease
 	// sent is the lease with the last order that this host sent.
 	sent lease.Lease
+	// tally is how the last preparation counted the members.
+	tally *tally
 	// isolated reports whether a silent leader is more likely a fault of this
 	// host than of the leader.
 	isolated func() bool
@@ -281,12 +283,14 @@
 		p.pending = p.pending.WithFormer("", 0)
 	}
 	began := time.Now()
+	p.tally = newTally(p.members())
 	var chosen report.Report
 	if planned(why) {
 		chosen, ok = p.handover(ctx, leader, p.pending.Target)
 	} else {
 		chosen, ok = p.takeover(ctx, leader, p.pending.Target, why)
 	}
+	p.logCounts(l, leader.ID, chosen.Member, why, ok)
 	if !ok {
 		p.log.Warn("replacement not safe", zap.String("Why", why), zap.Uint64("Token", l.Token), zap.String("Noted", l.Target))
 		// A stored order may still be carried out. Until a further order is
@@ -319,7 +323,7 @@
 	var err error
 	if !l.Reserve {
 		if ordered, err = p.platform.Write(ctx, ordered); err != nil {
-			p.log.Warn("promotion order not stored", zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
+			p.log.Warn("promotion order not stored", zap.String("Target", chosen), zap.Uint64("Token", l.Token), zap.String("Error", err.Error()))
 			return false
 		}
 	}
@@ -330,9 +334,9 @@
 		p.reservedLease = lease.Lease{}
 	}
 	p.log.Info("promotion ordered", zap.String("Why", why), zap.String("Target", chosen), zap.Uint64("Token", ordered.Token),
-		zap.Duration("Took", time.Since(began)), zap.Bool("Done", err == nil))
+		zap.Duration("Took", time.Since(began)), zap.Bool("Done", err == nil), zap.String("Answer", answer(err)))
 	if err != nil {
-		p.log.Warn("promotion not confirmed", zap.Uint64("Token", ordered.Token), zap.String("Error", err.Error()))
+		p.log.Warn("promotion not confirmed", zap.String("Target", chosen), zap.Uint64("Token", ordered.Token), zap.String("Error", err.Error()))
 		return false
 	}
 	if !p.awaitLeading(ctx, chosen) {
