Log each acknowledged commit and what the host knew of the group

Of a lost commit, nobody could tell from the logs which leader had acknowledged it, in which term, and whether its host knew that members were failing or not registered, since statements that went well are sampled. Each commit with writes now has a short line with the target, the log position and the number of a view. The view itself (leader, targets, since when they fail or are no longer registered) is logged by the first commit after it changed.

--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -112,7 +112,7 @@
 		group.Put(cn)
 		last = replies[0]
 		if last.OK() {
-			r.recordCommit(group, t.ID, last, sent)
+			r.recordCommit(group, s.ID, t.ID, last, sent)
 			return last
 		}
 		if !r.prepareRetry(ctx, group, t, last) || r.waitedTooLong(group, rt, s.Arrived) {
@@ -121,10 +121,11 @@
 	}
 }
 
-// recordCommit handles the acknowledgement of a commit with writes. It clears the
-// target's record of an unanswered write, and advances the group's watermark and the
-// session's floor. sent is when the commit was sent.
-func (r *Runner) recordCommit(group *rset.ReplicaSet, target string, answer reply.Reply, sent time.Duration) {
+// recordCommit handles the acknowledgement of the commit with writes of the statement id.
+// It logs the commit, clears the target's record of an unanswered write, and advances the
+// group's watermark and the session's floor. sent is when the commit was sent.
+func (r *Runner) recordCommit(group *rset.ReplicaSet, id, target string, answer reply.Reply, sent time.Duration) {
+	group.LogCommit(id, target, answer.Mark)
 	group.ClearStall(target)
 	group.AddWatermark(answer.Mark, sent)
 	r.caller = r.caller.WithFloor(answer.Mark, r.now())
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -174,7 +174,7 @@
 	// A commit without writes also succeeds at a target that lost leadership, so the
 	// log position in its reply can't be used as a watermark.
 	if tx.wrote {
-		r.recordCommit(tx.group, tx.conn.Target, answer, sent)
+		r.recordCommit(tx.group, s.ID, tx.conn.Target, answer, sent)
 	}
 	return answer
 }
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -140,6 +140,7 @@
 	if ts.failingSince != 0 {
 		rs.log.Info("target answers again", zap.String("Group", rs.Name), zap.String("Target", ts.target.ID), zap.Duration("Failed", ts.lastHeard-ts.failingSince))
 		ts.failingSince = 0
+		rs.changeView()
 		rs.notifyChanged()
 		if ts.target.ID == rs.leader {
 			// Another host may have begun to replace the leader.
@@ -196,6 +197,7 @@
 	ts.connRefused = errors.Is(err, syscall.ECONNREFUSED)
 	if ts.failingSince == 0 {
 		ts.failingSince = rs.now()
+		rs.changeView()
 		rs.log.Info("target fails", zap.String("Group", rs.Name), zap.String("Target", ts.target.ID), zap.Bool("Leads", ts.target.ID == rs.leader),
 			zap.Bool("EverHeard", ts.lastHeard != 0), zap.Duration("Heard", rs.now()-ts.lastHeard), zap.String("Error", err.Error()))
 		for _, stop := range ts.cancels {
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -112,6 +112,7 @@
 	// handovers.
 	nextLagHandover  time.Duration
 	lagHandoverPause time.Duration
+	view             view
 }
 
 // targetState is the state of one target of the group, as this host observed
@@ -264,6 +265,7 @@
 			return cn, err
 		})
 		rs.states[t.ID] = ts
+		delete(rs.view.removed, t.ID)
 		rs.log.Info("target added", zap.String("Group", rs.Name), zap.String("Target", t.ID), zap.String("Address", t.Address), zap.Uint64("Era", t.Revision.Era), zap.Uint64("Revision", t.Revision.Version))
 	}
 	switch {
@@ -276,6 +278,7 @@
 		ts.drainUntil = rs.now() + rs.drainTime
 	}
 	if !ts.target.Same(t) {
+		rs.changeView()
 		signal(rs.targetsChanged)
 	}
 	if ts.target.Leaving != t.Leaving {
@@ -290,6 +293,7 @@
 func (rs *ReplicaSet) removeTarget(id string, ts *targetState) {
 	ts.pool.Close()
 	delete(rs.states, id)
+	rs.noteRemoval(ts.target)
 	signal(rs.targetsChanged)
 	rs.log.Info("target removed", zap.String("Group", rs.Name), zap.String("Target", id))
 	if rs.leader == id {
@@ -355,6 +359,7 @@
 	}
 	rs.log.Info("leader changed", zap.String("Group", rs.Name), zap.String("From", rs.leader), zap.String("To", id), zap.String("Why", why))
 	rs.leader, rs.lostLeader = id, target.Target{}
+	rs.changeView()
 	for _, ts := range rs.states {
 		ts.lag = lag{}
 	}
