story: show the replacements after a commit, and those of a target

For an acknowledged commit, story adds the view that its host had then and all later replacements of the group's leader, from the logs of all hosts; for a target, the replacements in which it was chosen or ordered to lead. Members are printed on lines of their own.

--- a/process/reqlog/requestlog.go
+++ b/process/reqlog/requestlog.go
@@ -1,8 +1,9 @@
-// Package reqlog finds the log lines that concern one request.
+// Package reqlog finds the log lines that concern one request or one target.
 package reqlog
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,28 +27,32 @@
 	// statementMessage is the message of the lines that report how a request
 	// ended.
 	statementMessage = "statement"
+	// membersField is the field with the members of a group.
+	membersField = "Members"
 )
 
 // line is one log line.
 type line struct {
+	// number is the line's place in the input.
+	number  int
 	at      time.Time
 	host    string
 	message string
 	fields  map[string]any
 }
 
-// RequestLog contains the log lines of one request, and the other lines that
-// may be related to the request.
+// RequestLog contains the log lines of one request or target, and the other lines that
+// may be related to it.
 type RequestLog struct {
 	id           string
 	otherLines   []line
 	requestLines []line
-	// unreadable counts the lines that could not be parsed.
-	unreadable int
+	// read counts the lines, and unreadable those that could not be parsed.
+	read, unreadable int
 }
 
-// New reads the log lines of any number of hosts for the request with the given
-// ID. Text before a line's first brace is skipped. Lines without a brace are
+// New reads the log lines of any number of hosts for the request or target with the
+// given ID. Text before a line's first brace is skipped. Lines without a brace are
 // ignored, and lines that can't be parsed are counted.
 func New(r io.Reader, id string) (*RequestLog, error) {
 	rl := &RequestLog{id: id}
@@ -60,8 +65,9 @@
 }
 
 // add parses a log line. It adds the line to the request's lines or the other
-// lines, but ignores it if it reports the end of another request.
+// lines, but ignores it if it reports the end or commit of another request.
 func (rl *RequestLog) add(text string) {
+	rl.read++
 	_, text, ok := strings.Cut(text, "{")
 	if !ok {
 		return
@@ -76,35 +82,39 @@
 		rl.unreadable++
 		return
 	}
-	l := line{at, fmt.Sprint(fields["Host"]), fmt.Sprint(fields["Message"]), fields}
+	l := line{rl.read, at, fmt.Sprint(fields["Host"]), fmt.Sprint(fields["Message"]), fields}
 	for _, known := range []string{"Time", "Host", "Message", "Level"} {
 		delete(fields, known)
 	}
 	switch {
 	case fields["ID"] == rl.id:
 		rl.requestLines = append(rl.requestLines, l)
-	case l.message != statementMessage:
+	case l.message != statementMessage && l.message != commitMessage:
 		rl.otherLines = append(rl.otherLines, l)
 	}
 }
 
-// Found reports whether any line belongs to the request.
+// Found reports whether any line belongs to the request or target.
 func (rl *RequestLog) Found() bool {
-	return len(rl.requestLines) > 0
+	return len(rl.requestLines) > 0 || len(rl.promotionLines()) > 0
 }
 
 // Write writes one line of text per selected log line, ordered by time: the
 // request's own lines, which report how it ended at each host, and the lines of
-// these hosts from shortly before that may be related to it. If lines were
+// these hosts from shortly before that may be related to it. For a commit that was
+// acknowledged, it adds what the host knew of the group then, and the replacements of
+// the group's leader since. For a target, it writes the replacements in which the target
+// was ordered to lead. Members of a group follow on lines of their own. If lines were
 // unreadable, a last line states their number.
 func (rl *RequestLog) Write(w io.Writer) error {
-	selected := slices.Clone(rl.requestLines)
+	selected := slices.Concat(rl.requestLines, rl.viewLines(), rl.promotionLines())
 	for _, l := range rl.otherLines {
 		if slices.ContainsFunc(rl.requestLines, func(request line) bool { return l.relatesTo(request) }) {
 			selected = append(selected, l)
 		}
 	}
-	slices.SortStableFunc(selected, func(a, b line) int { return a.at.Compare(b.at) })
+	slices.SortFunc(selected, func(a, b line) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.number, b.number)) })
+	selected = slices.CompactFunc(selected, func(a, b line) bool { return a.number == b.number })
 	for _, l := range selected {
 		if _, err := fmt.Fprintln(w, l); err != nil {
 			return errors.Wrap(err, "write log lines")
@@ -133,17 +143,45 @@
 	return true
 }
 
-// String returns the time, host and message, followed by the fields ordered by
-// name.
+// String returns the time, host and message, followed by the fields ordered by name. Each
+// of the members of a group follows on a line of its own.
 func (l line) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s %s", l.at.Format("15:04:05.000"), l.host, l.message)
+	members, _ := l.fields[membersField].([]any)
 	for _, name := range slices.Sorted(maps.Keys(l.fields)) {
-		text, err := json.Marshal(l.fields[name])
-		if err != nil {
-			text = []byte("?")
+		if name != membersField || members == nil {
+			writeField(&b, name, l.fields[name])
+		}
+	}
+	for _, m := range members {
+		b.WriteString("\n   ")
+		fields, ok := m.(map[string]any)
+		if !ok {
+			writeField(&b, membersField, m)
+		}
+		for _, name := range slices.SortedFunc(maps.Keys(fields), idFirst) {
+			writeField(&b, name, fields[name])
 		}
-		fmt.Fprintf(&b, " %s=%s", name, text)
 	}
 	return b.String()
 }
+
+// idFirst orders names of fields, with ID first.
+func idFirst(a, b string) int {
+	switch "ID" {
+	case a:
+		return -1
+	case b:
+		return 1
+	}
+	return strings.Compare(a, b)
+}
+
+func writeField(b *strings.Builder, name string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		text = []byte("?")
+	}
+	fmt.Fprintf(b, " %s=%s", name, text)
+}
--- a/process/reqlog/requestlog_test.go
+++ b/process/reqlog/requestlog_test.go
@@ -31,6 +31,62 @@
 	// 1 lines could not be read
 }
 
+// replacement holds the log lines of a commit, of the replacement of its leader by host b,
+// and of an earlier replacement.
+const replacement = `{"Time":"2026-05-25T14:19:20Z","Host":"a","Message":"group view","Group":"g","View":1,"Leader":"t0","Members":[]}
+{"Time":"2026-05-25T14:19:25Z","Host":"b","Message":"promotion ordered","Group":"g","Target":"t1","Token":3,"Answer":"accepted"}
+{"Time":"2026-05-25T14:19:30Z","Host":"a","Message":"group view","Group":"g","View":2,"Leader":"t1","Members":[{"ID":"t1","Registered":true},{"ID":"t2","Registered":true,"FailingMs":400}]}
+{"Time":"2026-05-25T14:19:30Z","Host":"a","Message":"commit acknowledged","Group":"g","ID":"q1","Target":"t1","Mark":"3/120","View":2}
+{"Time":"2026-05-25T14:19:30.1Z","Host":"a","Message":"commit acknowledged","Group":"g","ID":"q2","Target":"t1","Mark":"3/121","View":2}
+{"Time":"2026-05-25T14:19:31Z","Host":"b","Message":"target not paused","Group":"g","Target":"t3","Error":"i/o timeout"}
+{"Time":"2026-05-25T14:19:32Z","Host":"b","Message":"members counted","Group":"g","Token":4,"Safe":true,"Chosen":"t2","Members":[{"ID":"t2","Counted":"stopped","Received":"3/119"},{"ID":"t3","Counted":"left out, gone","Why":"not registered","AgoMs":12}]}
+{"Time":"2026-05-25T14:19:32.2Z","Host":"b","Message":"promotion ordered","Group":"g","Target":"t2","Token":4,"Answer":"accepted"}
+{"Time":"2026-05-25T14:19:32.2Z","Host":"b","Message":"promotion ordered","Group":"other","Target":"t9","Token":4,"Answer":"refused"}
+`
+
+func ExampleRequestLog_Write_commit() {
+	rl, err := reqlog.New(strings.NewReader(replacement), "q1")
+	if err != nil {
+		panic(err)
+	}
+	_ = rl.Write(os.Stdout)
+	// Output:
+	// 14:19:30.000 a group view Group="g" Leader="t1" View=2
+	//     ID="t1" Registered=true
+	//     ID="t2" FailingMs=400 Registered=true
+	// 14:19:30.000 a commit acknowledged Group="g" ID="q1" Mark="3/120" Target="t1" View=2
+	// 14:19:31.000 b target not paused Error="i/o timeout" Group="g" Target="t3"
+	// 14:19:32.000 b members counted Chosen="t2" Group="g" Safe=true Token=4
+	//     ID="t2" Counted="stopped" Received="3/119"
+	//     ID="t3" AgoMs=12 Counted="left out, gone" Why="not registered"
+	// 14:19:32.200 b promotion ordered Answer="accepted" Group="g" Target="t2" Token=4
+}
+
+func ExampleRequestLog_Write_target() {
+	rl, err := reqlog.New(strings.NewReader(replacement), "t1")
+	if err != nil {
+		panic(err)
+	}
+	_ = rl.Write(os.Stdout)
+	// Output:
+	// 14:19:25.000 b promotion ordered Answer="accepted" Group="g" Target="t1" Token=3
+}
+
+// Views are numbered anew when a host restarts.
+func TestViewIsTheLastOneBeforeTheCommit(t *testing.T) {
+	is := is.New(t)
+	const restarted = `{"Time":"2026-05-25T14:19:10Z","Host":"a","Message":"group view","Group":"g","View":2,"Leader":"old"}
+{"Time":"2026-05-25T14:19:40Z","Host":"a","Message":"group view","Group":"g","View":2,"Leader":"late"}
+{"Time":"2026-05-25T14:19:29Z","Host":"b","Message":"group view","Group":"g","View":2,"Leader":"elsewhere"}
+`
+	rl, err := reqlog.New(strings.NewReader(restarted+replacement), "q1")
+	is.NoErr(err)
+	var text strings.Builder
+	is.NoErr(rl.Write(&text))
+	is.True(strings.Contains(text.String(), `Leader="t1" View=2`))
+	is.Equal(strings.Count(text.String(), "group view"), 1)
+}
+
 func TestUnknownRequest(t *testing.T) {
 	is := is.New(t)
 	rl, err := reqlog.New(strings.NewReader(lines), "q9")
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -129,6 +129,8 @@
 	group   *qgroup.Group
 	history *history
 	now     func() time.Duration
+	// log returns the log of a host that starts.
+	log     func(host int) *zap.Logger
 	hosts   []hostTables
 	network *network
 	// stopHosts holds a function for each host that ends it.
@@ -161,6 +163,7 @@
 	c := &testCluster{
 		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}},
 		history: &history{acknowledged: map[string][]ack{}, wantValues: map[string]map[string]string{}},
+		log:     func(int) *zap.Logger { return zap.NewNop() },
 	}
 	c.group.OnStatement = c.checkValues
 	c.store = lstore.New("g", c.group, now)
@@ -174,10 +177,10 @@
 
 // startHost starts one more host.
 func (c *testCluster) startHost(ctx context.Context) {
-	i, now := len(c.hosts), c.now
+	i, now, log := len(c.hosts), c.now, c.log(len(c.hosts))
 	ctx, stop := context.WithCancel(ctx)
 	c.stopHosts = append(c.stopHosts, stop)
-	rs := rset.New("g", zap.NewNop(), c.group.From(i), now, func(zone string) time.Duration {
+	rs := rset.New("g", log, c.group.From(i), now, func(zone string) time.Duration {
 		if zone == fmt.Sprintf("zone-%d", i) {
 			return 0
 		}
@@ -188,11 +191,11 @@
 	c.registrationsCut = append(c.registrationsCut, &atomic.Bool{})
 	registrations := &feed{group: c.group, replicaSet: rs}
 	go c.feedRegistrations(ctx, registrations, c.registrationsCut[i])
-	members := keeper.New("g", zap.NewNop(), c.store, rs, now)
+	members := keeper.New("g", log, c.store, rs, now)
 	go members.Run(ctx)
 	isolated := &atomic.Bool{}
 	c.isolated = append(c.isolated, isolated)
-	go promo.New(fmt.Sprintf("host-%d", i), zap.NewNop(), rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore),
+	go promo.New(fmt.Sprintf("host-%d", i), log, rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore),
 		promo.WithMembers(members.Refresh, members.Known), promo.WithClock(now),
 		promo.WithRegistrations(c.reader(registrations), func() bool { return true })).Run(ctx)
 }
