--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -331,6 +331,7 @@
 	}
 	rs.log.Info("leader changed", zap.String("Group", rs.Name), zap.String("From", rs.leader), zap.String("To", id), zap.String("Why", why))
 	rs.leader, rs.lostLeader = id, target.Target{}
+	rs.changeView()
 	for _, ts := range rs.states {
 		ts.lag = lag{}
 	}
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -119,6 +119,7 @@
 	// handovers.
 	nextLagHandover  time.Duration
 	lagHandoverPause time.Duration
+	view             view
 }
 
 // targetState is the state of one target of the group, as this host observed
@@ -271,6 +272,7 @@
 			return cn, err
 		})
 		rs.states[t.ID] = ts
+		delete(rs.view.removed, t.ID)
 		rs.log.Info("target added", zap.String("Group", rs.Name), zap.String("Target", t.ID), zap.String("Address", t.Address), zap.Uint64("Era", t.Revision.Era), zap.Uint64("Revision", t.Revision.Version))
 	}
 	switch {
@@ -283,6 +285,7 @@
 		ts.drainUntil = rs.now() + rs.drainTime
 	}
 	if !ts.target.Same(t) {
+		rs.changeView()
 		signal(rs.targetsChanged)
 	}
 	if ts.target.Leaving != t.Leaving {
@@ -297,6 +300,7 @@
 func (rs *ReplicaSet) removeTarget(id string, ts *targetState) {
 	ts.pool.Close()
 	delete(rs.states, id)
+	rs.noteRemoval(ts.target)
 	signal(rs.targetsChanged)
 	rs.log.Info("target removed", zap.String("Group", rs.Name), zap.String("Target", id))
 	if rs.leader == id {
