Go on asking members that are absent, and name no target that lacks what a demoted leader has

Callers lost acknowledged commits after a member had not been registered for member.ForgetAfter, 8 s: it was no member from then on, though it lived, received, and let the leader acknowledge.

Cause: "this member counts no more" was told from time. And an election in which all members were thought to be heard did not compare their logs with that of the leader that it had demoted.

A member that is not registered any more remains one until a later target has its address, or 10 minutes have passed; one that was leaving remains for 8 s. After 8 s it is absent: it is asked at each replacement, and not waited for. Where a member was left out that may have acknowledged commits, the next leader must have all entries of the demoted leader, or, if that could not be demoted, all commits that the hosts know to be acknowledged. A member that was leaving and is not registered is left out so, too, without waiting for 8 s. The former leader of a pending order is named again where it alone has acknowledged commits, and no target that is leaving, if the demoted leader can lead again. A leader that is not registered, found while none is known, is demoted and replaced.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -194,7 +194,7 @@
 			}
 			pause = minRetryPause
 			if k.Known().Missing() {
-				due.Reset(member.ForgetAfter)
+				due.Reset(member.AbsentAfter)
 			}
 		}
 	}
@@ -217,7 +217,7 @@
 	}
 	members := k.Known()
 	floor := k.group.Acknowledged().Floor
-	if len(members.Members()) == 0 || !members.Differs(read) && (!members.Missing() || floor == storedFloor) {
+	if len(members.Members()) == 0 || !members.Differs(read) && (!members.Incomplete() || floor == storedFloor) {
 		return nil
 	}
 	value := stored{Acknowledged: floor}
@@ -235,6 +235,6 @@
 	k.mu.Lock()
 	k.members = k.members.WithStored(at)
 	k.mu.Unlock()
-	k.log.Info("members written", zap.Int("Members", len(value.Members)), zap.Bool("Missing", members.Missing()))
+	k.log.Info("members written", zap.Int("Members", len(value.Members)), zap.Bool("Missing", members.Incomplete()))
 	return nil
 }
--- a/process/member/set.go
+++ b/process/member/set.go
@@ -12,9 +12,15 @@
 	"github.com/pistachiotray/pistachiotray/process/target"
 )
 
-// ForgetAfter is how long a target that is no longer registered remains a member: longer
-// than a restart takes, or a partition that hides the target from the store only.
-const ForgetAfter = 8 * time.Second
+// AbsentAfter is how long a target that is no longer registered must be heard before a
+// leader is replaced: longer than a restart takes, or a partition that hides the target from
+// the store only. After that it is absent: it may still have acknowledged commits, and
+// acknowledge more. A target that was leaving is no longer a member then.
+const AbsentAfter = 8 * time.Second
+
+// forgetAfter is how long an absent target remains a member. It bounds the number of members
+// where targets are lost for good and their addresses not used again.
+const forgetAfter = 10 * time.Minute
 
 // recordFor is how long a Set records a former member, so that the log of a replacement
 // names it.
@@ -70,8 +76,9 @@
 }
 
 // WithRegistered returns the Set as of a time by the store's clock, at which the given
-// targets are registered. Members that are not registered remain for ForgetAfter. A
-// target does not remain if a later one has its address, since its process has ended.
+// targets are registered. Members that are not registered remain for AbsentAfter if they
+// were leaving, and otherwise for forgetAfter. A target does not remain if a later one has
+// its address, since its process has ended.
 func (s Set) WithRegistered(targets []target.Target, now time.Duration) Set {
 	entries, former := maps.Clone(s.entries), maps.Clone(s.gone)
 	if entries == nil {
@@ -91,9 +98,11 @@
 		}
 		entries[t.ID] = entry{t, 0}
 	}
-	latest := map[string]int64{}
+	latest := map[string]entry{}
 	for _, e := range entries {
-		latest[e.target.Address] = max(latest[e.target.Address], e.target.Started)
+		if l, ok := latest[e.target.Address]; !ok || e.laterThan(l) {
+			latest[e.target.Address] = e
+		}
 	}
 	for id, e := range entries {
 		why := e.goneBecause(latest[e.target.Address], now)
@@ -114,13 +123,26 @@
 	return s
 }
 
+// laterThan reports whether the target of e started after that of o at the same address.
+// Clocks may go back, so that one that is registered is later than one that is not.
+func (e entry) laterThan(o entry) bool {
+	if (e.missingSince == 0) != (o.missingSince == 0) {
+		return e.missingSince == 0
+	}
+	return e.target.Started > o.target.Started
+}
+
 // goneBecause returns why the target is no longer a member at a time, or "" if it is one.
-// latest is the latest start of a target at its address.
-func (e entry) goneBecause(latest int64, now time.Duration) string {
+// latest is the target that started last at its address.
+func (e entry) goneBecause(latest entry, now time.Duration) string {
+	remains := forgetAfter
+	if e.target.Leaving {
+		remains = AbsentAfter
+	}
 	switch {
-	case e.target.Started < latest:
+	case latest.laterThan(e):
 		return gone.Replaced
-	case e.missingSince != 0 && now-e.missingSince >= ForgetAfter:
+	case e.missingSince != 0 && now-e.missingSince >= remains:
 		return gone.Unregistered
 	}
 	return ""
@@ -150,8 +172,24 @@
 	return s.entries[id].missingSince
 }
 
-// Missing reports whether any member is not registered.
+// Absent reports whether a member has not been registered for AbsentAfter.
+func (s Set) Absent(id string) bool {
+	since := s.entries[id].missingSince
+	return since != 0 && s.At-since >= AbsentAfter
+}
+
+// Missing reports whether any member is not registered, and not absent yet.
 func (s Set) Missing() bool {
+	for id, e := range s.entries {
+		if e.missingSince != 0 && !s.Absent(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Incomplete reports whether any member is not registered.
+func (s Set) Incomplete() bool {
 	for _, e := range s.entries {
 		if e.missingSince != 0 {
 			return true
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -76,19 +76,30 @@
 		// Other hosts stop using the leader before the others are heard once more.
 		known = p.gatherAcknowledged(ctx, leader.ID)
 	}
-	reports, complete := p.pauseReplicas(ctx, leader.ID)
+	polled := p.pauseReplicas(ctx, leader.ID)
+	reports := polled.reports
 	switch {
-	case complete:
-	case !demoted:
+	case polled.leads.ID != "" || demoted && polled.highest > last.Term:
+		p.log.Warn("another target has led since", zap.String("Target", polled.leads.ID), zap.Uint64("Term", polled.highest))
 		return report.Report{}, false
-	default:
+	case demoted && (!polled.complete || polled.leftOut):
 		// A target with all of the leader's entries has the acknowledged ones.
 		reports = slices.DeleteFunc(reports, func(r report.Report) bool { return !r.Received.AtLeast(last.Received) })
 		if len(reports) == 0 && p.pending.Token == 0 {
 			reports = append(reports, last)
 		}
+	case !polled.complete:
+		return report.Report{}, false
 	}
 	best, ok := mostReceived(reports, preferred)
-	p.log.Info("target elected", zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", complete))
+	if demoted && best.Leaving && !last.Leaving && p.pending.Token == 0 {
+		// A target that is leaving may end before the order is carried out.
+		best = last
+	}
+	if !best.Received.AtLeast(known.Floor) && polled.former.Received.AtLeast(known.Floor) {
+		// The former leader has acknowledged commits that are lost elsewhere.
+		best, ok = polled.former, true
+	}
+	p.log.Info("target elected", zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", polled.complete), zap.Bool("LeftOut", polled.leftOut))
 	return best, ok && p.hasAcknowledged(best, known)
 }
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -17,89 +17,123 @@
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
-// pauseReplicas orders all targets except the given ones to stop receiving log
-// entries, until all of them have stopped or the context ends. It returns the
-// reports of those that stopped. The result complete is false if any did not,
-// including members that are not registered. The log of one that left is gone, so that
-// it is not waited for once its process has ended. The target that a pending order
-// replaces is left out if the reports show that no other has led since: what it received
-// alone was never acknowledged.
-func (p *Promoter) pauseReplicas(ctx context.Context, except ...string) (reports []report.Report, complete bool) {
+// poll is the outcome of an attempt to stop the members of a group.
+type poll struct {
+	// reports are those of the members that stopped, without the former leader's.
+	reports []report.Report
+	// former is the report of the target that a pending order replaces, if it stopped. What
+	// it received alone was never acknowledged, unless others are missing.
+	former report.Report
+	// complete is set if all members have stopped or ended, apart from those left out.
+	complete bool
+	// leftOut is set if a member was not heard that may have acknowledged commits.
+	leftOut bool
+	// leads is another member that reports to lead. Its ID is empty if there is none.
+	leads target.Target
+	// highest is the highest term that any member reported.
+	highest uint64
+}
+
+// outcome is the answer of one member to an order.
+type outcome struct {
+	target target.Target
+	report report.Report
+	err    error
+}
+
+// pauseReplicas orders all members except the given one to stop receiving log entries, until
+// all of them have stopped, another one is found to lead, or the context ends. A member that
+// was leaving is not waited for once it is not registered any more, since its log goes with
+// it, nor one that is absent.
+func (p *Promoter) pauseReplicas(ctx context.Context, except ...string) poll {
 	term := p.group.Term() + 1
 	for {
-		var highest uint64
-		reports, complete, highest = p.pauseOnce(ctx, except, term)
-		if complete || ctx.Err() != nil {
-			return reports, complete
+		polled := p.pauseOnce(ctx, except, term)
+		if polled.complete || polled.leads.ID != "" || ctx.Err() != nil {
+			return polled
 		}
-		term = max(term, highest+1)
+		term = max(term, polled.highest+1)
 		sleep.For(ctx, checkPause)
 	}
 }
 
-// pauseOnce orders each target except the given ones once to stop receiving log
-// entries, with the given term. It returns the reports of the targets that
-// stopped, and whether all targets of the group did. It also returns the
-// highest term that any target reported, since a target ignores an order with a
-// term that it has already reached.
-func (p *Promoter) pauseOnce(ctx context.Context, except []string, term uint64) ([]report.Report, bool, uint64) {
-	type outcome struct {
-		target target.Target
-		report report.Report
-		err    error
-	}
+// pauseOnce orders each member except the given ones once to stop receiving log entries,
+// with the given term. A member ignores an order with a term that it has already reached.
+func (p *Promoter) pauseOnce(ctx context.Context, except []string, term uint64) poll {
 	members := p.members()
 	p.tally.members = members
-	targets := members.Members()
+	targets := slices.DeleteFunc(members.Members(), func(t target.Target) bool { return slices.Contains(except, t.ID) })
 	results := make(chan outcome, len(targets))
-	pause := withTerm(stmt.Pause, term)
-	asked := 0
 	for _, t := range targets {
-		if slices.Contains(except, t.ID) {
-			continue
-		}
-		asked++
 		go func() {
-			ctx, stop := context.WithTimeout(ctx, stepTimeout)
+			limit := stepTimeout
+			if members.Absent(t.ID) {
+				limit = absentTimeout
+			}
+			ctx, stop := context.WithTimeout(ctx, limit)
 			defer stop()
-			r, err := p.report(ctx, members, t, pause)
+			r, err := p.report(ctx, members, t, withTerm(stmt.Pause, term))
 			results <- outcome{t, r, err}
 		}()
 	}
 	var outcomes []outcome
-	var highest uint64
-	for range asked {
+	var polled poll
+	for range targets {
 		o := <-results
 		outcomes = append(outcomes, o)
-		highest = max(highest, o.report.Term)
+		polled.highest = max(polled.highest, o.report.Term)
 	}
 	former := p.pending.Former
-	if highest != p.pending.FormerTerm {
+	if polled.highest != p.pending.FormerTerm {
+		// Another target has led since.
 		former = ""
 	}
-	var reports []report.Report
-	stopped := 0
+	settled := 0
 	for _, o := range outcomes {
-		switch {
-		case o.target.ID == former:
-			stopped++
-			p.count(o.target, countedFormer, o.report, o.err)
-		case o.target.Leaving && members.MissingSince(o.target.ID) != 0 && hasEnded(o.err):
-			stopped++
-			p.count(o.target, countedEnded, o.report, o.err)
-		case o.err != nil:
-			if p.count(o.target, countedNotHeard, o.report, o.err) {
-				p.log.Info("target not paused", zap.String("Target", o.target.ID), zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
+		counted := p.classify(members, o, former, term)
+		switch counted {
+		case countedStopped:
+			polled.reports = append(polled.reports, o.report)
+		case countedFormer:
+			if o.err == nil && o.report.Held >= term {
+				polled.former = o.report
 			}
-		case o.report.Held >= term:
-			stopped++
-			reports = append(reports, o.report)
-			p.count(o.target, countedStopped, o.report, nil)
-		case p.count(o.target, countedReceives, o.report, nil):
-			p.log.Info("target did not stop receiving", zap.Uint64("Term", term), zap.Any("Report", o.report))
+		case countedLeft, countedAbsent:
+			polled.leftOut = true
+		case countedReceives, countedNotHeard:
+			settled--
+		case countedLeads:
+			settled--
+			polled.leads = o.target
+		}
+		settled++
+		if p.count(o.target, counted, o.report, o.err) && counted == countedNotHeard {
+			p.log.Info("target not paused", zap.String("Target", o.target.ID), zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
 		}
 	}
-	return reports, stopped == asked && asked > 0, highest
+	polled.complete = settled == len(targets) && len(targets) > 0
+	return polled
+}
+
+// classify returns how the answer of a member to an order to stop counts.
+func (p *Promoter) classify(members member.Set, o outcome, former string, term uint64) string {
+	switch {
+	case o.target.ID == former:
+		return countedFormer
+	case o.err == nil && o.report.Primary:
+		return countedLeads
+	case o.err == nil && o.report.Held >= term:
+		return countedStopped
+	case o.err == nil:
+		return countedReceives
+	case o.target.Leaving && members.MissingSince(o.target.ID) != 0 && hasEnded(o.err):
+		return countedEnded
+	case o.target.Leaving && members.MissingSince(o.target.ID) != 0:
+		return countedLeft
+	case members.Absent(o.target.ID):
+		return countedAbsent
+	}
+	return countedNotHeard
 }
 
 // report runs a command at a member and returns its report. A member that is not
--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -38,15 +38,15 @@
 	if !ok || !p.holds() {
 		return report.Report{}, false
 	}
-	reports, complete := p.pauseReplicas(preparing, leader.ID, next.ID)
-	if !complete {
+	polled := p.pauseReplicas(preparing, leader.ID, next.ID)
+	if !polled.complete {
 		return report.Report{}, false
 	}
 	for preparing.Err() == nil && p.holds() {
 		r, err := p.group.Report(preparing, next, stmt.New(stmt.ProxyID, stmt.Resume, ""))
 		p.count(next, countedSuccessor, r, err)
-		if err == nil && receivedAll(r, reports) {
-			p.log.Info("handover ready", zap.Any("Heir", r), zap.Any("Others", reports))
+		if err == nil && receivedAll(r, polled.reports) {
+			p.log.Info("handover ready", zap.Any("Heir", r), zap.Any("Others", polled.reports))
 			return p.elect(ctx, leader, next.ID)
 		}
 		sleep.For(preparing, checkPause)
@@ -145,12 +145,21 @@
 func (p *Promoter) takeover(ctx context.Context, leader target.Target, ordered, why string) (report.Report, bool) {
 	preparing, stop := context.WithTimeout(ctx, prepareTimeout)
 	defer stop()
-	reports, complete := p.pauseReplicas(preparing, leader.ID)
-	if !complete {
+	polled := p.pauseReplicas(preparing, leader.ID)
+	switch t := polled.leads; {
+	case t.ID == "":
+	case p.members().MissingSince(t.ID) == 0:
+		p.group.SetLeader(t.ID, "reports to lead")
+	case leader.ID == "":
+		// Hosts can't use a leader that is not registered.
+		leader = t
+		polled = p.pauseReplicas(preparing, leader.ID)
+	}
+	if !polled.complete {
 		return report.Report{}, false
 	}
-	best, ok := mostReceived(reports, ordered)
-	p.log.Info("takeover ready", zap.Any("Reports", reports), zap.String("Chosen", best.Member))
+	best, ok := mostReceived(polled.reports, ordered)
+	p.log.Info("takeover ready", zap.Any("Reports", polled.reports), zap.String("Chosen", best.Member))
 	// A leader that still answers is not replaced by a target that is leaving.
 	if !ok || why == rset.LeaderStalled && best.Leaving {
 		return report.Report{}, false
