--- a/standin/lstore/leasestore.go
+++ b/standin/lstore/leasestore.go
@@ -41,6 +41,7 @@
 	// rows holds the rows of other tables by table and key, and copiedRows their copy.
 	rows, copiedRows map[[2]string]record.Row
 	reads            int
+	readTime         time.Duration
 	// holders holds the holder that sent each fencing token, and shared the tokens
 	// that two holders sent.
 	holders map[uint64]string
@@ -70,6 +71,20 @@
 	return s.down
 }
 
+// Lease returns the lease as stored, also while the store is down.
+func (s *LeaseStore) Lease() lease.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
+// SetReadTime sets the time that Read and Get take.
+func (s *LeaseStore) SetReadTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readTime = d
+}
+
 // Copy makes the copy of the lease to which Restore returns.
 func (s *LeaseStore) Copy() {
 	s.mu.Lock()
@@ -128,8 +143,17 @@
 	return s.reads
 }
 
+// awaitRead waits for the time that a read takes.
+func (s *LeaseStore) awaitRead() {
+	s.mu.Lock()
+	d := s.readTime
+	s.mu.Unlock()
+	time.Sleep(d)
+}
+
 // Read returns the lease and the time of the store's clock.
 func (s *LeaseStore) Read(_ context.Context, _ string) (lease.Lease, time.Duration, error) {
+	s.awaitRead()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -176,6 +200,7 @@
 
 // Get returns a row of another table and the time of the store's clock.
 func (s *LeaseStore) Get(_ context.Context, table, key string) (record.Row, time.Duration, error) {
+	s.awaitRead()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
