--- a/standin/qgroup/fault.go
+++ b/standin/qgroup/fault.go
@@ -79,6 +79,17 @@
 	g.members[i].notify()
 }
 
+// SetRefusing sets whether a member refuses new connections of a host, or of every host
+// with AllHosts. The member still replicates, and serves the connections that are open.
+func (g *Group) SetRefusing(i, host int, refusing bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.members[i].refusedTo == nil {
+		g.members[i].refusedTo = map[int]bool{}
+	}
+	g.members[i].refusedTo[host] = refusing
+}
+
 // SetStatementTime sets the time that each read, write and commit takes.
 func (g *Group) SetStatementTime(d time.Duration) {
 	g.mu.Lock()
--- a/standin/qgroup/group.go
+++ b/standin/qgroup/group.go
@@ -99,6 +99,9 @@
 	// partitionedFrom has true for each host that can't reach the member, or
 	// for AllHosts if no host can.
 	partitionedFrom map[int]bool
+	// refusedTo has true for each host whose new connections the member refuses, or
+	// for AllHosts if it refuses all.
+	refusedTo map[int]bool
 	// connections is the number of open connections to the member.
 	connections int
 	// changed is closed and replaced after a change for which statements at the
--- a/standin/qgroup/network_test.go
+++ b/standin/qgroup/network_test.go
@@ -19,6 +19,8 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	// isolated has true for each host that can't be connected to.
+	isolated map[string]bool
 	// conns are the ends of all connections opened.
 	conns []net.Conn
 }
@@ -48,7 +50,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l, ok := n.listeners[h.Host]
-	if !ok {
+	if !ok || n.isolated[h.Host] {
 		return nil, errors.New("refused")
 	}
 	near, far := net.Pipe()
@@ -67,6 +69,13 @@
 	go relay.New(zap.NewNop(), tables, nil).Serve(l)
 }
 
+// setIsolated sets whether other hosts can't connect to host i. Open connections remain.
+func (n *network) setIsolated(i int, isolated bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[hostInfo(i).Host] = isolated
+}
+
 // close closes all connections and stops the hosts' relays.
 func (n *network) close() {
 	n.mu.Lock()
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -159,7 +159,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Hour + time.Since(began) }
 	c := &testCluster{
-		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}},
+		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}, isolated: map[string]bool{}},
 		history: &history{acknowledged: map[string][]ack{}, wantValues: map[string]map[string]string{}},
 	}
 	c.group.OnStatement = c.checkValues
--- a/standin/qgroup/view.go
+++ b/standin/qgroup/view.go
@@ -32,6 +32,12 @@
 	return m.silent || m.partitionedFrom[host] || m.partitionedFrom[AllHosts]
 }
 
+// refuses reports whether a member refuses a host's new connections; the caller holds the
+// group's lock.
+func (m *member) refuses(host int) bool {
+	return !m.up || m.refusedTo[host] || m.refusedTo[AllHosts]
+}
+
 // Open opens a connection to a member.
 func (v *view) Open(ctx context.Context, t target.Target) (*conn.Conn, error) {
 	c, err := v.Connect(ctx, t)
@@ -59,7 +65,7 @@
 	defer g.mu.Unlock()
 	m := g.memberByID(t.ID)
 	switch {
-	case m == nil || !m.up:
+	case m == nil || m.refuses(v.host):
 		return nil, syscall.ECONNREFUSED
 	case m.connections >= g.connectionLimit:
 		return nil, conns.ErrTargetFull
@@ -69,12 +75,12 @@
 }
 
 // Reach returns an error if the host can't connect to a member: after the connect
-// timeout if the member does not answer, at once if it is down.
+// timeout if the member does not answer, at once if it refuses connections.
 func (v *view) Reach(ctx context.Context, t target.Target) error {
 	v.group.mu.Lock()
 	m := v.group.memberByID(t.ID)
 	unreachable := m != nil && m.unreachableFrom(v.host)
-	up := m != nil && m.up
+	refused := m == nil || m.refuses(v.host)
 	v.group.mu.Unlock()
 	if unreachable {
 		if err := sleep(ctx, connectTimeout); err != nil {
@@ -82,7 +88,7 @@
 		}
 		return os.ErrDeadlineExceeded
 	}
-	if !up {
+	if refused {
 		return syscall.ECONNREFUSED
 	}
 	return nil
