--- a/standin/qgroup/network_test.go
+++ b/standin/qgroup/network_test.go
@@ -19,21 +19,10 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	// isolated has true for each host that can't be connected to.
+	isolated map[string]bool
 	// conns are the ends of all connections opened.
 	conns []net.Conn
-	// separated is set while no host reaches another one.
-	separated bool
-}
-
-// setSeparated sets whether no host reaches another one.
-func (n *network) setSeparated(separated bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.separated = separated
-	for _, c := range n.conns {
-		_ = c.Close()
-	}
-	n.conns = nil
 }
 
 // listener accepts the connections of other hosts to one host.
@@ -61,7 +50,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l, ok := n.listeners[h.Host]
-	if !ok || n.separated {
+	if !ok || n.isolated[h.Host] {
 		return nil, errors.New("refused")
 	}
 	near, far := net.Pipe()
@@ -80,6 +69,18 @@
 	go relay.New(zap.NewNop(), tables, nil).Serve(l)
 }
 
+// setIsolated sets whether other hosts can't connect to host i, and closes all connections
+// between hosts.
+func (n *network) setIsolated(i int, isolated bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[hostInfo(i).Host] = isolated
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+	n.conns = nil
+}
+
 // close closes all connections and stops the hosts' relays.
 func (n *network) close() {
 	n.mu.Lock()
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -161,7 +161,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Hour + time.Since(began) }
 	c := &testCluster{
-		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}},
+		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}, isolated: map[string]bool{}},
 		history: &history{acknowledged: map[string][]ack{}, wantValues: map[string]map[string]string{}},
 		log:     func(int) *zap.Logger { return zap.NewNop() },
 	}
@@ -578,11 +578,15 @@
 func (c *testCluster) injectSeparatedHosts(random *rand.Rand) {
 	for c.ctx.Err() == nil {
 		leader := max(c.group.Leader(), 0)
-		c.network.setSeparated(true)
+		for i := range c.hosts {
+			c.network.setIsolated(i, true)
+		}
 		c.group.SetPartitioned(leader, 0, true)
 		time.Sleep(time.Duration(1500+random.IntN(1500)) * time.Millisecond)
 		c.group.SetPartitioned(leader, 0, false)
-		c.network.setSeparated(false)
+		for i := range c.hosts {
+			c.network.setIsolated(i, false)
+		}
 		time.Sleep(time.Second)
 	}
 }
@@ -626,6 +630,11 @@
 
 // runFaultsWithHosts is like runFaults, with the given number of hosts.
 func runFaultsWithHosts(t *testing.T, hosts int, seed uint64, inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
+	return runFaultsFor(t, runTime, hosts, seed, inject, options...)
+}
+
+// runFaultsFor is like runFaultsWithHosts, with the given duration.
+func runFaultsFor(t *testing.T, d time.Duration, hosts int, seed uint64, inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		runCtx, endRun := context.WithCancel(ctx)
@@ -638,7 +647,7 @@
 			done.Go(c.newSession(i, rand.New(rand.NewPCG(seed, uint64(i)))).play)
 		}
 		done.Go(func() { inject(c, rand.New(rand.NewPCG(seed, 100))) })
-		time.Sleep(runTime)
+		time.Sleep(d)
 		endRun()
 		done.Wait()
 		time.Sleep(settleTime)
