Wait for absent members whose addresses are silent, and ask other hosts about them

Callers of a host on the same side of a partition as the leader and a replica, cut from the store and from the other hosts, lost what was acknowledged to them once the replica counted no more.

Cause: 8 s without a registration were taken as the end of a member, also of one that is silent, as a member behind a partition is. Now a silent one is waited for, for a minute: longer than partitions usually last. A leader or member without a registration is reached through other hosts, too. A host that is told that its leader is about to be replaced closes its connections to it, so that nothing sent before is acknowledged to callers any more.

--- a/process/member/set.go
+++ b/process/member/set.go
@@ -13,11 +13,15 @@
 )
 
 // AbsentAfter is how long a target that is no longer registered must be heard before a
-// leader is replaced: longer than a restart takes, or a partition that hides the target from
-// the store only. After that it is absent: it may still have acknowledged commits, and
-// acknowledge more. A target that was leaving is no longer a member then.
+// leader is replaced, even if nothing listens at its address: longer than a restart takes. It
+// may still come back with commits that nobody else has. A target that was leaving is no
+// longer a member then.
 const AbsentAfter = 8 * time.Second
 
+// LostAfter is the same for a target whose address is silent. It may go on acknowledging
+// commits behind a partition, so that this is longer than partitions usually last.
+const LostAfter = time.Minute
+
 // forgetAfter is how long an absent target remains a member. It bounds the number of members
 // where targets are lost for good and their addresses not used again.
 const forgetAfter = 10 * time.Minute
@@ -178,6 +182,12 @@
 	return since != 0 && s.At-since >= AbsentAfter
 }
 
+// Lost reports whether a member has not been registered for LostAfter.
+func (s Set) Lost(id string) bool {
+	since := s.entries[id].missingSince
+	return since != 0 && s.At-since >= LostAfter
+}
+
 // Missing reports whether any member is not registered, and not absent yet.
 func (s Set) Missing() bool {
 	for id, e := range s.entries {
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -34,16 +34,17 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, demoteTimeout)
 	defer stop()
-	ask := p.group.ReportFromAny
+	own := p.group.Report
 	if p.members().MissingSince(leader.ID) != 0 {
-		ask = p.group.ReportUnregistered
+		own = p.group.ReportUnregistered
 	}
-	before, err := ask(ctx, leader, withTerm(stmt.Pause, p.group.Term()+1))
+	ask := func(s stmt.Stmt) (report.Report, error) { return p.group.ReportFromAny(ctx, leader, s, own) }
+	before, err := ask(withTerm(stmt.Pause, p.group.Term()+1))
 	if err != nil || !before.Primary {
 		p.log.Info("leader not demoted", zap.String("Target", leader.ID), zap.Any("Report", before), zap.Bool("Asked", err == nil), zap.NamedError("Error", err))
 		return report.Report{}, false
 	}
-	after, err := ask(ctx, leader, withTerm(stmt.Demote, before.Term+1))
+	after, err := ask(withTerm(stmt.Demote, before.Term+1))
 	// If the term has changed, another target leads, and has entries that this one lacks.
 	if err != nil || after.Primary || after.Term != before.Term {
 		p.log.Warn("leader not demoted", zap.String("Target", leader.ID), zap.Any("Before", before), zap.Any("Report", after), zap.NamedError("Error", err))
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -44,7 +44,7 @@
 // pauseReplicas orders all members except the given one to stop receiving log entries, until
 // all of them have stopped, another one is found to lead, or the context ends. A member that
 // was leaving is not waited for once it is not registered any more, since its log goes with
-// it, nor one that is absent.
+// it, nor one that is absent and refuses connections, or is lost.
 func (p *Promoter) pauseReplicas(ctx context.Context, except ...string) poll {
 	term := p.group.Term() + 1
 	for {
@@ -130,7 +130,7 @@
 		return countedEnded
 	case o.target.Leaving && members.MissingSince(o.target.ID) != 0:
 		return countedLeft
-	case members.Absent(o.target.ID):
+	case members.Absent(o.target.ID) && hasEnded(o.err), members.Lost(o.target.ID):
 		return countedAbsent
 	}
 	return countedNotHeard
@@ -142,7 +142,7 @@
 	if members.MissingSince(t.ID) == 0 {
 		return p.group.Report(ctx, t, s)
 	}
-	r, err := p.group.ReportUnregistered(ctx, t, s)
+	r, err := p.group.ReportFromAny(ctx, t, s, p.group.ReportUnregistered)
 	return r.WithLeaving(true), err
 }
 
--- a/process/rset/commits.go
+++ b/process/rset/commits.go
@@ -1,13 +1,10 @@
 package rset
 
 import (
-	"cmp"
 	"context"
-	"slices"
 
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/process/acked"
-	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -57,7 +54,7 @@
 		err   error
 	}
 	rs.AnnounceReplacement(leader)
-	hosts := rs.peers()
+	hosts := rs.otherHosts("")
 	answers := make(chan answer, len(hosts))
 	for _, h := range hosts {
 		go func() {
@@ -78,13 +75,3 @@
 	}
 	return rs.Acknowledged(), len(hosts), answered
 }
-
-// peers returns the other live hosts that connect to any target of the group.
-func (rs *ReplicaSet) peers() []gossip.HostInfo {
-	var all []gossip.HostInfo
-	for _, t := range rs.Targets() {
-		all = append(all, rs.otherHosts(t.ID)...)
-	}
-	slices.SortFunc(all, func(a, b gossip.HostInfo) int { return cmp.Compare(a.Host, b.Host) })
-	return slices.CompactFunc(all, func(a, b gossip.HostInfo) bool { return a.Host == b.Host })
-}
--- a/process/rset/doubt.go
+++ b/process/rset/doubt.go
@@ -11,6 +11,10 @@
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
+// errReplaced is returned to calls that wait for a connection to a leader that is about to be
+// replaced.
+var errReplaced = errors.New("the leader is about to be replaced")
+
 // doubt is the state of a leader that may be being replaced, while it may serve again.
 type doubt struct {
 	// count is the number of reasons for a doubt so far.
@@ -21,8 +25,9 @@
 	announced time.Duration
 }
 
-// AnnounceReplacement records that a host is about to replace a target that may lead. No
-// commit is sent to that target until it is known whether the replacement goes on.
+// AnnounceReplacement records that a host is about to replace a target that may lead. It
+// closes the connections to that target, and no commit is sent to it until it is known whether
+// the replacement goes on.
 func (rs *ReplicaSet) AnnounceReplacement(id string) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
@@ -32,6 +37,15 @@
 	rs.doubt.announced = rs.now()
 	rs.doubtLeader("replacement announced")
 	rs.raiseAlarm()
+	ts, ok := rs.states[id]
+	if !ok {
+		return
+	}
+	// Commits that were sent to it before must not be acknowledged to callers any more.
+	ts.pool.Abort(errReplaced)
+	if rs.borrower != nil {
+		rs.borrower.Abort(id)
+	}
 }
 
 // doubtLeader lets no commit be sent to the leader until TrustLeader is called; the caller
