Keep the times of missing members by one clock

On hosts that had not read the row of members yet, a member was noted as missing by the host's clock, and judged later by the store's.

Cause: the offset of the clocks was known only after the first read of the row, and 0 until then. Times are kept by the host's clock now, and converted where the row is read and written. TestMemberIsMissingByOneClock failed before (2h0m1s for 1 s).

--- a/process/gone/member.go
+++ b/process/gone/member.go
@@ -25,7 +25,7 @@
 	Why string
 	// MissingSince is when its registration was found missing, 0 if it was registered.
 	MissingSince time.Duration
-	// At is when it was dropped. Both times are by the store's clock.
+	// At is when it was dropped. Both times are by this host's clock.
 	At time.Duration
 }
 
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -3,6 +3,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -93,10 +94,9 @@
 	store table
 	group group
 	now   func() time.Duration
-	// mu guards the fields below. ahead is how much the store's clock is ahead of now.
+	// mu guards the fields below. Times of members are by the clock now.
 	mu      sync.Mutex
 	members member.Set
-	ahead   time.Duration
 }
 
 // New returns the Keeper of the named group. The clock now includes time when the machine
@@ -110,7 +110,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	before := k.members.Gone()
-	k.members = k.members.WithRegistered(k.group.Targets(), k.now()+k.ahead)
+	k.members = k.members.WithRegistered(k.group.Targets(), k.now())
 	for _, m := range k.members.Gone() {
 		if !slices.Contains(before, m) {
 			k.log.Info("member dropped", zap.String("Target", m.Target.ID), zap.String("Address", m.Target.Address), zap.Int64("Started", m.Target.Started),
@@ -122,49 +122,61 @@
 
 // Refresh reads the members from the store.
 func (k *Keeper) Refresh(ctx context.Context) error {
-	_, _, err := k.refresh(ctx)
+	_, err := k.refresh(ctx)
 	return err
 }
 
-// refresh reads the members from the store and returns them, and the position that is stored
-// with them.
-func (k *Keeper) refresh(ctx context.Context) (member.Set, mark.Mark, error) {
-	r, now, err := k.store.Get(ctx, Table, k.name)
+// row is the group's row as it was read.
+type row struct {
+	members member.Set
+	floor   mark.Mark
+	// ahead is how much the store's clock is ahead of this host's.
+	ahead time.Duration
+}
+
+// refresh reads the members from the store and returns the row.
+func (k *Keeper) refresh(ctx context.Context) (row, error) {
+	stored, now, err := k.store.Get(ctx, Table, k.name)
 	if err != nil {
-		return member.Set{}, mark.Mark{}, errors.Wrap(err, "read members")
+		return row{}, errors.Wrap(err, "read members")
 	}
-	read, floor, err := k.decode(r)
+	r, err := k.decode(stored, now-k.now())
 	if err != nil {
 		// The registered targets count, and the row is written anew.
-		k.log.Error("members can't be decoded", zap.Uint64("Version", r.Version), zap.String("Error", err.Error()))
+		k.log.Error("members can't be decoded", zap.Uint64("Version", stored.Version), zap.String("Error", err.Error()))
 	}
-	k.group.LearnAcknowledged(floor)
+	k.group.LearnAcknowledged(r.floor)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	// What this host saw of a member counts more than the row, which may not have been
 	// written since, or be that of a restored store.
-	merged := read.WithGone(k.members)
+	merged := r.members.WithGone(k.members)
 	for _, t := range k.members.Members() {
 		merged = merged.WithMember(t, k.members.MissingSince(t.ID))
 	}
-	k.members, k.ahead = merged, now-k.now()
-	return read, floor, nil
+	k.members = merged
+	return r, nil
 }
 
-func (k *Keeper) decode(r record.Row) (member.Set, mark.Mark, error) {
-	s := member.New(k.name).WithStored(r.Stamp())
-	if r.Version == 0 {
-		return s, mark.Mark{}, nil
+// decode decodes the group's row. It converts the store's times to this host's.
+func (k *Keeper) decode(s record.Row, ahead time.Duration) (row, error) {
+	r := row{members: member.New(k.name).WithStored(s.Stamp()), ahead: ahead}
+	if s.Version == 0 {
+		return r, nil
 	}
 	var value stored
-	if err := json.Unmarshal(r.Value, &value); err != nil {
-		return s, mark.Mark{}, errors.Wrap(err, "decode members")
+	if err := json.Unmarshal(s.Value, &value); err != nil {
+		return r, errors.Wrap(err, "decode members")
 	}
+	r.floor = value.Acknowledged
 	for _, m := range value.Members {
-		t := target.New(m.ID, k.name, m.Address, m.Zone).WithStarted(m.Started).WithLeaving(m.Leaving)
-		s = s.WithMember(t, time.Duration(m.MissingMs)*time.Millisecond)
+		var since time.Duration
+		if m.MissingMs != 0 {
+			since = cmp.Or(time.Duration(m.MissingMs)*time.Millisecond-ahead, 1)
+		}
+		r.members = r.members.WithMember(target.New(m.ID, k.name, m.Address, m.Zone).WithStarted(m.Started).WithLeaving(m.Leaving), since)
 	}
-	return s, value.Acknowledged, nil
+	return r, nil
 }
 
 // Run writes changes of the members to the store until the context ends, if this host is
@@ -211,24 +223,28 @@
 func (k *Keeper) write(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	read, storedFloor, err := k.refresh(ctx)
+	read, err := k.refresh(ctx)
 	if err != nil {
 		return err
 	}
 	members := k.Known()
 	floor := k.group.Acknowledged().Floor
-	if len(members.Members()) == 0 || !members.Differs(read) && (!members.Incomplete() || floor == storedFloor) {
+	if len(members.Members()) == 0 || !members.Differs(read.members) && (!members.Incomplete() || floor == read.floor) {
 		return nil
 	}
 	value := stored{Acknowledged: floor}
 	for _, t := range members.Members() {
-		value.Members = append(value.Members, storedMember{t.ID, t.Address, t.Zone, t.Started, t.Leaving, members.MissingSince(t.ID).Milliseconds()})
+		var missing int64
+		if since := members.MissingSince(t.ID); since != 0 {
+			missing = max((since + read.ahead).Milliseconds(), 1)
+		}
+		value.Members = append(value.Members, storedMember{t.ID, t.Address, t.Zone, t.Started, t.Leaving, missing})
 	}
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return errors.Wrap(err, "encode members")
 	}
-	at, err := k.store.CompareAndSwap(ctx, Table, record.New(k.name, encoded).WithVersion(read.Stored.Version))
+	at, err := k.store.CompareAndSwap(ctx, Table, record.New(k.name, encoded).WithVersion(read.members.Stored.Version))
 	if err != nil {
 		return errors.Wrap(err, "write members")
 	}
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -156,3 +156,34 @@
 		is.Equal(started.acked.Floor, mark.New(1, 7))
 	})
 }
+
+// A member must not count as missing since long ago because the clocks of the host and the
+// store differ.
+func TestMemberIsMissingByOneClock(t *testing.T) {
+	for _, hostAhead := range []time.Duration{-time.Hour, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			began := time.Now()
+			storeNow := func() time.Duration { return 2*time.Hour + time.Since(began) }
+			hostNow := func() time.Duration { return storeNow() + hostAhead }
+			s := lstore.New("g", nil, storeNow)
+			g := &registrations{targets: []target.Target{first, second}, changed: make(chan struct{}, 1)}
+			k := keeper.New("g", zap.NewNop(), s, g, hostNow)
+			k.Known()
+			g.targets = g.targets[:1]
+			k.Known()
+			time.Sleep(time.Second)
+			is.NoErr(k.Refresh(ctx))
+			is.Equal(k.Known().At-k.Known().MissingSince(second.ID), time.Second)
+			go k.Run(ctx)
+			time.Sleep(5 * time.Second)
+			g.changed <- struct{}{}
+			time.Sleep(5 * time.Second)
+			other := keeper.New("g", zap.NewNop(), s, &registrations{targets: g.targets, changed: make(chan struct{})}, storeNow)
+			is.NoErr(other.Refresh(ctx))
+			is.Equal(other.Known().At-other.Known().MissingSince(second.ID), 11*time.Second)
+		})
+	}
+}
--- a/process/member/set.go
+++ b/process/member/set.go
@@ -44,7 +44,7 @@
 	Group string
 	// Stored is the position of the stored row, zero if the Set was never stored.
 	Stored stamp.Stamp
-	// At is the time of the last WithRegistered, by the store's clock.
+	// At is the time of the last WithRegistered, by this host's clock.
 	At      time.Duration
 	entries map[string]entry
 	// gone holds the former members by ID.
@@ -63,7 +63,7 @@
 }
 
 // WithMember returns the Set with a member added or replaced. missingSince is when its
-// registration was found missing, by the store's clock, and 0 if it is registered.
+// registration was found missing, by this host's clock, and 0 if it is registered.
 func (s Set) WithMember(t target.Target, missingSince time.Duration) Set {
 	s.entries = maps.Clone(s.entries)
 	if s.entries == nil {
@@ -79,7 +79,7 @@
 	return s
 }
 
-// WithRegistered returns the Set as of a time by the store's clock, at which the given
+// WithRegistered returns the Set as of a time by this host's clock, at which the given
 // targets are registered. Members that are not registered remain for AbsentAfter if they
 // were leaving, and otherwise for forgetAfter. A target does not remain if a later one has
 // its address, since its process has ended.
