Wait for acknowledged commits only while a member may come back with them

A group whose last commits nobody has any more, since all members that had them were replaced or restarted empty, had no leader for good with the fence against missing commits. It waits while a member that was not heard may return, at most member.LostAfter, then it serves with what is left and logs an error.

A leader that has registered again after it was lost is asked like any other member.

--- a/process/member/set.go
+++ b/process/member/set.go
@@ -31,7 +31,7 @@
 const recordFor = 5 * time.Minute
 
 // entry is one member. missingSince is when its registration was found missing, by the
-// store's clock, and 0 while it is registered.
+// clock of this host, and 0 while it is registered.
 type entry struct {
 	target       target.Target
 	missingSince time.Duration
--- a/process/promo/commits.go
+++ b/process/promo/commits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -30,3 +31,16 @@
 	p.log.Error("no target has all acknowledged commits", zap.String("Target", r.Member), zap.Stringer("Received", r.Received), zap.Stringer("Floor", known.Floor))
 	return false
 }
+
+// mayReturn reports whether a member that was not heard may come back with commits that the
+// others lack.
+func (p *Promoter) mayReturn(heard []string) bool {
+	members := p.members()
+	for _, t := range members.Members() {
+		if !slices.Contains(heard, t.ID) && !members.Lost(t.ID) {
+			return true
+		}
+	}
+	p.log.Error("acknowledged commits are lost with the members that had them")
+	return false
+}
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -102,5 +102,8 @@
 		best, ok = polled.former, true
 	}
 	p.log.Info("target elected", zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", polled.complete), zap.Bool("LeftOut", polled.leftOut))
-	return best, ok && p.hasAcknowledged(best, known)
+	if demoted {
+		polled.heard = append(polled.heard, leader.ID)
+	}
+	return best, ok && (p.hasAcknowledged(best, known) || !p.mayReturn(polled.heard))
 }
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -24,6 +24,8 @@
 	// former is the report of the target that a pending order replaces, if it stopped. What
 	// it received alone was never acknowledged, unless others are missing.
 	former report.Report
+	// heard are the IDs of the members that stopped, the former leader included.
+	heard []string
 	// complete is set if all members have stopped or ended, apart from those left out.
 	complete bool
 	// leftOut is set if a member was not heard that may have acknowledged commits.
@@ -90,6 +92,9 @@
 	}
 	settled := 0
 	for _, o := range outcomes {
+		if o.err == nil && o.report.Held >= term {
+			polled.heard = append(polled.heard, o.target.ID)
+		}
 		counted := p.classify(members, o, former, term)
 		switch counted {
 		case countedStopped:
--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -83,10 +83,13 @@
 }
 
 // LostLeader returns the leader whose registration was removed while it led. It returns
-// false if a leader is known, or became unknown otherwise.
+// false if a leader is known, became unknown otherwise, or has registered again.
 func (rs *ReplicaSet) LostLeader() (target.Target, bool) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	if _, again := rs.states[rs.lostLeader.ID]; again {
+		return target.Target{}, false
+	}
 	return rs.lostLeader, rs.lostLeader.ID != ""
 }
 
--- a/standin/qgroup/absent_test.go
+++ b/standin/qgroup/absent_test.go
@@ -51,3 +51,25 @@
 		})
 	}
 }
+
+// Once no member can come back with the commits that are missing, the group must serve again.
+func TestGroupServesAgainWhenNobodyHasItsLastCommits(t *testing.T) {
+	runWithMembers(t, 3, func(_ context.Context, t *testing.T, c *testCluster) {
+		is := is.New(t)
+		c.introduce()
+		cl := c.newClient(0, "primary")
+		cl.writeFor(4 * time.Second)
+		c.group.SetReceiveBlocked(2, true)
+		cl.writeFor(time.Second)
+		c.group.Crash(0)
+		c.group.Crash(1)
+		c.group.SetReceiveBlocked(2, false)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(c.group.Orders()), 0)
+		c.group.StartEmpty(0)
+		c.group.StartEmpty(1)
+		_, ok := cl.writeUntilOK(5 * time.Second)
+		is.True(ok)
+		is.Equal(c.group.Leader(), 2)
+	})
+}
