--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -67,7 +67,7 @@
 	// Replies are the replies to the stages, up to the first that failed.
 	Replies []reply.Reply
 	// Report is the target's report, in the answer to the verb Report. In the answer to
-	// Acknowledged, its Received is the position that a log must reach.
+	// Acknowledged, the newest acknowledged commit is between its Applied and its Received.
 	Report report.Report
 	// Sent matters only with a Fault: if it is unset, nothing was sent to the target.
 	Sent bool
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -226,7 +226,8 @@
 		return notServed()
 	}
 	group.AnnounceReplacement(p.Target)
-	return parcel.Parcel{Report: report.Report{Received: group.Acknowledged().Floor}}
+	known := group.Acknowledged()
+	return parcel.Parcel{Report: report.Report{Applied: known.Floor, Received: known.Ceiling}}
 }
 
 // put returns the lent connection, if there is one, to its pool.
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -111,14 +111,14 @@
 }
 
 // Acknowledged asks which commits of a group the other host knows to be acknowledged. It
-// returns a position that a log must reach to have them. If leader is not empty, it also
+// returns the positions between which the newest of them is. If leader is not empty, it also
 // announces that this host is about to replace that target.
-func (r *Remote) Acknowledged(ctx context.Context, group, leader string) (mark.Mark, error) {
+func (r *Remote) Acknowledged(ctx context.Context, group, leader string) (floor, ceiling mark.Mark, err error) {
 	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Acknowledged, Group: group, Target: leader, TimeMs: timeLeft(ctx).Milliseconds()})
 	if err != nil {
-		return mark.Mark{}, errors.Wrap(err, "Remote.Acknowledged")
+		return mark.Mark{}, mark.Mark{}, errors.Wrap(err, "Remote.Acknowledged")
 	}
-	return answer.Report.Received, refusal(answer)
+	return answer.Report.Applied, answer.Report.Received, refusal(answer)
 }
 
 // Follow asks the other host for the changes of the platform's tables after the known
--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -105,7 +105,10 @@
 		r.addLogFields(zap.String("Target", t.ID), zap.Int("Try", try))
 		if errors.Is(err, rset.ErrNotSent) {
 			group.Put(cn)
-			return r.refuseNotRun(last, err)
+			if !waitBeforeRetry(ctx) {
+				return r.refuseNotRun(last, err)
+			}
+			continue
 		}
 		if err != nil {
 			group.Drop(cn)
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -111,16 +111,15 @@
 }
 
 // Acknowledged asks a host which commits of a group it knows to be acknowledged. It returns
-// a position that a log must reach to have them. If leader is not empty, it also announces
+// the positions between which the newest of them is. If leader is not empty, it also announces
 // that this host is about to replace that target.
-func (br *Borrower) Acknowledged(ctx context.Context, group, leader string, h gossip.HostInfo) (mark.Mark, error) {
-	var floor mark.Mark
-	err := br.tryEach(ctx, []gossip.HostInfo{h}, 0, func(r *remote.Remote) (bool, error) {
+func (br *Borrower) Acknowledged(ctx context.Context, group, leader string, h gossip.HostInfo) (floor, ceiling mark.Mark, err error) {
+	err = br.tryEach(ctx, []gossip.HostInfo{h}, 0, func(r *remote.Remote) (bool, error) {
 		var err error
-		floor, err = r.Acknowledged(ctx, group, leader)
+		floor, ceiling, err = r.Acknowledged(ctx, group, leader)
 		return false, err
 	})
-	return floor, err
+	return floor, ceiling, err
 }
 
 // lenderWait returns how long a lending host may wait for a connection: at most
--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -60,7 +60,7 @@
 	// Acknowledged returns what this host knows of acknowledged commits, and
 	// LearnAcknowledged adds what others know.
 	Acknowledged() acked.Acked
-	LearnAcknowledged(floor mark.Mark)
+	LearnAcknowledged(floor, ceiling mark.Mark)
 	// Rank returns how many live hosts precede this one in an order by their distance
 	// to a target.
 	Rank(t target.Target) int
@@ -69,9 +69,10 @@
 // stored is the value of a group's row.
 type stored struct {
 	Members []storedMember
-	// Acknowledged is a log position that a member must have reached to lead, so that hosts
-	// that start know of commits that were acknowledged before.
-	Acknowledged mark.Mark
+	// Floor and Ceiling are the positions between which the newest acknowledged commit is,
+	// for hosts that start.
+	Floor   mark.Mark
+	Ceiling mark.Mark
 }
 
 // storedMember is one member. Fields without a comment are those of the Target.
@@ -129,7 +130,7 @@
 // row is the group's row as it was read.
 type row struct {
 	members member.Set
-	floor   mark.Mark
+	acked   acked.Acked
 	// ahead is how much the store's clock is ahead of this host's.
 	ahead time.Duration
 }
@@ -145,7 +146,7 @@
 		// The registered targets count, and the row is written anew.
 		k.log.Error("members can't be decoded", zap.Uint64("Version", stored.Version), zap.String("Error", err.Error()))
 	}
-	k.group.LearnAcknowledged(r.floor)
+	k.group.LearnAcknowledged(r.acked.Floor, r.acked.Ceiling)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	// What this host saw of a member counts more than the row, which may not have been
@@ -168,7 +169,7 @@
 	if err := json.Unmarshal(s.Value, &value); err != nil {
 		return r, errors.Wrap(err, "decode members")
 	}
-	r.floor = value.Acknowledged
+	r.acked = acked.New().With(value.Floor, value.Ceiling)
 	for _, m := range value.Members {
 		var since time.Duration
 		if m.MissingMs != 0 {
@@ -205,7 +206,7 @@
 				continue
 			}
 			pause = minRetryPause
-			if k.Known().Missing() {
+			if k.Known().Incomplete() {
 				due.Reset(member.AbsentAfter)
 			}
 		}
@@ -228,11 +229,11 @@
 		return err
 	}
 	members := k.Known()
-	floor := k.group.Acknowledged().Floor
-	if len(members.Members()) == 0 || !members.Differs(read.members) && (!members.Incomplete() || floor == read.floor) {
+	known := k.group.Acknowledged()
+	if len(members.Members()) == 0 || !members.Differs(read.members) && (!members.Incomplete() || known.Floor == read.acked.Floor) {
 		return nil
 	}
-	value := stored{Acknowledged: floor}
+	value := stored{Floor: known.Floor, Ceiling: known.Ceiling}
 	for _, t := range members.Members() {
 		var missing int64
 		if since := members.MissingSince(t.ID); since != 0 {
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -31,7 +31,9 @@
 func (g *registrations) TargetsChanged() <-chan struct{} { return g.changed }
 func (g *registrations) Rank(target.Target) int          { return g.rank }
 func (g *registrations) Acknowledged() acked.Acked       { return g.acked }
-func (g *registrations) LearnAcknowledged(m mark.Mark)   { g.acked = g.acked.WithFloor(m) }
+func (g *registrations) LearnAcknowledged(floor, ceiling mark.Mark) {
+	g.acked = g.acked.With(floor, ceiling)
+}
 
 var (
 	first  = target.New("a", "g", "10.0.0.1:1", "zone").WithStarted(1)
@@ -148,12 +150,12 @@
 		began := time.Now()
 		now := func() time.Duration { return time.Hour + time.Since(began) }
 		s := lstore.New("g", nil, now)
-		before := &registrations{targets: []target.Target{first, second}, changed: make(chan struct{}, 1), acked: acked.New().WithFloor(mark.New(1, 7))}
+		before := &registrations{targets: []target.Target{first, second}, changed: make(chan struct{}, 1), acked: acked.New().With(mark.New(1, 7), mark.New(1, 8))}
 		go keeper.New("g", zap.NewNop(), s, before, now).Run(ctx)
 		time.Sleep(5 * time.Second)
 		started := &registrations{targets: []target.Target{first}, changed: make(chan struct{})}
 		is.NoErr(keeper.New("g", zap.NewNop(), s, started, now).Refresh(ctx))
-		is.Equal(started.acked.Floor, mark.New(1, 7))
+		is.Equal(started.acked, acked.New().With(mark.New(1, 7), mark.New(1, 8)))
 	})
 }
 
--- a/process/member/set.go
+++ b/process/member/set.go
@@ -18,8 +18,9 @@
 // longer a member then.
 const AbsentAfter = 8 * time.Second
 
-// LostAfter is the same for a target whose address is silent. It may go on acknowledging
-// commits behind a partition, so that this is longer than partitions usually last.
+// LostAfter is the same for a target whose address is silent, while not all hosts can tell
+// which commits were acknowledged to them. It may go on acknowledging commits to those behind
+// the same partition, so that this is longer than partitions usually last.
 const LostAfter = time.Minute
 
 // forgetAfter is how long an absent target remains a member. It bounds the number of members
--- a/process/promo/commits.go
+++ b/process/promo/commits.go
@@ -8,27 +8,28 @@
 
 	"github.com/pistachiotray/pistachiotray/process/acked"
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 )
 
 // gatherAcknowledged asks the other hosts which commits were acknowledged to them, and
-// returns what those know that answer within gatherTimeout. If a leader is given, they send
-// it no more commits until they know whether it is replaced.
-func (p *Promoter) gatherAcknowledged(ctx context.Context, leader string) acked.Acked {
+// returns what those know that answer within gatherTimeout, and whether all did. If a leader
+// is given, they send it no more commits until they know whether it is replaced.
+func (p *Promoter) gatherAcknowledged(ctx context.Context, leader string) (known acked.Acked, all bool) {
 	ctx, stop := context.WithTimeout(ctx, gatherTimeout)
 	defer stop()
 	known, asked, answered := p.group.GatherAcknowledged(ctx, leader)
-	p.log.Info("acknowledged commits gathered", zap.Stringer("Floor", known.Floor), zap.Int("Asked", asked), zap.Int("Answered", answered))
-	return known
+	p.log.Info("acknowledged commits gathered", zap.Stringer("Floor", known.Floor), zap.Stringer("Ceiling", known.Ceiling), zap.Int("Asked", asked), zap.Int("Answered", answered))
+	return known, asked == answered
 }
 
-// hasAcknowledged reports whether the target that sent a report has the acknowledged commits
-// that are known. Who was left out of the reports may have acknowledged commits without
-// that target, and targets that restart have forgotten what they acknowledged.
-func (p *Promoter) hasAcknowledged(r report.Report, known acked.Acked) bool {
-	if r.Received.AtLeast(known.Floor) {
+// hasAcknowledged reports whether the log of the target that sent a report reaches a position.
+// Who was left out of the reports may have acknowledged commits without that target, and
+// targets that restart have forgotten what they acknowledged.
+func (p *Promoter) hasAcknowledged(r report.Report, required mark.Mark) bool {
+	if r.Received.AtLeast(required) {
 		return true
 	}
-	p.log.Error("no target has all acknowledged commits", zap.String("Target", r.Member), zap.Stringer("Received", r.Received), zap.Stringer("Floor", known.Floor))
+	p.log.Error("no target has all acknowledged commits", zap.String("Target", r.Member), zap.Stringer("Received", r.Received), zap.Stringer("Required", required))
 	return false
 }
 
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -67,7 +67,7 @@
 	ctx, stop := context.WithTimeout(ctx, electTimeout)
 	defer stop()
 	last, demoted := p.demote(ctx, leader)
-	known := p.group.Acknowledged()
+	known, allAnswered := p.group.Acknowledged(), true
 	if demoted {
 		p.count(leader, countedDemoted, last, nil)
 	} else {
@@ -75,7 +75,7 @@
 			p.count(leader, countedNotDemoted, last, nil)
 		}
 		// Other hosts stop using the leader before the others are heard once more.
-		known = p.gatherAcknowledged(ctx, leader.ID)
+		known, allAnswered = p.gatherAcknowledged(ctx, leader.ID)
 	}
 	polled := p.pauseReplicas(ctx, leader.ID)
 	reports := polled.reports
@@ -89,7 +89,7 @@
 		if len(reports) == 0 && p.pending.Token == 0 {
 			reports = append(reports, last)
 		}
-	case !polled.complete:
+	case !polled.complete || polled.silent && !allAnswered:
 		return report.Report{}, false
 	}
 	best, ok := mostReceived(reports, preferred)
@@ -105,5 +105,9 @@
 	if demoted {
 		polled.heard = append(polled.heard, leader.ID)
 	}
-	return best, ok && (p.hasAcknowledged(best, known) || !p.mayReturn(polled.heard))
+	required := known.Floor
+	if polled.leftOut {
+		required = known.Ceiling
+	}
+	return best, ok && (p.hasAcknowledged(best, required) || !p.mayReturn(polled.heard))
 }
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -30,6 +30,9 @@
 	complete bool
 	// leftOut is set if a member was not heard that may have acknowledged commits.
 	leftOut bool
+	// silent is set if such a member may still acknowledge commits to hosts behind the same
+	// partition.
+	silent bool
 	// leads is another member that reports to lead. Its ID is empty if there is none.
 	leads target.Target
 	// highest is the highest term that any member reported.
@@ -46,7 +49,7 @@
 // pauseReplicas orders all members except the given one to stop receiving log entries, until
 // all of them have stopped, another one is found to lead, or the context ends. A member that
 // was leaving is not waited for once it is not registered any more, since its log goes with
-// it, nor one that is absent and refuses connections, or is lost.
+// it, nor one that is absent.
 func (p *Promoter) pauseReplicas(ctx context.Context, except ...string) poll {
 	term := p.group.Term() + 1
 	for {
@@ -105,6 +108,7 @@
 			}
 		case countedLeft, countedAbsent:
 			polled.leftOut = true
+			polled.silent = polled.silent || counted == countedAbsent && !hasEnded(o.err) && !members.Lost(o.target.ID)
 		case countedReceives, countedNotHeard:
 			settled--
 		case countedLeads:
@@ -135,7 +139,7 @@
 		return countedEnded
 	case o.target.Leaving && members.MissingSince(o.target.ID) != 0:
 		return countedLeft
-	case members.Absent(o.target.ID) && hasEnded(o.err), members.Lost(o.target.ID):
+	case members.Absent(o.target.ID):
 		return countedAbsent
 	}
 	return countedNotHeard
--- a/process/promo/pending.go
+++ b/process/promo/pending.go
@@ -25,25 +25,36 @@
 // finds no problem with it: the host has claimed the lease, or its order may still be
 // carried out. The host may have failed since, and the leader may serve again. The leader
 // is demoted then, since the ordered target lacks what it acknowledges. If the store does
-// not answer, it returns true for claimHold after a host announced the replacement.
-func (p *Promoter) underWay(ctx context.Context) bool {
+// not answer, only an announcement counts, for claimHold. While a leader is to be handed
+// over, a claim alone does not count: the leader serves until it is demoted.
+func (p *Promoter) underWay(ctx context.Context, why string) bool {
 	leader, ok := p.group.Leader()
 	if !ok || !p.group.ConnectsTo(leader.ID) {
 		return false
 	}
-	ctx, stop := context.WithTimeout(ctx, claimTimeout)
+	_, _, ago := p.group.Doubts()
+	announced := ago >= 0 && ago < claimHold
+	limit := claimTimeoutReserved
+	if announced {
+		limit = claimTimeout
+	}
+	reading, stop := context.WithTimeout(ctx, limit)
 	defer stop()
-	l, now, err := p.platform.Read(ctx, p.group.Name)
+	l, now, err := p.platform.Read(reading, p.group.Name)
 	if err != nil {
 		p.log.Info("lease not read", zap.String("Why", "leader serves again"), zap.String("Error", err.Error()))
-		_, announced := p.group.Doubts()
-		return announced >= 0 && announced < claimHold
+		return announced
 	}
 	if l.OrderPending() {
 		p.fence(ctx, l)
 		return leader.ID != l.Target
 	}
-	return l.HeldByOther(p.host, now, claimHold)
+	// The lease does not show an order that was given under a reserved lease, or that the
+	// store has lost.
+	if _, ago := p.restored(); announced || ago < claimHold {
+		return true
+	}
+	return l.HeldByOther(p.host, now, claimHold) && !planned(why)
 }
 
 // fence demotes a leader that serves while the order of another host for another target
@@ -64,5 +75,5 @@
 // lease.
 func (p *Promoter) carriedOut(l lease.Lease) bool {
 	leader, ok := p.group.Leader()
-	return ok && leader.ID == p.sent.Target || l.Done && l.Reserves == 0 && l.Token > p.sent.Token
+	return ok && leader.ID == p.sent.Target || l.Done && l.Target != "" && l.Reserves == 0 && l.Token > p.sent.Token
 }
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -236,11 +236,14 @@
 			if p.orderPending && !due {
 				why, due, trouble = rset.ReplicasBehind, true, true
 			}
-			doubts, _ := p.group.Doubts()
-			if !trouble && !p.underWay(ctx) {
-				p.release(ctx)
+			doubts, open, _ := p.group.Doubts()
+			answers := why != rset.LeaderSilent && why != rset.LeaderUnknown && !p.orderPending
+			if (!trouble || open && answers) && !p.underWay(ctx, why) {
 				p.group.TrustLeader(doubts)
-				break
+				if !trouble {
+					p.release(ctx)
+					break
+				}
 			}
 			switch {
 			case due:
--- a/process/rset/commits.go
+++ b/process/rset/commits.go
@@ -17,12 +17,12 @@
 	return rs.acked
 }
 
-// LearnAcknowledged adds a position that a log must reach to have all commits that another
-// host knows to be acknowledged.
-func (rs *ReplicaSet) LearnAcknowledged(floor mark.Mark) {
+// LearnAcknowledged adds the positions between which the newest commit is that another host
+// knows to be acknowledged.
+func (rs *ReplicaSet) LearnAcknowledged(floor, ceiling mark.Mark) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.acked = rs.acked.WithFloor(floor)
+	rs.acked = rs.acked.With(floor, ceiling)
 }
 
 // noteCommits records the commits that were acknowledged by the replies to a stage. sent is
@@ -37,7 +37,7 @@
 		}
 		if cn.Wrote && r.OK() && (s.WritesData() || s.Kind == stmt.Commit) {
 			rs.mu.Lock()
-			rs.acked = rs.acked.WithCommit(sent)
+			rs.acked = rs.acked.WithCommit(sent, r.Mark)
 			rs.mu.Unlock()
 		}
 		cn.Wrote = false
@@ -50,16 +50,16 @@
 // them, and to this host, that this host is about to replace that target.
 func (rs *ReplicaSet) GatherAcknowledged(ctx context.Context, leader string) (known acked.Acked, asked, answered int) {
 	type answer struct {
-		floor mark.Mark
-		err   error
+		floor, ceiling mark.Mark
+		err            error
 	}
 	rs.AnnounceReplacement(leader)
 	hosts := rs.otherHosts("")
 	answers := make(chan answer, len(hosts))
 	for _, h := range hosts {
 		go func() {
-			floor, err := rs.borrower.Acknowledged(ctx, rs.Name, leader, h)
-			answers <- answer{floor, err}
+			floor, ceiling, err := rs.borrower.Acknowledged(ctx, rs.Name, leader, h)
+			answers <- answer{floor, ceiling, err}
 		}()
 	}
 	for range hosts {
@@ -67,7 +67,7 @@
 		case a := <-answers:
 			if a.err == nil {
 				answered++
-				rs.LearnAcknowledged(a.floor)
+				rs.LearnAcknowledged(a.floor, a.ceiling)
 			}
 		case <-ctx.Done():
 			return rs.Acknowledged(), len(hosts), answered
--- a/process/rset/doubt.go
+++ b/process/rset/doubt.go
@@ -58,15 +58,17 @@
 	}
 }
 
-// Doubts returns how many reasons for a doubt of a leader there were so far, and how long ago
-// a host announced to replace the present one. The time is negative if none did.
-func (rs *ReplicaSet) Doubts() (count uint64, announced time.Duration) {
+// Doubts returns how many reasons for a doubt of a leader there were so far, whether no
+// commit may be sent to the present one, and how long ago a host announced to replace it. The
+// time is negative if none did.
+func (rs *ReplicaSet) Doubts() (count uint64, open bool, announced time.Duration) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if rs.doubt.announced == 0 {
-		return rs.doubt.count, -1
+	announced = -1
+	if rs.doubt.announced != 0 {
+		announced = rs.now() - rs.doubt.announced
 	}
-	return rs.doubt.count, rs.now() - rs.doubt.announced
+	return rs.doubt.count, rs.doubt.open, announced
 }
 
 // TrustLeader lets commits be sent to the leader, unless there were other reasons for a
@@ -81,12 +83,12 @@
 	}
 }
 
-// awaitTrust waits until commits may be sent to a target. It returns ErrNotSent if the
-// context ends first.
+// awaitTrust waits until commits may be sent to a target: not while it is doubted, or is the
+// last leader and none is known. It returns ErrNotSent if the context ends first.
 func (rs *ReplicaSet) awaitTrust(ctx context.Context, id string) error {
 	for {
 		rs.mu.Lock()
-		open, changed := rs.doubt.open && rs.leader == id, rs.changed
+		open, changed := rs.doubt.open && rs.leader == id || rs.leader == "" && rs.lastLeader == id, rs.changed
 		rs.mu.Unlock()
 		if !open {
 			return nil
