--- a/standin/qgroup/underway_test.go
+++ b/standin/qgroup/underway_test.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// count returns how many writes were acknowledged so far.
+func (w *writers) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.acknowledged)
+}
+
 // lost ends the writers and returns the acknowledged writes that the leader lacks. It
 // fails the test if the group did not serve.
 func (w *writers) lost(is *is.I) []string {
