--- a/process/promo/claim.go
+++ b/process/promo/claim.go
@@ -131,6 +131,10 @@
 		p.fence(ctx, l)
 		return l, false
 	}
+	if l.Holder != p.host && p.now() < p.orderedUntil {
+		// Two hosts that order in turn would undo each other's work.
+		return l, false
+	}
 	p.orderPending = p.orderPending && !p.carriedOut(l)
 	leader, _ := p.group.Leader()
 	if _, due, _ := p.group.LeaderProblem(); !due && !p.orderPending && (!l.OrderPending() || leader.ID == l.Target) {
--- a/process/promo/order.go
+++ b/process/promo/order.go
@@ -28,6 +28,7 @@
 		}
 	}
 	p.sent, p.orderPending = ordered, true
+	p.orderedUntil = p.now() + claimHold
 	p.claimed = lease.Lease{}
 	err = p.platform.Promote(ctx, ordered)
 	if l.Reserve && (err == nil || errors.Is(err, ErrFenced)) {
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -143,8 +143,10 @@
 	// pending is the lease with the order that may still be carried out while this host
 	// prepares the next one. Its token is 0 if there is none.
 	pending lease.Lease
-	// sent is the lease with the last order that this host sent.
-	sent lease.Lease
+	// sent is the lease with the last order that this host sent. After another host has
+	// claimed the lease, this host claims it again only after orderedUntil.
+	sent         lease.Lease
+	orderedUntil time.Duration
 	// tally is how the last preparation counted the members.
 	tally *tally
 	// isolated reports whether a silent leader is more likely a fault of this
@@ -311,7 +313,8 @@
 		// A stored order may still be carried out. Until a further order is
 		// answered, no target may receive entries that the ordered target does
 		// not have. After the claim has ended, another host may have ordered one.
-		if p.pending.Token == 0 && p.holds() {
+		now, _ := p.group.Leader()
+		if (p.pending.Token == 0 || now.ID == p.pending.Target) && p.holds() {
 			p.resume(ctx)
 		}
 		return true
