standin/faulty: refuse connections and leave them unanswered

A proxy could only reset new connections, which is neither what a host without a process does nor one that is cut off. Refuse closes the listener, so that connecting fails with ECONNREFUSED; Silent listens with a full queue, so that connecting times out, and does not pass on that a connection was closed.

--- a/standin/faulty/proxy.go
+++ b/standin/faulty/proxy.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,19 +20,38 @@
 	DropAnswers
 	// RefuseNew resets new connections and forwards the data of open ones.
 	RefuseNew
+	// Refuse does not listen and resets the open connections.
+	Refuse
+	// Silent leaves new connections unanswered and drops the data of open ones.
+	Silent
 )
 
 const (
 	// delayTime is the time by which Delay delays each chunk of data.
 	delayTime   = 150 * time.Millisecond
 	bufferBytes = 32 << 10
+	// listenTimeout bounds listening again on an address.
+	listenTimeout = 2 * time.Second
+	// fillers is the number of connections that fill the queue of a silent address, so
+	// that the kernel drops further attempts.
+	fillers       = 3
+	fillerTimeout = 20 * time.Millisecond
+	// unreachableTimeout is the time after which the server drops the connection of a
+	// client that it can't reach.
+	unreachableTimeout = 3 * time.Second
+	closePollPause     = 20 * time.Millisecond
 )
 
 // Proxy forwards connections to one address and injects the fault of its mode. It is
 // safe for concurrent use.
 type Proxy struct {
-	target   string
+	target, address string
+	// modeMu is held while the mode changes.
+	modeMu sync.Mutex
+	// listener is nil, and silence not nil, while the mode is Silent; both are nil while it
+	// is Refuse. modeMu guards both.
 	listener net.Listener
+	silence  func()
 	mu       sync.Mutex
 	mode     int
 	// conns holds the open connections, both those of clients and those to the
@@ -39,27 +59,102 @@
 	conns map[net.Conn]struct{}
 }
 
+// WithAddress returns an option that sets the address on which the proxy listens.
+func WithAddress(address string) func(*Proxy) {
+	return func(p *Proxy) { p.address = address }
+}
+
 // New starts a proxy on loopback that forwards to the address target.
-func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string, options ...func(*Proxy)) (*Proxy, error) {
+	p := &Proxy{target: target, address: "127.0.0.1:0", conns: map[net.Conn]struct{}{}}
+	for _, o := range options {
+		o(p)
+	}
+	l, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: map[net.Conn]struct{}{}}
-	go p.accept()
+	p.listener, p.address = l, l.Addr().String()
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the address on which the proxy listens.
 func (p *Proxy) Address() string {
-	return p.listener.Addr().String()
+	return p.address
 }
 
 // SetMode changes the mode. The new mode applies to open connections too.
 func (p *Proxy) SetMode(mode int) {
+	p.modeMu.Lock()
+	defer p.modeMu.Unlock()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.mode = mode
+	p.mu.Unlock()
+	if p.listener != nil && (mode == Refuse || mode == Silent) {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	if p.silence != nil && mode != Silent {
+		p.silence()
+		p.silence = nil
+	}
+	switch {
+	case mode == Refuse:
+		p.ResetConnections()
+	case mode == Silent && p.silence == nil:
+		p.silence = silence(p.address)
+	case mode != Silent && p.listener == nil:
+		p.listener = listen(p.address)
+		go p.accept(p.listener)
+	}
+}
+
+// listen listens on an address that was in use until now.
+func listen(address string) net.Listener {
+	for began := time.Now(); ; time.Sleep(time.Millisecond) {
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return l
+		}
+		if time.Since(began) > listenTimeout {
+			panic(err)
+		}
+	}
+}
+
+// silence makes an address answer no connection attempts, until the returned function is
+// called. It listens with a queue that is full.
+func silence(address string) func() {
+	a, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		panic(err)
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		panic(err)
+	}
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())}); err != nil {
+		panic(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		panic(err)
+	}
+	var filling []net.Conn
+	for range fillers {
+		c, err := net.DialTimeout("tcp", address, fillerTimeout)
+		if err != nil {
+			break
+		}
+		filling = append(filling, c)
+	}
+	return func() {
+		_ = syscall.Close(fd)
+		for _, c := range filling {
+			_ = c.Close()
+		}
+	}
 }
 
 func (p *Proxy) currentMode() int {
@@ -80,7 +175,15 @@
 
 // Close closes the listener and resets the open connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.modeMu.Lock()
+	defer p.modeMu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
+	if p.silence != nil {
+		p.silence()
+		p.silence = nil
+	}
 	p.ResetConnections()
 }
 
@@ -93,9 +196,9 @@
 }
 
 // accept forwards new connections until the listener is closed.
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -131,10 +234,11 @@
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
+			p.awaitForwarding(dropMode == DropRequests)
 			return
 		}
 		switch p.currentMode() {
-		case dropMode:
+		case dropMode, Silent:
 			gap = true
 		case Delay:
 			time.Sleep(delayTime)
@@ -148,3 +252,11 @@
 		}
 	}
 }
+
+// awaitForwarding waits while the mode is Silent, since a silent link does not pass on that
+// a connection was closed. The server drops the connection of an unreachable client.
+func (p *Proxy) awaitForwarding(fromClient bool) {
+	for began := time.Now(); p.currentMode() == Silent && !(fromClient && time.Since(began) > unreachableTimeout); {
+		time.Sleep(closePollPause)
+	}
+}
