--- a/standin/platd/member.go
+++ b/standin/platd/member.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 	"github.com/pistachiotray/pistachiotray/standin/qgroup"
+	"github.com/pistachiotray/pistachiotray/standin/query"
 )
 
 // registerInterval is the time between two updates of the members'
@@ -183,7 +184,7 @@
 	if !ok {
 		return nil, false
 	}
-	s := parseStatement(id, text)
+	s := query.Parse(id, text)
 	if s.Kind == stmt.Pause || s.Kind == stmt.Resume || s.Kind == stmt.Status || s.Kind == stmt.Demote {
 		r, err := conn.Report(ctx, s)
 		if err != nil {
@@ -202,40 +203,3 @@
 	}
 	return lines.AppendReply(nil, replies[0]), true
 }
-
-// parseStatement decodes the text of a statement that a host sent to a member. A
-// statement that it can't decode has the kind Unknown.
-func parseStatement(id, text string) stmt.Stmt {
-	var s stmt.Stmt
-	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
-		at, rest, _ := strings.Cut(rest, " ")
-		m, err := lines.ParseMark(at)
-		if err != nil {
-			return stmt.New(id, stmt.Unknown, text)
-		}
-		return parseStatement(id, rest).WithAfter(m)
-	}
-	fields := strings.SplitN(text, " ", 3)
-	for len(fields) < 3 {
-		fields = append(fields, "")
-	}
-	kinds := map[string]int{
-		"COMMIT": stmt.Commit, "ROLLBACK": stmt.Rollback, "READ": stmt.Read, "WRITE": stmt.Write, "SET": stmt.Set,
-		"EXECUTE": stmt.Execute, "DEALLOCATE": stmt.Deallocate, "RESET": stmt.Reset, "RESUME": stmt.Resume, "STATUS": stmt.Status, "BEGIN": stmt.Begin,
-	}
-	s = stmt.New(id, kinds[fields[0]], text).WithName(fields[1], fields[2])
-	switch {
-	case text == "BEGIN READ":
-		s.Kind = stmt.BeginRead
-	case fields[0] == "PAUSE":
-		s = stmt.New(id, stmt.Pause, text).WithName("", fields[1])
-	case fields[0] == "DEMOTE":
-		s = stmt.New(id, stmt.Demote, text).WithName("", fields[1])
-	case fields[0] == "PREPARE":
-		kind, preparedText, _ := strings.Cut(fields[2], " ")
-		s = stmt.New(id, stmt.Prepare, text).WithName(fields[1], preparedText).WithWrites(kind == "WRITE")
-	case fields[0] == "EXECUTE":
-		s = s.WithWrites(strings.HasPrefix(fields[1], "w-"))
-	}
-	return s
-}
