standin: members as processes of their own, and a ledger that checks promotions

The ledger decides who leads, keeps the logs over restarts, and compares the log of each promoted member with all acknowledged commits at the moment of the promotion.

--- /dev/null
+++ b/standin/ledger/ledger.go
@@ -0,0 +1,374 @@
+// Package ledger decides which member leads each database group, keeps the members' logs
+// and compares the log of each promoted member with the acknowledged commits. Member
+// processes reach it on connections of their own, without faults.
+package ledger
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/standin/ctlmsg"
+)
+
+// Service is the name of the ledger's method for net/rpc.
+const Service = "Ledger.Call"
+
+// errEnded is returned to a process that no longer runs by the ledger.
+var errEnded = errors.New("the member's process has ended")
+
+// errRefused is returned for an order with an old token or for a member that does not run.
+var errRefused = errors.New("the order is refused")
+
+// member is one member of a group.
+type member struct {
+	id      string
+	started int64
+	up      bool
+	log     []string
+}
+
+// commit is an acknowledged commit.
+type commit struct {
+	entry          string
+	leader, caller string
+	at             time.Time
+}
+
+// group is a database group.
+type group struct {
+	name string
+	term uint64
+	// leader is the ID of the leader, or of the last one if that was demoted.
+	leader  string
+	demoted bool
+	members map[string]*member
+	// acked holds the acknowledged commits, oldest first.
+	acked []commit
+	// token is the highest fencing token of an accepted order.
+	token uint64
+	// delays holds the delays of the next orders, which get no answer.
+	delays []time.Duration
+}
+
+// Ledger holds the state of all groups. It is safe for concurrent use.
+type Ledger struct {
+	promoteTime time.Duration
+	// promoteLeast is described at WithLeastPromoted.
+	promoteLeast bool
+	events       io.Writer
+	listener     net.Listener
+	// mu guards the fields below.
+	mu     sync.Mutex
+	groups map[string]*group
+	lost   []string
+	acked  int
+	// promotions is the number of promotions that took effect.
+	promotions int
+}
+
+// WithLeastPromoted returns an option that promotes the running member with the shortest
+// log instead of the ordered one, to verify that the loss is detected.
+func WithLeastPromoted() func(*Ledger) {
+	return func(l *Ledger) { l.promoteLeast = true }
+}
+
+// New returns a Ledger that serves member processes on loopback. A promotion takes effect
+// promoteTime after its order. Events are written to events, one line each.
+func New(promoteTime time.Duration, events io.Writer, options ...func(*Ledger)) (*Ledger, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Ledger{promoteTime: promoteTime, events: events, listener: listener, groups: map[string]*group{}}
+	for _, o := range options {
+		o(l)
+	}
+	s := rpc.NewServer()
+	if err := s.RegisterName("Ledger", caller{l}); err != nil {
+		return nil, err
+	}
+	go l.serve(s)
+	return l, nil
+}
+
+// serve serves member processes until the listener is closed.
+func (l *Ledger) serve(s *rpc.Server) {
+	for {
+		c, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.ServeConn(c)
+	}
+}
+
+// Address returns the address on which the Ledger serves member processes.
+func (l *Ledger) Address() string {
+	return l.listener.Addr().String()
+}
+
+// Close stops serving new connections.
+func (l *Ledger) Close() {
+	_ = l.listener.Close()
+}
+
+// Log writes an event with its time.
+func (l *Ledger) Log(format string, arguments ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.logf(format, arguments...)
+}
+
+func (l *Ledger) logf(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(l.events, "%s %s\n", time.Now().UTC().Format("15:04:05.000000"), fmt.Sprintf(format, arguments...))
+}
+
+// Started adds a process of a member. log is the ID of the member whose log it gets, which
+// is no member any more if that is another one; "" stands for an empty log. The first
+// member of a group leads.
+func (l *Ledger) Started(name, id string, started int64, log string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.groups[name]
+	if g == nil {
+		g = &group{name: name, term: 1, leader: id, members: map[string]*member{}}
+		l.groups[name] = g
+	}
+	m := &member{id: id, started: started, up: true}
+	if before := g.members[log]; before != nil {
+		m.log = before.log
+		delete(g.members, log)
+	}
+	g.members[id] = m
+	if g.leader == id {
+		g.demoted = false
+	}
+	l.logf("START %s %s born %d log of %q, %d entries, leads %t", name, id, started, log, len(m.log), g.leads(m))
+}
+
+// Ended notes that the process of a member has ended.
+func (l *Ledger) Ended(name, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.groups[name]
+	if m := g.members[id]; m != nil {
+		m.up = false
+		l.logf("END %s %s, %d entries, led %t", name, id, len(m.log), g.leads(m))
+	}
+}
+
+// Leader returns the ID of the member that leads, or that was the last to lead.
+func (l *Ledger) Leader(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.groups[name].leader
+}
+
+// Lost returns a description of each acknowledged commit that a promoted member lacked.
+func (l *Ledger) Lost() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.lost)
+}
+
+// Counts returns how many commits were acknowledged and how many promotions took effect.
+func (l *Ledger) Counts() (acked, promotions int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.acked, l.promotions
+}
+
+// WriteCounts returns how often each write occurs in the logs of the members that lead, or
+// led last. The keys have the form "ITEM VALUE".
+func (l *Ledger) WriteCounts() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := map[string]int{}
+	for _, g := range l.groups {
+		if m := g.members[g.leader]; m != nil {
+			for _, e := range m.log {
+				for _, w := range strings.Split(e, "\n")[1:] {
+					counts[w]++
+				}
+			}
+		}
+	}
+	return counts
+}
+
+func (g *group) leads(m *member) bool {
+	return g.leader == m.id && !g.demoted
+}
+
+// caller serves the requests of member processes.
+type caller struct{ ledger *Ledger }
+
+// Call carries out the request of a member.
+func (c caller) Call(request ctlmsg.Message, answer *ctlmsg.Message) error {
+	l := c.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.groups[request.Group]
+	if g == nil {
+		return errEnded
+	}
+	m := g.members[request.Member]
+	if m == nil || !m.up || m.started != request.Started {
+		return errEnded
+	}
+	answer.OK = l.apply(g, m, request)
+	if request.Kind == ctlmsg.Start {
+		answer.Entries = m.log
+	}
+	answer.Term, answer.Leads, answer.Length = g.term, g.leads(m), len(m.log)
+	return nil
+}
+
+// apply carries out a request and reports whether it did; the caller holds the lock.
+func (l *Ledger) apply(g *group, m *member, r ctlmsg.Message) bool {
+	current := r.Term == g.term
+	switch r.Kind {
+	case ctlmsg.Append:
+		if !g.leads(m) || !current {
+			return false
+		}
+		m.log = append(slices.Clip(m.log), r.Entries...)
+	case ctlmsg.Receive:
+		if g.leads(m) || !current || r.From > len(m.log) {
+			return false
+		}
+		if have := len(m.log) - r.From; have < len(r.Entries) {
+			m.log = append(slices.Clip(m.log), r.Entries[have:]...)
+		}
+	case ctlmsg.Ack:
+		if !g.leads(m) || !current {
+			return false
+		}
+		l.acked++
+		g.acked = append(g.acked, commit{m.log[r.From], m.id, r.Caller, time.Now()})
+	case ctlmsg.Demote:
+		if !g.leads(m) || r.Term <= g.term {
+			return false
+		}
+		g.demoted = true
+		l.logf("DEMOTE %s %s in term %d by %s, %d entries", g.name, m.id, g.term, r.Caller, len(m.log))
+	}
+	return true
+}
+
+// DelayOrder makes the next order for a group get no answer, and be carried out after d.
+func (l *Ledger) DelayOrder(name string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.groups[name].delays = append(l.groups[name].delays, d)
+}
+
+// Order orders the promotion of a member. It returns false for answered if the order gets
+// no answer.
+func (l *Ledger) Order(name, id, holder string, token uint64) (answered bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.groups[name]
+	if g == nil {
+		return true, errRefused
+	}
+	if len(g.delays) > 0 {
+		d := g.delays[0]
+		g.delays = g.delays[1:]
+		l.logf("ORDER %s %s by %s token %d: late by %v, without an answer", name, id, holder, token, d)
+		time.AfterFunc(d, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			// The caller gets no answer, so a refusal is not reported.
+			_ = l.accept(g, id, holder, token)
+		})
+		return false, nil
+	}
+	return true, l.accept(g, id, holder, token)
+}
+
+// accept checks an order and schedules its promotion; the caller holds the lock.
+func (l *Ledger) accept(g *group, id, holder string, token uint64) error {
+	m := g.members[id]
+	if token < g.token || m == nil || !m.up {
+		l.logf("ORDER %s %s by %s token %d: refused, highest %d", g.name, id, holder, token, g.token)
+		return errRefused
+	}
+	g.token = token
+	l.logf("ORDER %s %s by %s token %d: accepted, leads %t, %d entries", g.name, id, holder, token, g.leads(m), len(m.log))
+	if !g.leads(m) {
+		time.AfterFunc(l.promoteTime, func() { l.promote(g, id, holder, token) })
+	}
+	return nil
+}
+
+// promote makes a member lead the next term with its log, and rolls the other members back
+// to what they share with it. It does nothing if the member does not run or leads already.
+func (l *Ledger) promote(g *group, id, holder string, token uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := g.members[id]
+	if l.promoteLeast {
+		for _, o := range g.members {
+			if m == nil || o.up && len(o.log) < len(m.log) {
+				m = o
+			}
+		}
+	}
+	if m == nil || !m.up || g.leads(m) {
+		return
+	}
+	l.promotions++
+	l.logf("PROMOTE %s %s to term %d, %d entries, ordered by %s token %d, after %s", g.name, m.id, g.term+1, len(m.log), holder, token, g.leader)
+	l.check(g, m, holder, token)
+	g.term++
+	g.leader, g.demoted = m.id, false
+	for _, o := range g.members {
+		o.log = o.log[:commonPrefix(o.log, m.log)]
+	}
+}
+
+// check records each acknowledged commit that is not in the log of a member that is about
+// to lead; the caller holds the lock.
+func (l *Ledger) check(g *group, m *member, holder string, token uint64) {
+	has := map[string]bool{}
+	for _, e := range m.log {
+		has[e] = true
+	}
+	kept := g.acked[:0]
+	for _, c := range g.acked {
+		if has[c.entry] {
+			kept = append(kept, c)
+			continue
+		}
+		var having []string
+		for _, o := range g.members {
+			if slices.Contains(o.log, c.entry) {
+				having = append(having, fmt.Sprintf("%s (up %t)", o.id, o.up))
+			}
+		}
+		slices.Sort(having)
+		at, _, _ := strings.Cut(c.entry, "\n")
+		l.lost = append(l.lost, fmt.Sprintf("LOST: %s: %s, promoted to term %d with %d entries by %s token %d, lacks %s, acknowledged by %s to %s at %s; held by %v",
+			g.name, m.id, g.term+1, len(m.log), holder, token, at, c.leader, c.caller, c.at.UTC().Format("15:04:05.000000"), having))
+		l.logf("%s", l.lost[len(l.lost)-1])
+	}
+	g.acked = kept
+}
+
+// commonPrefix returns the length of the longest common prefix of two logs.
+func commonPrefix(a, b []string) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
