standin/soak: runs at the size of the deployments, with a process per member

Six or eight hosts and three groups of three members, with links that are refused, silent, reset or cut one way, kills, freezes, restarts, releases and late orders within 300 to 1,000 ms after a member was away for long.

--- /dev/null
+++ b/standin/soak/disturb_test.go
@@ -0,0 +1,214 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/standin/faulty"
+)
+
+// The faults of a member.
+const (
+	memberKilled = iota
+	memberReplaced
+	memberRefused
+	memberSilent
+	memberFrozen
+	memberCutFromSome
+	memberCutFromHosts
+	memberCutFromPeers
+	memberCutFromStore
+	memberRestarted
+	memberReleased
+)
+
+var (
+	// awayFaults last long. leaderFaults and replicaFaults come shortly after each other.
+	awayFaults    = []int{memberKilled, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberCutFromStore, memberCutFromStore}
+	leaderFaults  = []int{memberKilled, memberReplaced, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromHosts, memberCutFromPeers, memberCutFromStore, memberReleased}
+	replicaFaults = []int{memberKilled, memberReplaced, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberRestarted, memberRestarted, memberReleased}
+	faultNames    = []string{"killed", "replaced", "refused", "silent", "frozen", "cut from some hosts", "cut from hosts", "cut from peers", "cut from store", "restarted", "released"}
+	cutModes      = []int{faulty.DropRequests, faulty.DropAnswers, faulty.RefuseNew, faulty.Refuse, faulty.Silent}
+)
+
+// disturb begins a fault of a member. end ends the faults of a member.
+func (m *slot) disturb(kind, mode int, hosts []int) {
+	m.run.ledger.Log("FAULT %s member %d %s: %s, mode %d, hosts %v", m.group, m.index, m.id, faultNames[kind], mode, hosts)
+	switch kind {
+	case memberKilled, memberReplaced:
+		m.kill()
+	case memberRefused:
+		m.setLinks(faulty.Refuse, nil)
+	case memberSilent:
+		m.setLinks(faulty.Silent, nil)
+		m.setSending(faulty.Silent)
+		m.storeProxy.SetMode(faulty.Silent)
+	case memberFrozen:
+		m.signal(syscall.SIGSTOP)
+	case memberCutFromSome:
+		m.setLinks(mode, hosts)
+	case memberCutFromHosts:
+		for i := range m.hostProxies {
+			m.setLinks(mode, []int{i})
+		}
+	case memberCutFromPeers:
+		m.setReplication(mode)
+		m.setSending(mode)
+	case memberCutFromStore:
+		m.storeProxy.SetMode(mode)
+	case memberRestarted:
+		m.kill()
+		time.Sleep(time.Duration(mode) * 100 * time.Millisecond)
+		m.restart(true)
+	case memberReleased:
+		m.release()
+	}
+}
+
+// end ends the faults of a member. A process that has ended starts again.
+func (m *slot) end(kind int) {
+	m.run.ledger.Log("REPAIR %s member %d", m.group, m.index)
+	m.repair()
+	m.restart(kind != memberReplaced)
+}
+
+// someHosts returns the numbers of some hosts, one at least.
+func (c *cluster) someHosts(r *rand.Rand) []int {
+	return r.Perm(len(c.hosts))[:1+r.IntN(len(c.hosts)-1)]
+}
+
+// sendAway begins a long fault of one member of each group, half of the time of all members
+// of a zone. It returns the function that ends them.
+func (c *cluster) sendAway(r *rand.Rand) []func() {
+	zone, together := r.IntN(groupSize), r.IntN(2) == 0
+	kind, mode, hosts := awayFaults[r.IntN(len(awayFaults))], cutModes[r.IntN(len(cutModes))], c.someHosts(r)
+	var ends []func()
+	for g := range groupCount {
+		if !together {
+			zone, kind, mode = r.IntN(groupSize), awayFaults[r.IntN(len(awayFaults))], cutModes[r.IntN(len(cutModes))]
+		}
+		m := c.slots[g*groupSize+zone]
+		m.disturb(kind, mode, hosts)
+		ends = append(ends, func() { m.end(kind) })
+	}
+	return ends
+}
+
+// burst disturbs all groups within a short time: the members that were away return, and the
+// leader, a replica and a host fail. It returns after the faults have begun.
+func (c *cluster) burst(r *rand.Rand, returns []func(), disturbing *sync.WaitGroup) {
+	window := 300 + r.IntN(700)
+	at := func(do func()) {
+		d := time.Duration(r.IntN(window)) * time.Millisecond
+		disturbing.Go(func() { time.Sleep(d); do() })
+	}
+	fault := func(m *slot, kinds []int) {
+		kind, mode, hosts := kinds[r.IntN(len(kinds))], cutModes[r.IntN(len(cutModes))], c.someHosts(r)
+		length := time.Duration(300+r.IntN(5000)) * time.Millisecond
+		at(func() { m.disturb(kind, mode, hosts); time.Sleep(length); m.end(kind) })
+	}
+	for g := range groupCount {
+		if returns != nil {
+			at(returns[g])
+		}
+		leader := c.leaderSlot(g)
+		if returns == nil || r.IntN(8) > 0 {
+			fault(leader, leaderFaults)
+		}
+		if r.IntN(3) > 0 {
+			m := c.slots[g*groupSize+r.IntN(groupSize)]
+			if m != leader {
+				fault(m, replicaFaults)
+			}
+		}
+		if r.IntN(3) == 0 {
+			c.ledger.DelayOrder(groupName(g), time.Duration(500+r.IntN(3500))*time.Millisecond)
+		}
+	}
+	if h, length := c.hosts[r.IntN(len(c.hosts))], time.Duration(500+r.IntN(3500))*time.Millisecond; r.IntN(2) == 0 {
+		kind := r.IntN(3)
+		at(func() {
+			c.ledger.Log("FAULT %s: %d for %v", h.name, kind, length)
+			c.injectFault(h, 0, []int{0, 2, 6}[kind], faulty.Silent, length)
+		})
+	}
+	time.Sleep(time.Duration(window) * time.Millisecond)
+}
+
+// serve runs sessions of all groups for the given time.
+func (c *cluster) serve(length time.Duration) {
+	const sessionsPerGroup = 6
+	ctx, stop := context.WithTimeout(c.t.Context(), length)
+	defer stop()
+	c.ctx = ctx
+	var sessions sync.WaitGroup
+	for g := range groupCount {
+		var items []string
+		for i := range sessionsPerGroup {
+			items = append(items, fmt.Sprintf("item-%d-%d", g, i))
+		}
+		for i, item := range items {
+			s := &session{run: &c.soakRun, random: rand.New(rand.NewPCG(c.seed, uint64(100*g+i))), name: fmt.Sprintf("s%d-%d", g, i), item: item, items: items, database: fmt.Sprintf("orders-%d", g)}
+			if i%2 == 1 {
+				s.database = fmt.Sprintf("log-%d", g)
+			}
+			sessions.Go(s.play)
+		}
+	}
+	sessions.Wait()
+}
+
+// play disturbs the cluster while it serves: after each time in away, in which a member of
+// each group is away, several faults come shortly after each other.
+func (c *cluster) play(r *rand.Rand, away []time.Duration) {
+	const startTime, burstTime, pause = 5 * time.Second, 7 * time.Second, 2 * time.Second
+	length := startTime
+	for _, d := range away {
+		length += d + time.Second + burstTime + pause
+	}
+	var running sync.WaitGroup
+	running.Go(func() { c.serve(length) })
+	time.Sleep(startTime)
+	for _, d := range away {
+		returns := c.sendAway(r)
+		time.Sleep(d)
+		var disturbing sync.WaitGroup
+		c.burst(r, returns, &disturbing)
+		time.Sleep(burstTime)
+		disturbing.Wait()
+		for _, m := range c.slots {
+			m.end(memberReplaced)
+		}
+		time.Sleep(pause)
+	}
+	running.Wait()
+}
+
+// reportCluster reports what was found. If the test failed, it writes the logs to files.
+func (c *cluster) reportCluster() {
+	acked, promotions := c.ledger.Counts()
+	c.t.Logf("seed %d %s: %d commits acknowledged, %d promotions, %d reads served", c.seed, c.size.name, acked, promotions, c.readsServed)
+	for _, v := range append(c.ledger.Lost(), c.violations...) {
+		c.t.Error(v)
+	}
+	if !c.t.Failed() && os.Getenv("PISTACHIOTRAY_SOAK_KEEP") == "" {
+		return
+	}
+	dir := filepath.Join(os.TempDir(), fmt.Sprintf("soak-size-%d-%d", c.seed, os.Getpid()))
+	_ = os.MkdirAll(dir, 0o700)
+	for _, h := range c.hosts {
+		_ = os.WriteFile(filepath.Join(dir, h.name+".log"), h.output.Bytes(), 0o600)
+	}
+	for _, m := range c.slots {
+		_ = os.WriteFile(filepath.Join(dir, fmt.Sprintf("member-%d.log", m.index)), m.output.Bytes(), 0o600)
+	}
+	events, _ := os.ReadFile(c.events.Name())
+	_ = os.WriteFile(filepath.Join(dir, "events.log"), events, 0o600)
+	c.t.Logf("logs: %s", dir)
+}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -30,6 +30,7 @@
 
 const (
 	hostCount    = 3
+	zoneCount    = 3
 	sessionCount = 9
 	// settleTime lets the system recover from the last fault before the log is
 	// checked.
@@ -40,6 +41,7 @@
 
 // host is one process of the program.
 type host struct {
+	name string
 	// front is the address for callers.
 	front, settingsFile string
 	// storeProxy is the proxy between the process and the table store.
@@ -114,7 +116,7 @@
 // addHost writes the settings file of host i and starts its process. store and cloud
 // are the addresses of the table store and of the cloud API.
 func (s *soakRun) addHost(i int, store, cloud string) {
-	h := &host{output: &bytes.Buffer{}, settingsFile: filepath.Join(s.t.TempDir(), "boot.toml")}
+	h := &host{name: fmt.Sprintf("host-%d", i), output: &bytes.Buffer{}, settingsFile: filepath.Join(s.t.TempDir(), "boot.toml")}
 	proxy, err := faulty.New(store)
 	if err != nil {
 		s.t.Fatal(err)
@@ -141,7 +143,7 @@
 Address = %q
 [CloudApi]
 Address = %q
-`, i, i, freePort(s.t), freePort(s.t), h.front, freePort(s.t), int(gracePeriod/time.Second), proxy.Address(), cloud)
+`, i, i%zoneCount, freePort(s.t), freePort(s.t), h.front, freePort(s.t), int(gracePeriod/time.Second), proxy.Address(), cloud)
 	if err := os.WriteFile(h.settingsFile, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -193,7 +195,7 @@
 	for s.ctx.Err() == nil {
 		time.Sleep(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
 		span := time.Duration(200+s.random.IntN(2500)) * time.Millisecond
-		h, i, kind := s.hosts[s.random.IntN(hostCount)], s.random.IntN(3), s.random.IntN(13)
+		h, i, kind := s.hosts[s.random.IntN(len(s.hosts))], s.random.IntN(3), s.random.IntN(13)
 		mode := 1 + s.random.IntN(4) // any but faulty.Forward
 		running.Go(func() { s.injectFault(h, i, kind, mode, span) })
 		if s.random.IntN(3) > 0 {
@@ -299,6 +301,8 @@
 	name     string
 	database string
 	item     string
+	// items holds the items of all sessions of the database group.
+	items []string
 	// sequence is the last sequence number that was written.
 	sequence int
 	// statements is the number of statements sent.
@@ -314,7 +318,7 @@
 // connect opens a connection to a random host. The session uses this connection
 // until it breaks.
 func (c *session) connect() bool {
-	h := c.run.hosts[c.random.IntN(hostCount)]
+	h := c.run.hosts[c.random.IntN(len(c.run.hosts))]
 	conn, err := net.DialTimeout("tcp", h.front, time.Second)
 	if err != nil {
 		return false
@@ -455,8 +459,8 @@
 	item := c.item
 	c.run.mu.Lock()
 	want := c.newestOwn
-	if c.database == "orders" {
-		item = fmt.Sprintf("item-%d", c.random.IntN(sessionCount))
+	if strings.HasPrefix(c.database, "orders") {
+		item = c.items[c.random.IntN(len(c.items))]
 		want = c.run.newestAcked[item]
 	}
 	c.run.mu.Unlock()
@@ -486,7 +490,12 @@
 		s.addViolation("nobody leads at the end")
 		return
 	}
-	writeCounts := s.group.WriteCounts(leader)
+	s.checkWrites(s.group.WriteCounts(leader))
+}
+
+// checkWrites compares how often each write is in the logs with the answers that the
+// callers got.
+func (s *soakRun) checkWrites(writeCounts map[string]int) {
 	for _, written := range s.ackedWrites {
 		if writeCounts[written] == 0 {
 			s.addViolation("LOST: %s was acknowledged", written)
@@ -533,8 +542,12 @@
 		s.addHost(i, address, address)
 	}
 	var done sync.WaitGroup
+	var items []string
+	for i := range sessionCount {
+		items = append(items, fmt.Sprintf("item-%d", i))
+	}
 	for i := range sessionCount {
-		c := &session{run: s, random: rand.New(rand.NewPCG(seed, uint64(10+i))), name: fmt.Sprintf("s%d", i), item: fmt.Sprintf("item-%d", i), database: "orders"}
+		c := &session{run: s, random: rand.New(rand.NewPCG(seed, uint64(10+i))), name: fmt.Sprintf("s%d", i), item: items[i], items: items, database: "orders"}
 		if i%2 == 1 {
 			c.database = "log"
 		}
