standin/soak: faults that follow an order, and what the caller was told

In the moment between an order and the promotion, the leader may return and a replica restart; the ledger tells when an order is accepted. Each group now has also the third member disturbed. LOST says whether the caller was told of the commit.

--- a/standin/faulty/proxy.go
+++ b/standin/faulty/proxy.go
@@ -112,10 +112,21 @@
 
 // listen listens on an address that was in use until now.
 func listen(address string) net.Listener {
+	var l net.Listener
+	retry(func() (err error) {
+		l, err = net.Listen("tcp", address)
+		return err
+	})
+	return l
+}
+
+// retry calls a function until it succeeds, since a closed listener may hold its address
+// for a moment. It panics if that takes too long.
+func retry(f func() error) {
 	for began := time.Now(); ; time.Sleep(time.Millisecond) {
-		l, err := net.Listen("tcp", address)
+		err := f()
 		if err == nil {
-			return l
+			return
 		}
 		if time.Since(began) > listenTimeout {
 			panic(err)
@@ -135,12 +146,10 @@
 		panic(err)
 	}
 	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())}); err != nil {
-		panic(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		panic(err)
-	}
+	retry(func() error {
+		return syscall.Bind(fd, &syscall.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())})
+	})
+	retry(func() error { return syscall.Listen(fd, 0) })
 	var filling []net.Conn
 	for range fillers {
 		c, err := net.DialTimeout("tcp", address, fillerTimeout)
--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -64,6 +64,7 @@
 	// promoteLeast is described at WithLeastPromoted.
 	promoteLeast bool
 	events       io.Writer
+	onOrder      func(group, id string)
 	listener     net.Listener
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -80,6 +81,12 @@
 	return func(l *Ledger) { l.promoteLeast = true }
 }
 
+// WithOrderHook returns an option that calls a function with each order that is accepted and
+// replaces the leader.
+func WithOrderHook(f func(group, id string)) func(*Ledger) {
+	return func(l *Ledger) { l.onOrder = f }
+}
+
 // New returns a Ledger that serves member processes on loopback. A promotion takes effect
 // promoteTime after its order. Events are written to events, one line each.
 func New(promoteTime time.Duration, events io.Writer, options ...func(*Ledger)) (*Ledger, error) {
@@ -87,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Ledger{promoteTime: promoteTime, events: events, listener: listener, groups: map[string]*group{}}
+	l := &Ledger{promoteTime: promoteTime, events: events, onOrder: func(string, string) {}, listener: listener, groups: map[string]*group{}}
 	for _, o := range options {
 		o(l)
 	}
@@ -305,6 +312,7 @@
 	g.token = token
 	l.logf("ORDER %s %s by %s token %d: accepted, leads %t, %d entries", g.name, id, holder, token, g.leads(m), len(m.log))
 	if !g.leads(m) {
+		go l.onOrder(g.name, id)
 		time.AfterFunc(l.promoteTime, func() { l.promote(g, id, holder, token) })
 	}
 	return nil
--- a/standin/soak/cluster_test.go
+++ b/standin/soak/cluster_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,6 +71,10 @@
 	// ackAlone is the setting of the members.
 	ackAlone bool
 	starts   int
+	// orderRandom chooses the faults that follow an order; mu guards it.
+	orderRandom *rand.Rand
+	// calm is set while no faults may follow an order.
+	calm atomic.Bool
 }
 
 // TestMain runs a member if the environment holds the settings of one.
@@ -193,7 +198,10 @@
 func newCluster(t *testing.T, program string, seed uint64, z size, ackAlone bool, options ...func(*ledger.Ledger)) *cluster {
 	t.Helper()
 	c := &cluster{size: z, seed: seed, ackAlone: ackAlone, network: networkNumber(t)}
+	c.orderRandom = rand.New(rand.NewPCG(seed, 3))
+	options = append(options, ledger.WithOrderHook(c.disturbOrder))
 	c.t, c.random, c.program, c.platform, c.newestAcked = t, rand.New(rand.NewPCG(seed, 1)), program, platd.New(), map[string]int{}
+	c.ackedIDs = map[string]bool{}
 	var err error
 	if c.events, err = os.Create(filepath.Join(t.TempDir(), "events.log")); err != nil {
 		t.Fatal(err)
--- a/standin/soak/disturb_test.go
+++ b/standin/soak/disturb_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -30,13 +31,16 @@
 
 var (
 	// awayFaults last long. leaderFaults and replicaFaults come shortly after each other.
-	awayFaults    = []int{memberKilled, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberCutFromStore, memberCutFromStore}
+	awayFaults    = []int{memberKilled, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberCutFromStore, memberCutFromStore, memberCutFromStore}
 	leaderFaults  = []int{memberKilled, memberReplaced, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromHosts, memberCutFromPeers, memberCutFromStore, memberReleased}
 	replicaFaults = []int{memberKilled, memberReplaced, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberRestarted, memberRestarted, memberReleased}
 	faultNames    = []string{"killed", "replaced", "refused", "silent", "frozen", "cut from some hosts", "cut from hosts", "cut from peers", "cut from store", "restarted", "released"}
 	cutModes      = []int{faulty.DropRequests, faulty.DropAnswers, faulty.RefuseNew, faulty.Refuse, faulty.Silent}
 )
 
+// burstTime is how long a burst lasts at least.
+const burstTime = 6 * time.Second
+
 // disturb begins a fault of a member. end ends the faults of a member.
 func (m *slot) disturb(kind, mode int, hosts []int) {
 	m.run.ledger.Log("FAULT %s member %d %s: %s, mode %d, hosts %v", m.group, m.index, m.id, faultNames[kind], mode, hosts)
@@ -84,25 +88,25 @@
 }
 
 // sendAway begins a long fault of one member of each group, half of the time of all members
-// of a zone. It returns the function that ends them.
-func (c *cluster) sendAway(r *rand.Rand) []func() {
+// of a zone. It returns these members and the functions that end the
+// faults.
+func (c *cluster) sendAway(r *rand.Rand) (members []*slot, returns []func()) {
 	zone, together := r.IntN(groupSize), r.IntN(2) == 0
 	kind, mode, hosts := awayFaults[r.IntN(len(awayFaults))], cutModes[r.IntN(len(cutModes))], c.someHosts(r)
-	var ends []func()
 	for g := range groupCount {
 		if !together {
 			zone, kind, mode = r.IntN(groupSize), awayFaults[r.IntN(len(awayFaults))], cutModes[r.IntN(len(cutModes))]
 		}
 		m := c.slots[g*groupSize+zone]
 		m.disturb(kind, mode, hosts)
-		ends = append(ends, func() { m.end(kind) })
+		members, returns = append(members, m), append(returns, func() { m.end(kind) })
 	}
-	return ends
+	return members, returns
 }
 
 // burst disturbs all groups within a short time: the members that were away return, and the
 // leader, a replica and a host fail. It returns after the faults have begun.
-func (c *cluster) burst(r *rand.Rand, returns []func(), disturbing *sync.WaitGroup) {
+func (c *cluster) burst(r *rand.Rand, away []*slot, returns []func(), disturbing *sync.WaitGroup) {
 	window := 300 + r.IntN(700)
 	at := func(do func()) {
 		d := time.Duration(r.IntN(window)) * time.Millisecond
@@ -110,20 +114,19 @@
 	}
 	fault := func(m *slot, kinds []int) {
 		kind, mode, hosts := kinds[r.IntN(len(kinds))], cutModes[r.IntN(len(cutModes))], c.someHosts(r)
-		length := time.Duration(300+r.IntN(5000)) * time.Millisecond
+		length := time.Duration(500+r.IntN(4500)) * time.Millisecond
 		at(func() { m.disturb(kind, mode, hosts); time.Sleep(length); m.end(kind) })
 	}
 	for g := range groupCount {
-		if returns != nil {
+		if r.IntN(2) == 0 {
 			at(returns[g])
+		} else {
+			disturbing.Go(func() { time.Sleep(burstTime); returns[g]() })
 		}
 		leader := c.leaderSlot(g)
-		if returns == nil || r.IntN(8) > 0 {
-			fault(leader, leaderFaults)
-		}
-		if r.IntN(3) > 0 {
-			m := c.slots[g*groupSize+r.IntN(groupSize)]
-			if m != leader {
+		fault(leader, leaderFaults)
+		for _, m := range c.slots[g*groupSize : (g+1)*groupSize] {
+			if m != leader && m != away[g] && r.IntN(4) > 0 {
 				fault(m, replicaFaults)
 			}
 		}
@@ -134,13 +137,37 @@
 	if h, length := c.hosts[r.IntN(len(c.hosts))], time.Duration(500+r.IntN(3500))*time.Millisecond; r.IntN(2) == 0 {
 		kind := r.IntN(3)
 		at(func() {
-			c.ledger.Log("FAULT %s: %d for %v", h.name, kind, length)
+			c.ledger.Log("FAULT %s: %s for %v", h.name, []string{"killed", "frozen", "cut from store"}[kind], length)
 			c.injectFault(h, 0, []int{0, 2, 6}[kind], faulty.Silent, length)
 		})
 	}
 	time.Sleep(time.Duration(window) * time.Millisecond)
 }
 
+// disturbOrder disturbs a group whose leader is about to be replaced by a member: the leader
+// returns, a replica restarts, or both.
+func (c *cluster) disturbOrder(group, id string) {
+	if c.calm.Load() {
+		return
+	}
+	c.mu.Lock()
+	returns, restarts := c.orderRandom.IntN(2) == 0, c.orderRandom.IntN(2) == 0
+	after := [2]time.Duration{time.Duration(c.orderRandom.Int64N(int64(c.size.promote))), time.Duration(c.orderRandom.Int64N(int64(c.size.promote)))}
+	pause := c.orderRandom.IntN(3)
+	c.mu.Unlock()
+	leader := c.ledger.Leader(group)
+	for _, m := range c.slots {
+		switch m.mu.Lock(); {
+		case m.group != group || m.id == id:
+		case m.id == leader && returns:
+			time.AfterFunc(after[0], func() { m.end(memberKilled) })
+		case m.id != leader && restarts && m.up:
+			time.AfterFunc(after[1], func() { m.disturb(memberRestarted, pause, nil) })
+		}
+		m.mu.Unlock()
+	}
+}
+
 // serve runs sessions of all groups for the given time.
 func (c *cluster) serve(length time.Duration) {
 	const sessionsPerGroup = 6
@@ -167,7 +194,7 @@
 // play disturbs the cluster while it serves: after each time in away, in which a member of
 // each group is away, several faults come shortly after each other.
 func (c *cluster) play(r *rand.Rand, away []time.Duration) {
-	const startTime, burstTime, pause = 5 * time.Second, 7 * time.Second, 2 * time.Second
+	const startTime, pause = 5 * time.Second, 2 * time.Second
 	length := startTime
 	for _, d := range away {
 		length += d + time.Second + burstTime + pause
@@ -176,10 +203,10 @@
 	running.Go(func() { c.serve(length) })
 	time.Sleep(startTime)
 	for _, d := range away {
-		returns := c.sendAway(r)
+		members, returns := c.sendAway(r)
 		time.Sleep(d)
 		var disturbing sync.WaitGroup
-		c.burst(r, returns, &disturbing)
+		c.burst(r, members, returns, &disturbing)
 		time.Sleep(burstTime)
 		disturbing.Wait()
 		for _, m := range c.slots {
@@ -194,7 +221,12 @@
 func (c *cluster) reportCluster() {
 	acked, promotions := c.ledger.Counts()
 	c.t.Logf("seed %d %s: %d commits acknowledged, %d promotions, %d reads served", c.seed, c.size.name, acked, promotions, c.readsServed)
-	for _, v := range append(c.ledger.Lost(), c.violations...) {
+	for _, l := range c.ledger.Lost() {
+		_, text, _ := strings.Cut(l, "lacks ")
+		id := strings.Fields(text)[1]
+		c.t.Errorf("%s; told to the caller: %t", l, c.ackedIDs[strings.TrimSuffix(id, ",")])
+	}
+	for _, v := range c.violations {
 		c.t.Error(v)
 	}
 	if !c.t.Failed() && os.Getenv("PISTACHIOTRAY_SOAK_KEEP") == "" {
--- a/standin/soak/size_test.go
+++ b/standin/soak/size_test.go
@@ -35,11 +35,12 @@
 // their own. PISTACHIOTRAY_SOAK_SIZE sets the number of seeds and makes the runs longer,
 // and PISTACHIOTRAY_SOAK_FROM sets the first one.
 func TestSoakAtSize(t *testing.T) {
+	t.Parallel()
 	n, from, away := 1, 1, []time.Duration{9 * time.Second}
 	if text := os.Getenv("PISTACHIOTRAY_SOAK_SIZE"); text != "" {
 		n, _ = strconv.Atoi(text)
 		from, _ = strconv.Atoi(os.Getenv("PISTACHIOTRAY_SOAK_FROM"))
-		away = []time.Duration{12 * time.Second, 9 * time.Second}
+		away = []time.Duration{13 * time.Second, 15 * time.Second, 13 * time.Second}
 	}
 	program := buildProgram(t)
 	for i := range n {
@@ -57,6 +58,7 @@
 
 // TestSoakDetectsPlantedLoss verifies that a loss is reported.
 func TestSoakDetectsPlantedLoss(t *testing.T) {
+	t.Parallel()
 	const plantTime = 5 * time.Second
 	program := buildProgram(t)
 	for name, plant := range map[string]struct {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -73,7 +73,9 @@
 	// ackedWrites and refusedWrites hold writes in the form "ITEM SEQUENCE".
 	ackedWrites   []string
 	refusedWrites []string
-	readsServed   int
+	// ackedIDs holds the IDs of the acknowledged statements that commit.
+	ackedIDs    map[string]bool
+	readsServed int
 	// version is the version of the newest configuration, which has the route
 	// "extra-VERSION".
 	version int
@@ -367,7 +369,7 @@
 // answer is incomplete.
 func (c *session) query(text string) (string, bool) {
 	c.statements++
-	id := fmt.Sprintf("%s-%d", c.name, c.statements)
+	id := c.statementID()
 	got, ok := c.exchange("QUERY " + id + " " + text)
 	verb, _, _ := strings.Cut(text, " ")
 	if ok && (verb == "READ" || verb == "WRITE" || verb == "COMMIT") && strings.Contains(got, "COMPLETE ") && !strings.Contains(got, " "+id+"|") {
@@ -376,6 +378,11 @@
 	return got, ok
 }
 
+// statementID returns the ID of the last statement.
+func (c *session) statementID() string {
+	return fmt.Sprintf("%s-%d", c.name, c.statements)
+}
+
 // play runs random statements until the run ends.
 func (c *session) play() {
 	defer c.close()
@@ -408,6 +415,7 @@
 	got, ok := c.query(text)
 	c.run.mu.Lock()
 	defer c.run.mu.Unlock()
+	c.run.ackedIDs[c.statementID()] = ok && strings.Contains(got, "COMPLETE ")
 	for _, n := range sequences {
 		written := fmt.Sprintf("%s %d", c.item, n)
 		switch {
@@ -522,7 +530,7 @@
 	defer stopServing()
 	s := &soakRun{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), program: program, ctx: ctx,
-		platform: platd.New(), group: qgroup.New("g", 3), newestAcked: map[string]int{},
+		platform: platd.New(), group: qgroup.New("g", 3), newestAcked: map[string]int{}, ackedIDs: map[string]bool{},
 	}
 	if err := s.platform.Serve(serving, "g", s.group, platd.WithProxy(func(member string) string {
 		p, err := faulty.New(member)
