--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -52,8 +52,10 @@
 	members map[string]*member
 	// acked holds the acknowledged commits, oldest first.
 	acked []commit
-	// token is the highest fencing token of an accepted order.
-	token uint64
+	// token is the highest fencing token of an accepted order, and ordered the member that
+	// it names.
+	token   uint64
+	ordered string
 	// delays holds the delays of the next orders, which get no answer.
 	delays []time.Duration
 }
@@ -179,6 +181,14 @@
 	return l.groups[name].leader
 }
 
+// Ordered returns the ID of the member that the last accepted order names, or "" if there
+// was none.
+func (l *Ledger) Ordered(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.groups[name].ordered
+}
+
 // Lost returns a description of each acknowledged commit that a promoted member lacked.
 func (l *Ledger) Lost() []string {
 	l.mu.Lock()
@@ -193,19 +203,20 @@
 	return l.acked, l.promotions
 }
 
-// WriteCounts returns how often each write occurs in the logs of the members that lead, or
-// led last. The keys have the form "ITEM VALUE".
-func (l *Ledger) WriteCounts() map[string]int {
+// WriteCounts returns how often each write occurs in the log of the member that leads a
+// group, or led it last. The keys have the form "ITEM VALUE". The result is nil if the group
+// has no leader.
+func (l *Ledger) WriteCounts(name string) map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	m := l.groups[name].members[l.groups[name].leader]
+	if m == nil {
+		return nil
+	}
 	counts := map[string]int{}
-	for _, g := range l.groups {
-		if m := g.members[g.leader]; m != nil {
-			for _, e := range m.log {
-				for _, w := range strings.Split(e, "\n")[1:] {
-					counts[w]++
-				}
-			}
+	for _, e := range m.log {
+		for _, w := range strings.Split(e, "\n")[1:] {
+			counts[w]++
 		}
 	}
 	return counts
@@ -309,7 +320,7 @@
 		l.logf("ORDER %s %s by %s token %d: refused, highest %d", g.name, id, holder, token, g.token)
 		return errRefused
 	}
-	g.token = token
+	g.token, g.ordered = token, id
 	l.logf("ORDER %s %s by %s token %d: accepted, leads %t, %d entries", g.name, id, holder, token, g.leads(m), len(m.log))
 	if !g.leads(m) {
 		go l.onOrder(g.name, id)
--- a/standin/soak/disturb_test.go
+++ b/standin/soak/disturb_test.go
@@ -195,7 +195,7 @@
 // each group is away, several faults come shortly after each other.
 func (c *cluster) play(r *rand.Rand, away []time.Duration) {
 	const startTime, pause = 5 * time.Second, 2 * time.Second
-	length := startTime
+	length := startTime + settleTime - pause
 	for _, d := range away {
 		length += d + time.Second + burstTime + pause
 	}
@@ -217,30 +217,52 @@
 	running.Wait()
 }
 
-// reportCluster reports what was found. If the test failed, it writes the logs to files.
-func (c *cluster) reportCluster() {
+// check compares the logs at the end with the answers that the callers got.
+func (c *cluster) check() {
+	for g := range groupCount {
+		if counts := c.ledger.WriteCounts(groupName(g)); counts != nil {
+			c.checkWrites(counts, fmt.Sprintf("item-%d-", g))
+		} else {
+			c.addViolation("nobody leads %s at the end", groupName(g))
+		}
+	}
+}
+
+// report reports what was found. If the test failed, it writes the logs to files.
+func (c *cluster) report() {
+	const shown = 40
 	acked, promotions := c.ledger.Counts()
 	c.t.Logf("seed %d %s: %d commits acknowledged, %d promotions, %d reads served", c.seed, c.size.name, acked, promotions, c.readsServed)
+	var found []string
 	for _, l := range c.ledger.Lost() {
 		_, text, _ := strings.Cut(l, "lacks ")
-		id := strings.Fields(text)[1]
-		c.t.Errorf("%s; told to the caller: %t", l, c.ackedIDs[strings.TrimSuffix(id, ",")])
+		id := strings.TrimSuffix(strings.Fields(text)[1], ",")
+		found = append(found, fmt.Sprintf("%s; told to the caller: %t", l, c.ackedIDs[id]))
 	}
-	for _, v := range c.violations {
+	found = append(found, c.violations...)
+	for _, v := range found[:min(len(found), shown)] {
 		c.t.Error(v)
 	}
+	if len(found) > shown {
+		c.t.Errorf("and %d more", len(found)-shown)
+	}
 	if !c.t.Failed() && os.Getenv("PISTACHIOTRAY_SOAK_KEEP") == "" {
 		return
 	}
-	dir := filepath.Join(os.TempDir(), fmt.Sprintf("soak-size-%d-%d", c.seed, os.Getpid()))
-	_ = os.MkdirAll(dir, 0o700)
+	logs := map[string][]byte{"found.log": []byte(strings.Join(found, "\n") + "\n")}
 	for _, h := range c.hosts {
-		_ = os.WriteFile(filepath.Join(dir, h.name+".log"), h.output.Bytes(), 0o600)
+		logs[h.name+".log"] = h.output.Bytes()
 	}
 	for _, m := range c.slots {
-		_ = os.WriteFile(filepath.Join(dir, fmt.Sprintf("member-%d.log", m.index)), m.output.Bytes(), 0o600)
+		logs[fmt.Sprintf("member-%d.log", m.index)] = m.output.Bytes()
+	}
+	logs["events.log"], _ = os.ReadFile(c.events.Name())
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-size-%d-", c.seed))
+	if err != nil {
+		c.t.Error(err)
+	}
+	for name, text := range logs {
+		_ = os.WriteFile(filepath.Join(dir, name), text, 0o600)
 	}
-	events, _ := os.ReadFile(c.events.Name())
-	_ = os.WriteFile(filepath.Join(dir, "events.log"), events, 0o600)
 	c.t.Logf("logs: %s", dir)
 }
--- a/standin/soak/size_test.go
+++ b/standin/soak/size_test.go
@@ -50,8 +50,8 @@
 			c := newCluster(t, program, seed, sizes[seed%2], false)
 			c.play(rand.New(rand.NewPCG(seed, 2)), away)
 			c.stop()
-			c.checkWrites(c.ledger.WriteCounts())
-			c.reportCluster()
+			c.check()
+			c.report()
 		})
 	}
 }
--- a/standin/soak/slot_test.go
+++ b/standin/soak/slot_test.go
@@ -102,6 +102,13 @@
 	m.signal(syscall.SIGTERM)
 }
 
+// currentID returns the ID of the member.
+func (m *slot) currentID() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.id
+}
+
 // kill kills the process and waits until it has ended.
 func (m *slot) kill() {
 	m.mu.Lock()
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -498,14 +498,14 @@
 		s.addViolation("nobody leads at the end")
 		return
 	}
-	s.checkWrites(s.group.WriteCounts(leader))
+	s.checkWrites(s.group.WriteCounts(leader), "")
 }
 
-// checkWrites compares how often each write is in the logs with the answers that the
-// callers got.
-func (s *soakRun) checkWrites(writeCounts map[string]int) {
+// checkWrites compares how often each write is in the log with the answers that the callers
+// got for the items with a prefix.
+func (s *soakRun) checkWrites(writeCounts map[string]int, prefix string) {
 	for _, written := range s.ackedWrites {
-		if writeCounts[written] == 0 {
+		if strings.HasPrefix(written, prefix) && writeCounts[written] == 0 {
 			s.addViolation("LOST: %s was acknowledged", written)
 		}
 	}
