--- a/standin/soak/disturb_test.go
+++ b/standin/soak/disturb_test.go
@@ -194,7 +194,7 @@
 // play disturbs the cluster while it serves: after each time in away, in which a member of
 // each group is away, several faults come shortly after each other.
 func (c *cluster) play(r *rand.Rand, away []time.Duration) {
-	const startTime, pause = 5 * time.Second, 2 * time.Second
+	const startTime, pause = 4 * time.Second, 2 * time.Second
 	length := startTime + settleTime - pause
 	for _, d := range away {
 		length += d + time.Second + burstTime + pause
--- a/standin/soak/size_test.go
+++ b/standin/soak/size_test.go
@@ -36,7 +36,7 @@
 // and PISTACHIOTRAY_SOAK_FROM sets the first one.
 func TestSoakAtSize(t *testing.T) {
 	t.Parallel()
-	n, from, away := 1, 1, []time.Duration{9 * time.Second}
+	n, from, away := 1, 1, []time.Duration{12 * time.Second}
 	if text := os.Getenv("PISTACHIOTRAY_SOAK_SIZE"); text != "" {
 		n, _ = strconv.Atoi(text)
 		from, _ = strconv.Atoi(os.Getenv("PISTACHIOTRAY_SOAK_FROM"))
