--- a/standin/soak/script_test.go
+++ b/standin/soak/script_test.go
@@ -39,6 +39,15 @@
 			}
 		}},
 	}, deafThenLost(5*time.Second)...),
+	"successor of a released member receives before it is registered": append([]step{
+		{0, func(_, replica, _ *slot) { replica.setNext(0, true); replica.disturb(memberReleased, 0, nil) }},
+	}, deafThenLost(7500*time.Millisecond)...),
+	"successor of a released member has an earlier clock": append([]step{
+		{0, func(_, replica, _ *slot) {
+			replica.setNext(-time.Minute, false)
+			replica.disturb(memberReleased, 0, nil)
+		}},
+	}, deafThenLost(9*time.Second)...),
 	"leader cut off from the store is replaced and still receives": {
 		{0, func(leader, _, _ *slot) { leader.disturb(memberCutFromStore, faulty.Silent, nil) }},
 		{18 * time.Second, func(leader, replica, other *slot) {
--- a/standin/soak/slot_test.go
+++ b/standin/soak/slot_test.go
@@ -35,6 +35,10 @@
 	ended    chan struct{}
 	up       bool
 	released bool
+	// skew is how far the clock of the next process is ahead.
+	skew time.Duration
+	// hidden means that the next process does not reach the store.
+	hidden bool
 }
 
 // start starts a process of the member with the log of the member before.
@@ -42,7 +46,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.run
-	m.id, m.started = id, max(time.Now().UnixMilli(), m.started+1)
+	m.id, m.started = id, time.Now().Add(m.skew).UnixMilli()
+	if m.hidden {
+		m.storeProxy.SetMode(faulty.Silent)
+	}
 	p := dbproc.Process{
 		Group: m.group, ID: id, Zone: fmt.Sprintf("zone-%d", m.zone), Started: m.started,
 		Registered: c.address(registeredNet, 0, m.index), Listen: c.address(directNet, 1, m.index), Replication: c.address(replicationNet, 1, m.index),
@@ -82,7 +89,7 @@
 			m.restart(false)
 		}
 	}()
-	time.AfterFunc(100*time.Millisecond, m.repair)
+	time.AfterFunc(100*time.Millisecond, m.openLinks)
 }
 
 // signal sends a signal to the member's process.
@@ -102,6 +109,13 @@
 	m.signal(syscall.SIGTERM)
 }
 
+// setNext sets the skew of the clock of the next process and whether it is hidden.
+func (m *slot) setNext(skew time.Duration, hidden bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.skew, m.hidden = skew, hidden
+}
+
 // currentID returns the ID of the member.
 func (m *slot) currentID() string {
 	m.mu.Lock()
@@ -172,6 +186,13 @@
 // repair ends all faults of the member's process and links.
 func (m *slot) repair() {
 	m.signal(syscall.SIGCONT)
+	m.openLinks()
+	m.storeProxy.SetMode(faulty.Forward)
+}
+
+// openLinks ends the faults of the links to hosts and members. The links to a process that
+// has ended are refused.
+func (m *slot) openLinks() {
 	mode := faulty.Refuse
 	m.mu.Lock()
 	if m.up {
@@ -180,5 +201,4 @@
 	m.mu.Unlock()
 	m.setLinks(mode, nil)
 	m.setSending(faulty.Forward)
-	m.storeProxy.SetMode(faulty.Forward)
 }
