--- a/standin/soak/disturb_test.go
+++ b/standin/soak/disturb_test.go
@@ -31,7 +31,7 @@
 
 var (
 	// awayFaults last long. leaderFaults and replicaFaults come shortly after each other.
-	awayFaults    = []int{memberKilled, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberCutFromStore, memberCutFromStore, memberCutFromStore}
+	awayFaults    = []int{memberKilled, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberCutFromStore, memberCutFromStore, memberCutFromStore, memberReleased}
 	leaderFaults  = []int{memberKilled, memberReplaced, memberRefused, memberSilent, memberFrozen, memberCutFromSome, memberCutFromHosts, memberCutFromPeers, memberCutFromStore, memberReleased}
 	replicaFaults = []int{memberKilled, memberReplaced, memberSilent, memberFrozen, memberCutFromSome, memberCutFromPeers, memberRestarted, memberRestarted, memberReleased}
 	faultNames    = []string{"killed", "replaced", "refused", "silent", "frozen", "cut from some hosts", "cut from hosts", "cut from peers", "cut from store", "restarted", "released"}
@@ -71,6 +71,8 @@
 		time.Sleep(time.Duration(mode) * 100 * time.Millisecond)
 		m.restart(true)
 	case memberReleased:
+		// The next member at the address may be unable to register.
+		m.setNext(0, mode == faulty.Silent)
 		m.release()
 	}
 }
@@ -78,6 +80,7 @@
 // end ends the faults of a member. A process that has ended starts again.
 func (m *slot) end(kind int) {
 	m.run.ledger.Log("REPAIR %s member %d", m.group, m.index)
+	m.setNext(0, false)
 	m.repair()
 	m.restart(kind != memberReplaced)
 }
@@ -88,8 +91,7 @@
 }
 
 // sendAway begins a long fault of one member of each group, half of the time of all members
-// of a zone. It returns these members and the functions that end the
-// faults.
+// of a zone. It returns these members and the functions that end the faults.
 func (c *cluster) sendAway(r *rand.Rand) (members []*slot, returns []func()) {
 	zone, together := r.IntN(groupSize), r.IntN(2) == 0
 	kind, mode, hosts := awayFaults[r.IntN(len(awayFaults))], cutModes[r.IntN(len(cutModes))], c.someHosts(r)
@@ -135,10 +137,10 @@
 		}
 	}
 	if h, length := c.hosts[r.IntN(len(c.hosts))], time.Duration(500+r.IntN(3500))*time.Millisecond; r.IntN(2) == 0 {
-		kind := r.IntN(3)
+		kind := r.IntN(4)
 		at(func() {
-			c.ledger.Log("FAULT %s: %s for %v", h.name, []string{"killed", "frozen", "cut from store"}[kind], length)
-			c.injectFault(h, 0, []int{0, 2, 6}[kind], faulty.Silent, length)
+			c.ledger.Log("FAULT %s: %s for %v", h.name, []string{"killed", "stopped", "frozen", "cut from store"}[kind], length)
+			c.injectFault(h, 0, []int{0, 1, 2, 6}[kind], faulty.Silent, length)
 		})
 	}
 	time.Sleep(time.Duration(window) * time.Millisecond)
--- a/standin/soak/script_test.go
+++ b/standin/soak/script_test.go
@@ -40,12 +40,12 @@
 		}},
 	}, deafThenLost(5*time.Second)...),
 	"successor of a released member receives before it is registered": append([]step{
-		{0, func(_, replica, _ *slot) { replica.setNext(0, true); replica.disturb(memberReleased, 0, nil) }},
+		{0, func(_, replica, _ *slot) { replica.disturb(memberReleased, faulty.Silent, nil) }},
 	}, deafThenLost(7500*time.Millisecond)...),
 	"successor of a released member has an earlier clock": append([]step{
 		{0, func(_, replica, _ *slot) {
-			replica.setNext(-time.Minute, false)
 			replica.disturb(memberReleased, 0, nil)
+			replica.setNext(-time.Minute, false)
 		}},
 	}, deafThenLost(9*time.Second)...),
 	"leader cut off from the store is replaced and still receives": {
