standin/soak: one address per member, links of single hosts cut by name

All hosts now use one address; a proxy cuts single hosts by the name in START. A link that is cut for all hosts still refuses or ignores connection attempts.

--- a/standin/faulty/proxy.go
+++ b/standin/faulty/proxy.go
@@ -2,6 +2,7 @@
 package faulty
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"syscall"
@@ -40,6 +41,8 @@
 	// client that it can't reach.
 	unreachableTimeout = 3 * time.Second
 	closePollPause     = 20 * time.Millisecond
+	// nameField is the number of the field of the first line that holds the client's name.
+	nameField = 2
 )
 
 // Proxy forwards connections to one address and injects the fault of its mode. It is
@@ -54,11 +57,17 @@
 	silence  func()
 	mu       sync.Mutex
 	mode     int
+	// clientModes holds the modes of single clients by name.
+	clientModes map[string]int
 	// conns holds the open connections, both those of clients and those to the
-	// server.
-	conns map[net.Conn]struct{}
+	// server, and the link that each belongs to.
+	conns map[net.Conn]*link
 }
 
+// link is a connection of a client and the one to the server. The lock of the proxy guards
+// name, the name of the client, which is empty while it is not known.
+type link struct{ name string }
+
 // WithAddress returns an option that sets the address on which the proxy listens.
 func WithAddress(address string) func(*Proxy) {
 	return func(p *Proxy) { p.address = address }
@@ -66,7 +75,7 @@
 
 // New starts a proxy on loopback that forwards to the address target.
 func New(target string, options ...func(*Proxy)) (*Proxy, error) {
-	p := &Proxy{target: target, address: "127.0.0.1:0", conns: map[net.Conn]struct{}{}}
+	p := &Proxy{target: target, address: "127.0.0.1:0", clientModes: map[string]int{}, conns: map[net.Conn]*link{}}
 	for _, o := range options {
 		o(p)
 	}
@@ -110,6 +119,27 @@
 	}
 }
 
+// SetClientMode changes the mode for one client, which gives its name as the third field of
+// the first line that it sends. Its connection attempts succeed in any mode; those that the
+// mode refuses are reset after the first line. Forward ends the client's own mode.
+func (p *Proxy) SetClientMode(name string, mode int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clientModes[name] = mode
+	for c, l := range p.conns {
+		if mode == Refuse && l.name == name {
+			closeWithReset(c)
+		}
+	}
+}
+
+// ClearClientModes ends the modes of single clients.
+func (p *Proxy) ClearClientModes() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.clientModes)
+}
+
 // listen listens on an address that was in use until now.
 func listen(address string) net.Listener {
 	var l net.Listener
@@ -172,6 +202,26 @@
 	return p.mode
 }
 
+// modeOf returns the mode of a link, and whether it is that of its client only.
+func (p *Proxy) modeOf(l *link) (mode int, own bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.clientModes[l.name]; m != Forward {
+		return m, true
+	}
+	return p.mode, false
+}
+
+// identify sets the name of a link's client from the first data that it sent.
+func (p *Proxy) identify(l *link, data []byte) {
+	line, _, _ := bytes.Cut(data, []byte("\r\n"))
+	if fields := bytes.Fields(line); len(fields) > nameField {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		l.name = string(fields[nameField])
+	}
+}
+
 // ResetConnections closes every open connection, of clients and to the server, with
 // a TCP reset.
 func (p *Proxy) ResetConnections() {
@@ -221,16 +271,17 @@
 			continue
 		}
 		p.mu.Lock()
-		p.conns[client], p.conns[server] = struct{}{}, struct{}{}
+		l := &link{}
+		p.conns[client], p.conns[server] = l, l
 		p.mu.Unlock()
-		go p.copyStream(client, server, DropRequests)
-		go p.copyStream(server, client, DropAnswers)
+		go p.copyStream(l, client, server, DropRequests)
+		go p.copyStream(l, server, client, DropAnswers)
 	}
 }
 
 // copyStream forwards one direction of a connection until either side is closed. Once
 // it has dropped data because the mode was dropMode, it drops all later data too.
-func (p *Proxy) copyStream(from, to net.Conn, dropMode int) {
+func (p *Proxy) copyStream(l *link, from, to net.Conn, dropMode int) {
 	defer func() {
 		p.mu.Lock()
 		delete(p.conns, from)
@@ -240,17 +291,23 @@
 	}()
 	buffer := make([]byte, bufferBytes)
 	gap := false
-	for {
+	for first := true; ; first = false {
 		n, err := from.Read(buffer)
 		if err != nil {
-			p.awaitForwarding(dropMode == DropRequests)
+			p.awaitForwarding(l, dropMode == DropRequests)
 			return
 		}
-		switch p.currentMode() {
-		case dropMode, Silent:
+		if first && dropMode == DropRequests {
+			p.identify(l, buffer[:n])
+		}
+		switch mode, own := p.modeOf(l); {
+		case mode == dropMode || mode == Silent:
 			gap = true
-		case Delay:
+		case mode == Delay:
 			time.Sleep(delayTime)
+		case own && first && (mode == Refuse || mode == RefuseNew):
+			closeWithReset(from)
+			return
 		}
 		// The receiver could not decode a stream that continues after a gap.
 		if gap {
@@ -264,8 +321,10 @@
 
 // awaitForwarding waits while the mode is Silent, since a silent link does not pass on that
 // a connection was closed. The server drops the connection of an unreachable client.
-func (p *Proxy) awaitForwarding(fromClient bool) {
-	for began := time.Now(); p.currentMode() == Silent && !(fromClient && time.Since(began) > unreachableTimeout); {
-		time.Sleep(closePollPause)
+func (p *Proxy) awaitForwarding(l *link, fromClient bool) {
+	for began := time.Now(); ; time.Sleep(closePollPause) {
+		if mode, _ := p.modeOf(l); mode != Silent || fromClient && time.Since(began) > unreachableTimeout {
+			return
+		}
 	}
 }
--- a/standin/platd/server.go
+++ b/standin/platd/server.go
@@ -166,30 +166,15 @@
 
 // Handler returns the handler of the store and the cloud API.
 func (s *Server) Handler() http.Handler {
-	same := func(value []byte) []byte { return value }
-	return s.HandlerFor(same, same)
-}
-
-// HandlerFor returns a handler for one host, which sees other values than are stored. The
-// function read returns the value that the host sees for a stored one, and write the value
-// to store for one that the host sends.
-func (s *Server) HandlerFor(read, write func(value []byte) []byte) http.Handler {
-	v := view{s, read, write}
 	m := http.NewServeMux()
-	m.HandleFunc("GET /rows-get", s.withFault(v.get))
-	m.HandleFunc("GET /rows-feed", s.withFault(v.feed))
-	m.HandleFunc("POST /rows-tx", s.withFault(v.commit))
+	m.HandleFunc("GET /rows-get", s.withFault(s.get))
+	m.HandleFunc("GET /rows-feed", s.withFault(s.feed))
+	m.HandleFunc("POST /rows-tx", s.withFault(s.commit))
 	m.HandleFunc("POST /register", s.withFault(s.registerProcess))
 	m.HandleFunc("POST /promotion", s.promote)
 	return m
 }
 
-// view is the store as seen from one host; HandlerFor describes its functions.
-type view struct {
-	*Server
-	read, write func(value []byte) []byte
-}
-
 // withFault wraps a handler of the store. While a status is set with SetStatus, every
 // request is answered with that status.
 func (s *Server) withFault(serve http.HandlerFunc) http.HandlerFunc {
@@ -207,13 +192,10 @@
 }
 
 // sendRows sends an answer with rows; the caller must not hold the lock.
-func (s view) sendRows(w http.ResponseWriter, status int, rows []row) {
+func (s *Server) sendRows(w http.ResponseWriter, status int, rows []row) {
 	s.mu.Lock()
 	version := s.version
 	s.mu.Unlock()
-	for i := range rows {
-		rows[i].Value = s.read(rows[i].Value)
-	}
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"rows": rows, "HasMore": false, "RowVersion": version, "NowMs": time.Since(s.startTime).Milliseconds(),
@@ -222,7 +204,7 @@
 
 // get sends the rows of a table whose keys are at or after From and before
 // Target; an empty Target is no bound.
-func (s view) get(w http.ResponseWriter, r *http.Request) {
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
 	var rows []row
@@ -238,7 +220,7 @@
 // feed sends the changes of a table after a version. If there are none yet, it
 // waits for one, and sends an empty list after WaitMs. It answers 410 Gone if the
 // history does not reach back to the version, or the store does not have the version.
-func (s view) feed(w http.ResponseWriter, r *http.Request) {
+func (s *Server) feed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	waitMs, waitErr := strconv.Atoi(query.Get("WaitMs"))
@@ -295,7 +277,7 @@
 // commit runs the writes of a transaction if every row in its precondition still
 // has the version given, and answers 412 Precondition Failed otherwise. It ignores
 // deletions, because hosts send none.
-func (s view) commit(w http.ResponseWriter, r *http.Request) {
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
 	var request struct{ Precondition, Writes, Deletes []row }
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -310,7 +292,6 @@
 	}
 	if status == http.StatusOK {
 		for _, change := range request.Writes {
-			change.Value = s.write(change.Value)
 			s.applyChange(change)
 		}
 	}
--- a/standin/soak/cluster_test.go
+++ b/standin/soak/cluster_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -35,12 +34,11 @@
 	memberPort = 7000
 )
 
-// The last numbers of the addresses at which a member is reached: by all, as registered,
-// and by host or member number.
+// The third numbers of addresses of members: those at which they listen for hosts and for
+// members, and those of the proxies for hosts and for members.
 const (
 	directNet = iota
 	replicationNet
-	registeredNet
 	hostNet
 	peerNet
 )
@@ -106,7 +104,7 @@
 	const first, count = 10, 200
 	for i := range count {
 		n := first + (os.Getpid()*7+int(portsTried.Add(1))+i)%count
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.0:%d", n, registeredNet, memberPort))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.0:%d", n, hostNet, memberPort))
 		if err == nil {
 			t.Cleanup(func() { _ = l.Close() })
 			return n
@@ -116,27 +114,11 @@
 	return 0
 }
 
-// hostNumber returns the number of the host in the addresses of its proxies.
-func hostNumber(i int) int { return i + 1 }
-
-// viewFor returns the handler of the platform for a host, which sees the addresses of its
-// own proxies in place of the registered ones.
-func (c *cluster) viewFor(i int) http.Handler {
-	registered := fmt.Sprintf("127.%d.%d.%d:", c.network, registeredNet, 0)
-	own := fmt.Sprintf("127.%d.%d.%d:", c.network, hostNet, hostNumber(i))
-	replace := func(from, to string) func([]byte) []byte {
-		return func(value []byte) []byte { return bytes.ReplaceAll(value, []byte(from), []byte(to)) }
-	}
-	return c.platform.HandlerFor(replace(registered, own), replace(own, registered))
-}
-
 // addSlot starts the proxies and the first process of a member.
 func (c *cluster) addSlot(i int, store string) {
 	m := &slot{run: c, group: groupName(i / groupSize), index: i, zone: i % groupSize, output: &bytes.Buffer{}}
 	m.storeProxy = c.proxy(store)
-	for h := range c.size.hosts {
-		m.hostProxies = append(m.hostProxies, c.proxy(c.address(directNet, 1, i), faulty.WithAddress(c.address(hostNet, hostNumber(h), i))))
-	}
+	m.hostProxy = c.proxy(c.address(directNet, 1, i), faulty.WithAddress(c.address(hostNet, 1, i)))
 	for p := range groupSize {
 		m.peerProxies = append(m.peerProxies, c.proxy(c.address(replicationNet, 1, i), faulty.WithAddress(c.address(peerNet, p+1, i))))
 	}
@@ -227,8 +209,7 @@
 		}
 	}
 	for i := range z.hosts {
-		address := c.listen(c.viewFor(i))
-		c.addHost(i, address, address)
+		c.addHost(i, store, store)
 	}
 	return c
 }
@@ -257,7 +238,8 @@
 		m.signal(syscall.SIGCONT)
 		m.kill()
 		m.storeProxy.Close()
-		for _, p := range append(slices.Clone(m.hostProxies), m.peerProxies...) {
+		m.hostProxy.Close()
+		for _, p := range m.peerProxies {
 			p.Close()
 		}
 	}
--- a/standin/soak/disturb_test.go
+++ b/standin/soak/disturb_test.go
@@ -58,9 +58,7 @@
 	case memberCutFromSome:
 		m.setLinks(mode, hosts)
 	case memberCutFromHosts:
-		for i := range m.hostProxies {
-			m.setLinks(mode, []int{i})
-		}
+		m.hostProxy.SetMode(mode)
 	case memberCutFromPeers:
 		m.setReplication(mode)
 		m.setSending(mode)
--- a/standin/soak/script_test.go
+++ b/standin/soak/script_test.go
@@ -33,11 +33,7 @@
 	"member that drains without a registration is refused": append([]step{
 		{0, func(_, replica, _ *slot) { replica.disturb(memberReleased, 0, nil) }},
 		{500 * time.Millisecond, func(_, replica, _ *slot) { replica.disturb(memberCutFromStore, faulty.Silent, nil) }},
-		{5 * time.Second, func(_, replica, _ *slot) {
-			for i := range replica.hostProxies {
-				replica.setLinks(faulty.Refuse, []int{i})
-			}
-		}},
+		{5 * time.Second, func(_, replica, _ *slot) { replica.hostProxy.SetMode(faulty.Refuse) }},
 	}, deafThenLost(5*time.Second)...),
 	"successor of a released member receives before it is registered": append([]step{
 		{0, func(_, replica, _ *slot) { replica.disturb(memberReleased, faulty.Silent, nil) }},
--- a/standin/soak/slot_test.go
+++ b/standin/soak/slot_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,12 +19,11 @@
 	run         *cluster
 	group       string
 	index, zone int
-	// storeProxy is the proxy between the member and the store, and hostProxies and
-	// peerProxies those through which hosts and other members reach it. The proxy of the
-	// member itself is nil.
-	storeProxy               *faulty.Proxy
-	hostProxies, peerProxies []*faulty.Proxy
-	output                   *bytes.Buffer
+	// storeProxy is the proxy between the member and the store, hostProxy the one through
+	// which hosts reach it, and peerProxies those through which each member does.
+	storeProxy, hostProxy *faulty.Proxy
+	peerProxies           []*faulty.Proxy
+	output                *bytes.Buffer
 	// mu guards the fields below.
 	mu      sync.Mutex
 	id      string
@@ -52,7 +50,7 @@
 	}
 	p := dbproc.Process{
 		Group: m.group, ID: id, Zone: fmt.Sprintf("zone-%d", m.zone), Started: m.started,
-		Registered: c.address(registeredNet, 0, m.index), Listen: c.address(directNet, 1, m.index), Replication: c.address(replicationNet, 1, m.index),
+		Registered: c.address(hostNet, 1, m.index), Listen: c.address(directNet, 1, m.index), Replication: c.address(replicationNet, 1, m.index),
 		Ledger: c.ledger.Address(), Store: m.storeProxy.Address(), Slots: c.size.slots, Connect: c.size.connect, Work: c.size.work,
 		Ship: c.size.ship, Lag: c.size.lag, Heartbeat: heartbeat, Drain: 7 * time.Second, AckAlone: c.ackAlone,
 	}
@@ -156,12 +154,11 @@
 // setLinks sets the mode of the links from the given hosts, or of all links but that to the
 // store if hosts is nil.
 func (m *slot) setLinks(mode int, hosts []int) {
-	for i, p := range m.hostProxies {
-		if hosts == nil || slices.Contains(hosts, i) {
-			p.SetMode(mode)
-		}
+	for _, i := range hosts {
+		m.hostProxy.SetClientMode(m.run.hosts[i].name, mode)
 	}
 	if hosts == nil {
+		m.hostProxy.SetMode(mode)
 		m.setReplication(mode)
 	}
 }
@@ -199,6 +196,7 @@
 		mode = faulty.Forward
 	}
 	m.mu.Unlock()
+	m.hostProxy.ClearClientModes()
 	m.setLinks(mode, nil)
 	m.setSending(faulty.Forward)
 }
