--- a/standin/soak/disturb_test.go
+++ b/standin/soak/disturb_test.go
@@ -214,6 +214,7 @@
 		}
 		time.Sleep(pause)
 	}
+	c.calm.Store(true)
 	running.Wait()
 }
 
--- a/standin/soak/script_test.go
+++ b/standin/soak/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,7 +26,8 @@
 	}
 }
 
-// scripts holds orders of faults of a group that lost acknowledged commits.
+// scripts holds orders of faults of a group that lost acknowledged commits, or are suspected
+// to.
 var scripts = map[string][]step{
 	"member without a registration still receives": append([]step{
 		{0, func(_, replica, _ *slot) { replica.disturb(memberCutFromStore, faulty.Silent, nil) }},
@@ -44,6 +46,17 @@
 			replica.setNext(-time.Minute, false)
 		}},
 	}, deafThenLost(9*time.Second)...),
+	"hosts start while a member has no registration": append([]step{
+		{0, func(_, replica, _ *slot) { replica.disturb(memberCutFromStore, faulty.Silent, nil) }},
+		{5 * time.Second, func(leader, _, _ *slot) {
+			if leader.index >= groupSize {
+				return
+			}
+			for _, h := range leader.run.hosts {
+				go leader.run.restart(h, syscall.SIGKILL)
+			}
+		}},
+	}, deafThenLost(8*time.Second)...),
 	"leader cut off from the store is replaced and still receives": {
 		{0, func(leader, _, _ *slot) { leader.disturb(memberCutFromStore, faulty.Silent, nil) }},
 		{18 * time.Second, func(leader, replica, other *slot) {
