--- a/standin/platd/server.go
+++ b/standin/platd/server.go
@@ -52,6 +52,10 @@
 	// answersToLose is how many of the next transactions get no answer.
 	answersToLose int
 	groups        map[string]*qgroup.Group
+	// registered holds the registrations of member processes by ID.
+	registered map[string]registration
+	// promotion carries out orders for groups other than those in groups.
+	promotion promotion
 	// addresses holds the registered addresses of the members by target ID.
 	addresses map[string]string
 	listeners []net.Listener
@@ -67,7 +71,7 @@
 func New() *Server {
 	return &Server{
 		startTime: time.Now(), rows: map[[2]string]row{}, era: 1, changed: make(chan struct{}),
-		groups: map[string]*qgroup.Group{}, addresses: map[string]string{}, proxyFor: func(address string) string { return address },
+		groups: map[string]*qgroup.Group{}, registered: map[string]registration{}, addresses: map[string]string{}, proxyFor: func(address string) string { return address },
 		closed: make(chan struct{}),
 	}
 }
@@ -166,6 +170,7 @@
 	m.HandleFunc("GET /rows-get", s.withFault(s.get))
 	m.HandleFunc("GET /rows-feed", s.withFault(s.feed))
 	m.HandleFunc("POST /rows-tx", s.withFault(s.commit))
+	m.HandleFunc("POST /register", s.withFault(s.registerProcess))
 	m.HandleFunc("POST /promotion", s.promote)
 	return m
 }
@@ -314,8 +319,18 @@
 		return
 	}
 	s.mu.Lock()
-	g := s.groups[request.ServiceName]
+	g, other := s.groups[request.ServiceName], s.promotion
 	s.mu.Unlock()
+	if g == nil && other != nil {
+		answered, err := other(request.ServiceName, request.ID, r.Header.Get("Duty-Holder"), token)
+		if !answered {
+			<-r.Context().Done()
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusConflict)
+		}
+		return
+	}
 	if g == nil || g.Order(r.Context(), request.ID, token) != nil {
 		w.WriteHeader(http.StatusConflict)
 	}
