--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -608,6 +608,11 @@
 
 // runFaultsWithHosts is like runFaults, with the given number of hosts.
 func runFaultsWithHosts(t *testing.T, hosts int, seed uint64, inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
+	return runFaultsFor(t, runTime, hosts, seed, inject, options...)
+}
+
+// runFaultsFor is like runFaultsWithHosts, with the given duration.
+func runFaultsFor(t *testing.T, d time.Duration, hosts int, seed uint64, inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		runCtx, endRun := context.WithCancel(ctx)
@@ -620,7 +625,7 @@
 			done.Go(c.newSession(i, rand.New(rand.NewPCG(seed, uint64(i)))).play)
 		}
 		done.Go(func() { inject(c, rand.New(rand.NewPCG(seed, 100))) })
-		time.Sleep(runTime)
+		time.Sleep(d)
 		endRun()
 		done.Wait()
 		time.Sleep(settleTime)
