--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -339,9 +339,10 @@
 		ts.lag = lag{}
 	}
 	rs.doubt.open, rs.doubt.announced = false, 0
-	if id == rs.lastLeader && (why == byRegistration || why == byTransaction) {
+	again := id == rs.lastLeader || rs.lastLeader == "" && !rs.firstStart
+	if again && (why == byRegistration || why == byTransaction) {
 		// It may have been replaced by an order that is still to be carried out.
-		rs.doubtLeader("leads again")
+		rs.doubtLeader(why)
 		rs.raiseAlarm()
 	}
 	rs.lastLeader = cmp.Or(id, rs.lastLeader)
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -94,6 +94,9 @@
 	// be being replaced.
 	lastLeader string
 	doubt      doubt
+	// firstStart is set if the whole system starts for the first time, so that no leader was
+	// replaced before.
+	firstStart bool
 	// searching is set while searchLoop runs.
 	searching bool
 	// changed is closed and replaced when the targets or the leader change, or
@@ -217,6 +220,12 @@
 	ts.pool.SetShare(rs.maxConns/2/hosts, max(3*rs.maxConns/2/hosts, minCrowd))
 }
 
+// WithFirstStart returns an option that sets whether the whole system starts for the first
+// time. Otherwise the first leader that a host learns of may be being replaced.
+func WithFirstStart(first bool) func(*ReplicaSet) {
+	return func(rs *ReplicaSet) { rs.firstStart = first }
+}
+
 // WithDrainTime returns an option that sets how long a leaving leader still
 // gets work.
 func WithDrainTime(d time.Duration) func(*ReplicaSet) {
