--- a/process/member/set.go
+++ b/process/member/set.go
@@ -171,7 +171,7 @@
 	return former
 }
 
-// MissingSince returns when a member's registration was found missing, by the store's
+// MissingSince returns when a member's registration was found missing, by this host's
 // clock. It returns 0 if the member is registered.
 func (s Set) MissingSince(id string) time.Duration {
 	return s.entries[id].missingSince
--- a/process/promo/commits.go
+++ b/process/promo/commits.go
@@ -33,6 +33,13 @@
 	return false
 }
 
+// hasKnown reports whether one of the targets that sent reports surely has all commits that
+// are known to be acknowledged to any host.
+func (p *Promoter) hasKnown(ctx context.Context, reports []report.Report) bool {
+	known, all := p.gatherAcknowledged(ctx, "")
+	return all && slices.ContainsFunc(reports, func(r report.Report) bool { return r.Received.AtLeast(known.Ceiling) })
+}
+
 // mayReturn reports whether a member that was not heard may come back with commits that the
 // others lack.
 func (p *Promoter) mayReturn(heard []string) bool {
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -83,7 +83,7 @@
 	case polled.leads.ID != "" || demoted && polled.highest > last.Term:
 		p.log.Warn("another target has led since", zap.String("Target", polled.leads.ID), zap.Uint64("Term", polled.highest))
 		return report.Report{}, false
-	case demoted && (!polled.complete || polled.leftOut):
+	case demoted && (!polled.complete || polled.leftOut || polled.ended && !p.hasKnown(ctx, reports)):
 		// A target with all of the leader's entries has the acknowledged ones.
 		reports = slices.DeleteFunc(reports, func(r report.Report) bool { return !r.Received.AtLeast(last.Received) })
 		if len(reports) == 0 && p.pending.Token == 0 {
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -28,8 +28,9 @@
 	heard []string
 	// complete is set if all members have stopped or ended, apart from those left out.
 	complete bool
-	// leftOut is set if a member was not heard that may have acknowledged commits.
-	leftOut bool
+	// leftOut is set if a member was not heard that may have acknowledged commits, and ended
+	// if the process of one that was leaving seems to have ended.
+	leftOut, ended bool
 	// silent is set if such a member may still acknowledge commits to hosts behind the same
 	// partition.
 	silent bool
@@ -109,6 +110,8 @@
 		case countedLeft, countedAbsent:
 			polled.leftOut = true
 			polled.silent = polled.silent || counted == countedAbsent && !hasEnded(o.err) && !members.Lost(o.target.ID)
+		case countedEnded:
+			polled.ended = true
 		case countedReceives, countedNotHeard:
 			settled--
 		case countedLeads:
