--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -89,7 +89,7 @@
 		if len(reports) == 0 && p.pending.Token == 0 {
 			reports = append(reports, last)
 		}
-	case !polled.complete || polled.silent && !allAnswered:
+	case !polled.complete || (polled.silent || polled.ended) && !allAnswered:
 		return report.Report{}, false
 	}
 	best, ok := mostReceived(reports, preferred)
@@ -106,7 +106,7 @@
 		polled.heard = append(polled.heard, leader.ID)
 	}
 	required := known.Floor
-	if polled.leftOut {
+	if polled.leftOut || polled.ended {
 		required = known.Ceiling
 	}
 	return best, ok && (p.hasAcknowledged(best, required) || !p.mayReturn(polled.heard))
