--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -115,12 +115,12 @@
 				hosts = assign.New(n, map[string]string{"zone-0": "a", "zone-1": "a", "zone-2": "a", "elsewhere": "b"})
 			}
 			hosts = hosts.WithHost(n)
-			h := &host{group: rset.New("g", zap.NewNop(), b.From(i), now, noDelay), incoming: make(chan net.Conn)}
+			h := &host{group: rset.New("g", zap.NewNop(), b.From(i), now, noDelay, rset.WithFirstStart(true)), incoming: make(chan net.Conn)}
 			h.relay = relay.New(zap.NewNop(), h, nil)
 			network.hosts[name] = h
 			go h.relay.Serve(h)
 		}
-		far := rset.New("g", zap.NewNop(), b.From(0), now, noDelay, rset.WithBorrower(borrow.New(network, now)))
+		far := rset.New("g", zap.NewNop(), b.From(0), now, noDelay, rset.WithBorrower(borrow.New(network, now)), rset.WithFirstStart(true))
 		far.SetAssignment(hosts)
 		groups := []*rset.ReplicaSet{far, network.hosts["gate-1"].group, network.hosts["gate-2"].group}
 		for _, group := range groups {
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,14 +25,24 @@
 	targets []target.Target
 	changed chan struct{}
 	rank    int
-	acked   acked.Acked
+
+	mu    sync.Mutex
+	acked acked.Acked
 }
 
 func (g *registrations) Targets() []target.Target        { return g.targets }
 func (g *registrations) TargetsChanged() <-chan struct{} { return g.changed }
 func (g *registrations) Rank(target.Target) int          { return g.rank }
-func (g *registrations) Acknowledged() acked.Acked       { return g.acked }
+
+func (g *registrations) Acknowledged() acked.Acked {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.acked
+}
+
 func (g *registrations) LearnAcknowledged(floor, ceiling mark.Mark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.acked = g.acked.With(floor, ceiling)
 }
 
@@ -155,7 +166,7 @@
 		time.Sleep(5 * time.Second)
 		started := &registrations{targets: []target.Target{first}, changed: make(chan struct{})}
 		is.NoErr(keeper.New("g", zap.NewNop(), s, started, now).Refresh(ctx))
-		is.Equal(started.acked, acked.New().With(mark.New(1, 7), mark.New(1, 8)))
+		is.Equal(started.Acknowledged(), acked.New().With(mark.New(1, 7), mark.New(1, 8)))
 	})
 }
 
