--- a/standin/qgroup/orders_test.go
+++ b/standin/qgroup/orders_test.go
@@ -18,8 +18,10 @@
 		t.Run(fmt.Sprint(released), func(t *testing.T) {
 			runWithHosts(t, 3, 1, func(ctx context.Context, t *testing.T, c *testCluster) {
 				is := is.New(t)
-				stop := c.staggered(4)
+				// The host reserves the lease by then.
 				time.Sleep(40 * time.Second)
+				stop := c.staggered(4)
+				time.Sleep(2 * time.Second)
 				c.store.SetDown(true)
 				c.group.DelayOrder(8 * time.Second)
 				c.group.SetPartitioned(0, qgroup.AllHosts, true)
--- a/standin/soak/size_test.go
+++ b/standin/soak/size_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -81,8 +82,16 @@
 					}
 					time.AfterFunc(time.Second, leader.kill)
 				}
+				if plant.ackAlone {
+					// Hosts that know of the commits would wait for the leader.
+					time.AfterFunc(time.Second, func() {
+						for _, h := range c.hosts {
+							go c.restart(h, syscall.SIGKILL)
+						}
+					})
+				}
 			})
-			c.serve(plantTime + 3*time.Second)
+			c.serve(plantTime + 7*time.Second)
 			c.stop()
 			is.New(t).True(len(c.ledger.Lost()) > 0)
 		})
