--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -119,8 +119,12 @@
 			polled.leads = o.target
 		}
 		settled++
-		if p.count(o.target, counted, o.report, o.err) && counted == countedNotHeard {
+		changed := p.count(o.target, counted, o.report, o.err)
+		switch {
+		case changed && counted == countedNotHeard:
 			p.log.Info("target not paused", zap.String("Target", o.target.ID), zap.Uint64("Term", term), zap.String("Error", o.err.Error()))
+		case changed && counted == countedReceives:
+			p.log.Info("target did not stop receiving", zap.Uint64("Term", term), zap.Any("Report", o.report))
 		}
 	}
 	polled.complete = settled == len(targets) && len(targets) > 0
