Doubt each leader that is known only from what it says of itself

Cause: a demoted leader that restarts before its successor leads comes back with its log and leads again. Under its own ID it was doubted, since it was the last leader.

Change: a leader that a host learns of by a registration, an accepted transaction or its report gets no commits until the lease was read and names no order for another target. Only leaders that a host promoted itself, or that a lease names as promoted, are trusted at once.

--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -149,7 +149,7 @@
 	switch t := polled.leads; {
 	case t.ID == "":
 	case p.members().MissingSince(t.ID) == 0:
-		p.group.SetLeader(t.ID, "reports to lead")
+		p.group.SetLeader(t.ID, rset.ByReport)
 	case leader.ID == "":
 		// Hosts can't use a leader that is not registered.
 		leader = t
--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -32,10 +32,13 @@
 	searchLimit = 10 * time.Second
 )
 
-// How this host learned of a leader that it did not promote.
+// How this host learned of a leader, if it rests on what the target says of itself.
 const (
 	byRegistration = "registration"
 	byTransaction  = "accepted a transaction"
+	// ByReport is the reason for a target that reported to lead when it was told to stop
+	// receiving.
+	ByReport = "reports to lead"
 )
 
 // renewal is a watermark renewal in progress, shared by the statements that
@@ -339,9 +342,10 @@
 		ts.lag = lag{}
 	}
 	rs.doubt.open, rs.doubt.announced = false, 0
-	again := id == rs.lastLeader || rs.lastLeader == "" && !rs.firstStart
-	if again && (why == byRegistration || why == byTransaction) {
-		// It may have been replaced by an order that is still to be carried out.
+	first := rs.lastLeader == "" && rs.firstStart
+	if !first && (why == byRegistration || why == byTransaction || why == ByReport) {
+		// It may be the former leader, restarted under its ID or another one, while the
+		// order that replaces it is still to be carried out.
 		rs.doubtLeader(why)
 		rs.raiseAlarm()
 	}
--- a/standin/qgroup/fault.go
+++ b/standin/qgroup/fault.go
@@ -23,6 +23,14 @@
 	g.scheduleShipping()
 }
 
+// StartAs starts a stopped member as Start does, under another ID.
+func (g *Group) StartAs(i int, id string) {
+	g.mu.Lock()
+	g.members[i].target.ID = id
+	g.mu.Unlock()
+	g.Start(i)
+}
+
 // StartEmpty starts a stopped member as a replica with an empty log.
 func (g *Group) StartEmpty(i int) {
 	g.mu.Lock()
--- a/standin/qgroup/restart_test.go
+++ b/standin/qgroup/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,6 +40,32 @@
 	})
 }
 
+// A leader that was demoted, and restarts under another ID before its successor leads, leads
+// again. It must acknowledge no commits with a replica that restarted too.
+func TestDemotedLeaderThatRestartsUnderAnotherIDLosesNoWrites(t *testing.T) {
+	for _, ms := range []int{0, 50, 100, 150, 200} {
+		t.Run(fmt.Sprint(ms), func(t *testing.T) {
+			runWithHosts(t, 3, 3, func(ctx context.Context, t *testing.T, c *testCluster) {
+				is := is.New(t)
+				c.introduce()
+				w := c.startWriters(ctx)
+				time.Sleep(2 * time.Second)
+				c.store.SetReadTime(60 * time.Millisecond)
+				c.group.SetPartitioned(0, 1, true)
+				c.group.DelayOrder(600 * time.Millisecond)
+				_, other := c.awaitOrder(is)
+				c.group.Crash(0)
+				c.group.Crash(other)
+				time.Sleep(time.Duration(ms) * time.Millisecond)
+				c.group.StartAs(0, "g-3")
+				c.group.StartAs(other, "g-4")
+				time.Sleep(6 * time.Second)
+				is.Equal(len(w.lost(is)), 0)
+			})
+		})
+	}
+}
+
 // A leader must be demoted even if the host that replaces it does not reach it.
 func TestLeaderIsDemotedThroughAnotherHost(t *testing.T) {
 	runWithMembers(t, 3, func(ctx context.Context, t *testing.T, c *testCluster) {
