--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -56,6 +56,8 @@
 	// it names.
 	token   uint64
 	ordered string
+	// orders is the number of accepted orders that replace the leader.
+	orders int
 	// delays holds the delays of the next orders, which get no answer.
 	delays []time.Duration
 }
@@ -155,6 +157,10 @@
 	if before := g.members[log]; before != nil {
 		m.log = before.log
 		delete(g.members, log)
+		if g.leader == log {
+			// A leader that starts again under another ID still leads.
+			g.leader = id
+		}
 	}
 	g.members[id] = m
 	if g.leader == id {
@@ -189,6 +195,13 @@
 	return l.groups[name].ordered
 }
 
+// Orders returns the number of accepted orders that replace the leader of a group.
+func (l *Ledger) Orders(name string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.groups[name].orders
+}
+
 // Lost returns a description of each acknowledged commit that a promoted member lacked.
 func (l *Ledger) Lost() []string {
 	l.mu.Lock()
@@ -323,6 +336,7 @@
 	g.token, g.ordered = token, id
 	l.logf("ORDER %s %s by %s token %d: accepted, leads %t, %d entries", g.name, id, holder, token, g.leads(m), len(m.log))
 	if !g.leads(m) {
+		g.orders++
 		go l.onOrder(g.name, id)
 		time.AfterFunc(l.promoteTime, func() { l.promote(g, id, holder, token) })
 	}
--- a/standin/ledger/ledger_test.go
+++ b/standin/ledger/ledger_test.go
@@ -87,14 +87,18 @@
 }
 
 func TestDemotedLeaderLeadsAgainAfterARestart(t *testing.T) {
-	is := is.New(t)
-	l, send := group(t)
-	commit(is, send)
-	is.True(send(ctlmsg.Message{Kind: ctlmsg.Demote, Member: "a", Term: 2}).OK)
-	is.True(!send(ctlmsg.Message{Kind: ctlmsg.Append, Member: "a", Term: 1, Entries: []string{"1.2 x"}}).OK)
-	l.Ended("g", "a")
-	l.Started("g", "a", 1, "a")
-	state := send(ctlmsg.Message{Kind: ctlmsg.State, Member: "a"})
-	is.True(state.Leads)
-	is.Equal(state.Length, 1)
+	for name, id := range map[string]string{"same ID": "a", "other ID": "d"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, send := group(t)
+			commit(is, send)
+			is.True(send(ctlmsg.Message{Kind: ctlmsg.Demote, Member: "a", Term: 2}).OK)
+			is.True(!send(ctlmsg.Message{Kind: ctlmsg.Append, Member: "a", Term: 1, Entries: []string{"1.2 x"}}).OK)
+			l.Ended("g", "a")
+			l.Started("g", id, 1, "a")
+			state := send(ctlmsg.Message{Kind: ctlmsg.State, Member: id})
+			is.True(state.Leads)
+			is.Equal(state.Length, 1)
+		})
+	}
 }
--- /dev/null
+++ b/standin/soak/cut_test.go
@@ -0,0 +1,113 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/standin/faulty"
+)
+
+// How a leader is cut off from some hosts again and again.
+const (
+	// cutShare is the share of the hosts that can't reach the leader.
+	cutShare = 0.45
+	// cutTime is how long a leader is cut off, and cutPause the time until the next cut.
+	// The proxies accept connections of a host that is cut off, so that it takes the host
+	// some 5 s to find that the leader does not answer.
+	cutTime  = 9 * time.Second
+	cutPause = 2 * time.Second
+	// cutOffset is the time between the cuts of two groups. A host that loses the leaders
+	// of several groups at a time waits before it replaces them.
+	cutOffset = (cutTime + cutPause) / groupCount
+	// maxDownTime is the longest time for which a member that restarts is down.
+	maxDownTime = 300 * time.Millisecond
+)
+
+// cutLeader cuts the leader of a group off from some hosts. Once a successor is ordered, it
+// restarts the others, among them the leader in some cases, and then ends the cut.
+func (c *cluster) cutLeader(r *rand.Rand, group int) {
+	hosts := r.Perm(len(c.hosts))[:int(cutShare*float64(len(c.hosts))+0.5)]
+	mode := faulty.Silent
+	if r.IntN(3) == 0 {
+		mode = cutModes[r.IntN(len(cutModes))]
+	}
+	leaderToo, sameID := r.IntN(2) == 0, r.IntN(2) == 0
+	// Half of the time, members that restart are back long before the successor leads.
+	window, longest := c.size.promote, maxDownTime
+	if r.IntN(2) == 0 {
+		window, longest = window/10, longest/10
+	}
+	after := [groupSize]time.Duration{}
+	for i := range after {
+		after[i] = time.Duration(r.Int64N(int64(window)))
+	}
+	down := time.Duration(r.Int64N(int64(longest)))
+	began, leader := time.Now(), c.leaderSlot(group)
+	leader.disturb(memberCutFromSome, mode, hosts)
+	before := c.ledger.Orders(leader.group)
+	for time.Since(began) < cutTime && c.ledger.Orders(leader.group) == before {
+		time.Sleep(time.Millisecond)
+	}
+	var restarting sync.WaitGroup
+	if ordered := c.ledger.Ordered(leader.group); c.ledger.Orders(leader.group) > before {
+		for i, m := range c.slots[group*groupSize : (group+1)*groupSize] {
+			if m.currentID() == ordered || m == leader && !leaderToo {
+				continue
+			}
+			restarting.Go(func() {
+				time.Sleep(after[i])
+				m.disturb(memberKilled, 0, nil)
+				time.Sleep(down)
+				m.restart(sameID)
+			})
+		}
+	}
+	restarting.Wait()
+	time.Sleep(cutTime - time.Since(began))
+	leader.end(memberKilled)
+	time.Sleep(cutPause)
+}
+
+// TestSoakMembersRestartWhileTheLeaderIsCutFromSomeHosts guards against the loss of commits
+// that are acknowledged to hosts that still reach the leader while other hosts replace it,
+// and members restart. PISTACHIOTRAY_SOAK_CUTS sets the number of seeds and makes the runs
+// longer, and PISTACHIOTRAY_SOAK_FROM sets the first one.
+func TestSoakMembersRestartWhileTheLeaderIsCutFromSomeHosts(t *testing.T) {
+	t.Parallel()
+	const startTime = 5 * time.Second
+	seeds, from, cuts := 1, 1, 2
+	if text := os.Getenv("PISTACHIOTRAY_SOAK_CUTS"); text != "" {
+		seeds, _ = strconv.Atoi(text)
+		from, _ = strconv.Atoi(os.Getenv("PISTACHIOTRAY_SOAK_FROM"))
+		cuts = 8
+	}
+	program := buildProgram(t)
+	for i := range seeds {
+		seed := uint64(from + i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, program, seed, sizes[seed%2], false)
+			c.calm.Store(true)
+			var running sync.WaitGroup
+			for g := range groupCount {
+				running.Go(func() {
+					r := rand.New(rand.NewPCG(seed, uint64(10+g)))
+					time.Sleep(startTime + time.Duration(g)*cutOffset)
+					for range cuts {
+						c.cutLeader(r, g)
+					}
+				})
+			}
+			c.serve(startTime + groupCount*cutOffset + time.Duration(cuts)*(cutTime+cutPause) + settleTime)
+			running.Wait()
+			c.stop()
+			c.check()
+			c.report()
+		})
+	}
+}
--- a/standin/soak/script_test.go
+++ b/standin/soak/script_test.go
@@ -69,6 +69,21 @@
 			time.AfterFunc(time.Second, next.kill)
 		}},
 	},
+	"demoted leader and a replica restart under other IDs during a promotion": {
+		{0, func(leader, _, _ *slot) { leader.disturb(memberCutFromSome, faulty.Silent, []int{0, 1, 2}) }},
+		{time.Second, func(leader, replica, other *slot) {
+			c, before := leader.run, leader.run.ledger.Orders(leader.group)
+			for c.ledger.Orders(leader.group) == before && c.ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			next := c.ledger.Ordered(leader.group)
+			for _, m := range []*slot{leader, replica, other} {
+				if m.currentID() != next {
+					go func() { m.kill(); m.restart(false) }()
+				}
+			}
+		}},
+	},
 	"leader returns while a replica restarts during a promotion": {
 		{0, func(leader, _, _ *slot) { leader.disturb(memberRefused, 0, nil) }},
 		{time.Second, func(leader, replica, other *slot) {
