Send commits only as long as no replacement may have been announced unheard

Cause: the announcement of a replacement rests on which hosts can be asked. A host that is cut off, skipped after a failure, draining, or no longer the lender of a connection was not told, and the replacement did not wait for it. An announcement was also forgotten if the host did not know the leader at that moment.

Change, a fence that needs no host to answer: - Hosts follow the table of leases with the others. A commit under way when the permit lapses is given up, with an unknown outcome. - A host that could neither demote the leader nor reach all hosts notes the leader in its lease, renews its claim for the limit and 200 ms, and elects anew before the order. If over half of the hosts do not answer, they could confirm to each other: it waits, for a minute at most.

--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -34,6 +34,9 @@
 	// Acknowledged asks which commits of Group the other host knows to be acknowledged, and
 	// announces that the asking host is about to replace Target, unless that is empty.
 	Acknowledged
+	// Confirm asks whether the other host knows that Target leads Group and of no
+	// replacement of it. The answer has a Fault if it does not.
+	Confirm
 )
 
 // Parcel is a request or an answer. It is encoded by encoding/gob, which writes
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -137,6 +137,8 @@
 		return b.take(ctx, p)
 	case p.Verb == parcel.Acknowledged:
 		return b.relay.acknowledged(p)
+	case p.Verb == parcel.Confirm:
+		return b.relay.confirm(p)
 	case p.Verb == parcel.Report && b.conn == nil && len(p.Stages) == 1 && len(p.Stages[0]) == 1:
 		return b.report(ctx, p)
 	}
@@ -230,6 +232,19 @@
 	return parcel.Parcel{Report: report.Report{Applied: known.Floor, Received: known.Ceiling}}
 }
 
+// confirm tells another host whether this host knows that a target leads and of no
+// replacement of it.
+func (r *Relay) confirm(p parcel.Parcel) parcel.Parcel {
+	group, ok := r.groups.ReplicaSet(p.Group)
+	if !ok {
+		return notServed()
+	}
+	if !group.Confirms(p.Target) {
+		return parcel.Parcel{Fault: "the target may not lead"}
+	}
+	return parcel.Parcel{}
+}
+
 // put returns the lent connection, if there is one, to its pool.
 func (b *borrower) put() {
 	if b.conn == nil {
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -121,6 +121,17 @@
 	return answer.Report.Applied, answer.Report.Received, refusal(answer)
 }
 
+// Confirm asks whether the other host knows that a target leads a group and of no replacement
+// of it. It returns nil if the host confirms both, and an error that wraps ErrRefused if it
+// does not.
+func (r *Remote) Confirm(ctx context.Context, group, leader string) error {
+	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Confirm, Group: group, Target: leader, TimeMs: timeLeft(ctx).Milliseconds()})
+	if err != nil {
+		return errors.Wrap(err, "Remote.Confirm")
+	}
+	return refusal(answer)
+}
+
 // Follow asks the other host for the changes of the platform's tables after the known
 // positions, and waits for a change for up to wait. The age of the changes counts the
 // time on the way in both directions.
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -113,8 +113,9 @@
 // Acknowledged asks a host which commits of a group it knows to be acknowledged. It returns
 // the positions between which the newest of them is. If leader is not empty, it also announces
 // that this host is about to replace that target.
+// The host is asked even if it could not be reached lately.
 func (br *Borrower) Acknowledged(ctx context.Context, group, leader string, h gossip.HostInfo) (floor, ceiling mark.Mark, err error) {
-	err = br.tryEach(ctx, []gossip.HostInfo{h}, 0, func(r *remote.Remote) (bool, error) {
+	err = br.tryHost(ctx, h, func(r *remote.Remote) (bool, error) {
 		var err error
 		floor, ceiling, err = r.Acknowledged(ctx, group, leader)
 		return false, err
@@ -122,6 +123,15 @@
 	return floor, ceiling, err
 }
 
+// Confirm asks a host whether it knows that a target leads a group and of no replacement of
+// it. It returns nil if the host confirms both. The host is asked even if it could not be
+// reached lately.
+func (br *Borrower) Confirm(ctx context.Context, group, leader string, h gossip.HostInfo) error {
+	return br.tryHost(ctx, h, func(r *remote.Remote) (bool, error) {
+		return false, r.Confirm(ctx, group, leader)
+	})
+}
+
 // lenderWait returns how long a lending host may wait for a connection: at most
 // limit, and short enough for its answer to arrive before the context ends.
 func lenderWait(ctx context.Context, limit time.Duration) time.Duration {
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -100,6 +100,12 @@
 	return func(f *Follower) { f.hostTable, f.hostPatience = table, patience }
 }
 
+// WithWait returns an option that sets how long a question to another host waits for a change,
+// instead of a third of the least age.
+func WithWait(wait time.Duration) func(*Follower) {
+	return func(f *Follower) { f.wait = wait }
+}
+
 // SetHosts sets the live hosts.
 func (f *Follower) SetHosts(hosts []gossip.HostInfo) {
 	f.mu.Lock()
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -32,6 +32,10 @@
 	// They are kept with Target while the order may still be carried out.
 	Former     string
 	FormerTerm uint64
+	// Replaces is the leader that the holder is about to replace and could not demote. Hosts
+	// that read it send that leader no commits. It is empty if the holder did not announce
+	// that.
+	Replaces string
 	// Done is set when the order was carried out, and by a claim in advance.
 	Done bool
 	// At is the time of the last claim that was not made in advance, by the
@@ -64,6 +68,15 @@
 	l.Done = false
 	l.Reserve = false
 	l.Reserves = 0
+	l.Replaces = ""
+	l.At = at
+	return l
+}
+
+// WithReplaces returns the lease with the leader that its holder announces to replace, and
+// its claim renewed at the given time.
+func (l Lease) WithReplaces(leader string, at time.Duration) Lease {
+	l.Replaces = leader
 	l.At = at
 	return l
 }
@@ -77,7 +90,7 @@
 	}
 	l.Holder = host
 	l.Token = 0
-	l.Target, l.Former, l.FormerTerm = leader, "", 0
+	l.Target, l.Former, l.FormerTerm, l.Replaces = leader, "", 0, ""
 	l.Done = true
 	l.Reserve = true
 	l.Reserves++
--- a/process/promo/claim.go
+++ b/process/promo/claim.go
@@ -111,7 +111,7 @@
 // replaced. If another host has just replaced the leader, claim records the new
 // leader and returns false.
 func (p *Promoter) claim(ctx context.Context, why string) (lease.Lease, bool) {
-	p.heldUntil = 0
+	p.heldUntil, p.outwaited = 0, ""
 	began := p.now()
 	reading, stop := context.WithTimeout(ctx, p.storeTimeout())
 	defer stop()
--- a/process/promo/commits.go
+++ b/process/promo/commits.go
@@ -7,19 +7,28 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/acked"
+	"github.com/pistachiotray/pistachiotray/process/permit"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/request/mark"
 )
 
-// gatherAcknowledged asks the other hosts which commits were acknowledged to them, and
-// returns what those know that answer within gatherTimeout, and whether all did. If a leader
-// is given, they send it no more commits until they know whether it is replaced.
-func (p *Promoter) gatherAcknowledged(ctx context.Context, leader string) (known acked.Acked, all bool) {
+// gathered is what the other hosts told that answered within gatherTimeout.
+type gathered struct {
+	// known is what they and this host know of acknowledged commits.
+	known acked.Acked
+	// all is set if all of them answered, and most if so many did that the others are not
+	// more than half of all hosts.
+	all, most bool
+}
+
+// gatherAcknowledged asks the other hosts which commits were acknowledged to them. If a leader
+// is given, those that answer send it no more commits until they know whether it is replaced.
+func (p *Promoter) gatherAcknowledged(ctx context.Context, leader string) gathered {
 	ctx, stop := context.WithTimeout(ctx, gatherTimeout)
 	defer stop()
 	known, asked, answered := p.group.GatherAcknowledged(ctx, leader)
 	p.log.Info("acknowledged commits gathered", zap.Stringer("Floor", known.Floor), zap.Stringer("Ceiling", known.Ceiling), zap.Int("Asked", asked), zap.Int("Answered", answered))
-	return known, asked == answered
+	return gathered{known: known, all: asked == answered, most: !permit.Majority(asked-answered, asked+1)}
 }
 
 // hasAcknowledged reports whether the log of the target that sent a report reaches a position.
@@ -36,8 +45,8 @@
 // hasKnown reports whether one of the targets that sent reports surely has all commits that
 // are known to be acknowledged to any host.
 func (p *Promoter) hasKnown(ctx context.Context, reports []report.Report) bool {
-	known, all := p.gatherAcknowledged(ctx, "")
-	return all && slices.ContainsFunc(reports, func(r report.Report) bool { return r.Received.AtLeast(known.Ceiling) })
+	told := p.gatherAcknowledged(ctx, "")
+	return told.all && slices.ContainsFunc(reports, func(r report.Report) bool { return r.Received.AtLeast(told.known.Ceiling) })
 }
 
 // mayReturn reports whether a member that was not heard may come back with commits that the
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/report"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -64,10 +65,10 @@
 // reports: they may restart, or a former holder of the lease may make them receive
 // again.
 func (p *Promoter) elect(ctx context.Context, leader target.Target, preferred string) (report.Report, bool) {
-	ctx, stop := context.WithTimeout(ctx, electTimeout)
+	electing, stop := context.WithTimeout(ctx, electTimeout)
 	defer stop()
-	last, demoted := p.demote(ctx, leader)
-	known, allAnswered := p.group.Acknowledged(), true
+	last, demoted := p.demote(electing, leader)
+	told := gathered{known: p.group.Acknowledged(), all: true}
 	if demoted {
 		p.count(leader, countedDemoted, last, nil)
 	} else {
@@ -75,21 +76,28 @@
 			p.count(leader, countedNotDemoted, last, nil)
 		}
 		// Other hosts stop using the leader before the others are heard once more.
-		known, allAnswered = p.gatherAcknowledged(ctx, leader.ID)
+		told = p.gatherAcknowledged(electing, leader.ID)
+		if !told.all && leader.ID != "" && p.outwaited != leader.ID {
+			if !p.outwait(ctx, leader, told) {
+				return report.Report{}, false
+			}
+			return p.elect(ctx, leader, preferred)
+		}
 	}
-	polled := p.pauseReplicas(ctx, leader.ID)
+	known := told.known
+	polled := p.pauseReplicas(electing, leader.ID)
 	reports := polled.reports
 	switch {
 	case polled.leads.ID != "" || demoted && polled.highest > last.Term:
 		p.log.Warn("another target has led since", zap.String("Target", polled.leads.ID), zap.Uint64("Term", polled.highest))
 		return report.Report{}, false
-	case demoted && (!polled.complete || polled.leftOut || polled.ended && !p.hasKnown(ctx, reports)):
+	case demoted && (!polled.complete || polled.leftOut || polled.ended && !p.hasKnown(electing, reports)):
 		// A target with all of the leader's entries has the acknowledged ones.
 		reports = slices.DeleteFunc(reports, func(r report.Report) bool { return !r.Received.AtLeast(last.Received) })
 		if len(reports) == 0 && p.pending.Token == 0 {
 			reports = append(reports, last)
 		}
-	case !polled.complete || (polled.silent || polled.ended) && !allAnswered:
+	case !polled.complete || (polled.silent || polled.ended) && !told.all:
 		return report.Report{}, false
 	}
 	best, ok := mostReceived(reports, preferred)
@@ -111,3 +119,54 @@
 	}
 	return best, ok && (p.hasAcknowledged(best, required) || !p.mayReturn(polled.heard))
 }
+
+// outwait waits until no host sends commits to a leader that could not be demoted, although
+// some hosts did not answer the announcement of its replacement. It announces that in the
+// lease, which hosts read, or else their permits lapse. It returns false if the leader may not
+// be replaced under the present claim.
+func (p *Promoter) outwait(ctx context.Context, leader target.Target, told gathered) bool {
+	began := p.now()
+	switch {
+	case told.most:
+		p.silentSince = 0
+	case p.silentSince == 0:
+		p.silentSince = began
+	}
+	if p.permitTime == 0 {
+		p.outwaited = leader.ID
+		return true
+	}
+	if p.claimed.Token == 0 || !told.most && began-p.silentSince < silentHostsTime {
+		p.log.Warn("leader not replaced while hosts may use it", zap.String("Leader", leader.ID), zap.Bool("Most", told.most), zap.Bool("Claimed", p.claimed.Token != 0))
+		return false
+	}
+	if !p.renewClaim(ctx, leader.ID) {
+		return false
+	}
+	end := p.now() + p.permitTime + commitMargin
+	p.log.Info("replacement announced in the lease", zap.String("Leader", leader.ID), zap.Uint64("Token", p.claimed.Token), zap.Duration("Wait", end-p.now()))
+	for left := end - p.now(); left > 0 && ctx.Err() == nil; left = end - p.now() {
+		sleep.For(ctx, min(left, claimHold/2))
+		if !p.renewClaim(ctx, leader.ID) {
+			return false
+		}
+	}
+	p.outwaited = leader.ID
+	return ctx.Err() == nil
+}
+
+// renewClaim stores this host's claim with a later time, and with the leader that it is about
+// to replace. It returns false if the claim is not this host's any more, or not known to be.
+func (p *Promoter) renewClaim(ctx context.Context, leader string) bool {
+	ctx, stop := context.WithTimeout(ctx, claimTimeout)
+	defer stop()
+	began := p.now()
+	// The claim's time is by the store's clock.
+	written, err := p.platform.Write(ctx, p.claimed.WithReplaces(leader, p.claimed.At+began-(p.heldUntil-claimHold)))
+	if err != nil {
+		p.log.Warn("claim not renewed", zap.String("Leader", leader), zap.Uint64("Token", p.claimed.Token), zap.String("Error", err.Error()))
+		return false
+	}
+	p.claimed, p.heldUntil = written, began+claimHold
+	return true
+}
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -81,6 +81,12 @@
 	// isolated leaves it to other hosts to take over from a silent leader. It is
 	// several times the duration of a takeover.
 	maxTakeoverDeferral = 4 * time.Second
+	// commitMargin is how much later than its permit lapses a host's last commit may reach
+	// the leader: the latency between regions, and some time for a busy machine.
+	commitMargin = 200 * time.Millisecond
+	// silentHostsTime is how long a replacement waits if most of the other hosts do not
+	// answer. They may confirm to each other that the leader is not replaced.
+	silentHostsTime = time.Minute
 	// orderTimeout is the maximum duration of a promotion, from storing the
 	// order until the target leads.
 	orderTimeout = 20 * time.Second
@@ -132,6 +138,13 @@
 	// claimed last.
 	now       func() time.Duration
 	heldUntil time.Duration
+	// permitTime is how long a host may send commits to a leader without a confirmation that
+	// no host replaces it. outwaited is the leader to which, under the present claim, no
+	// other host sends commits any more. silentSince is when most other hosts were found
+	// not to answer, 0 if they answered last.
+	permitTime  time.Duration
+	outwaited   string
+	silentSince time.Duration
 	// orderPending is set after an order of this host that was not confirmed, while that
 	// order may still be carried out. Run then hands the lead over to the ordered target
 	// even if the leader serves again, since replicas must not receive log entries
@@ -190,6 +203,12 @@
 	return func(p *Promoter) { p.now = now }
 }
 
+// WithPermits returns an option that sets how long a host may send commits to a leader without
+// a confirmation that no host replaces it.
+func WithPermits(limit time.Duration) func(*Promoter) {
+	return func(p *Promoter) { p.permitTime = limit }
+}
+
 // WithRestores returns an option that sets the function restored, which returns the
 // newest era of the store that this host has seen, and how long ago it learned that the
 // store had been restored from a copy. The store may have lost the claim of a host that
@@ -259,7 +278,7 @@
 			default:
 				wait = min(2*wait, maxCheckPause)
 			}
-			sleep.For(ctx, wait)
+			p.pause(ctx, wait)
 		}
 		// A token that was reserved under another leader is lower than the
 		// lease's present token, so it can't be used any more.
@@ -269,6 +288,18 @@
 	}
 }
 
+// pause waits for d, or until there is a new reason to doubt the leader: callers wait until
+// it is trusted again.
+func (p *Promoter) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-p.group.LeaderDoubted():
+	case <-ctx.Done():
+	}
+}
+
 // replace claims the lease and replaces the leader. It returns true if this
 // host got the lease or used its reserved one, even if the replacement failed.
 // Otherwise it returns false: the claim failed, another host acts, or the
@@ -319,6 +350,10 @@
 		}
 		return true
 	}
+	if l.Token == p.claimed.Token {
+		// The claim may have been renewed.
+		l = p.claimed
+	}
 	former, term := p.pending.Former, p.pending.FormerTerm
 	if leader.ID != "" {
 		former, term = leader.ID, chosen.Term
--- a/process/rset/alarm.go
+++ b/process/rset/alarm.go
@@ -25,3 +25,9 @@
 func (rs *ReplicaSet) LeaderAlarm() <-chan struct{} {
 	return rs.alarm
 }
+
+// LeaderDoubted returns a channel that receives a value when there is a new reason to doubt
+// the leader.
+func (rs *ReplicaSet) LeaderDoubted() <-chan struct{} {
+	return rs.doubted
+}
--- a/process/rset/anyhost.go
+++ b/process/rset/anyhost.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,9 +13,14 @@
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
-// askOthersAfter is how long this host tries to reach a target alone: several times the
-// usual response time of a target in another region.
-const askOthersAfter = 150 * time.Millisecond
+const (
+	// askOthersAfter is how long this host tries to reach a target alone: several times the
+	// usual response time of a target in another region.
+	askOthersAfter = 150 * time.Millisecond
+	// formerHostTime is how long a host that does not connect to a target any more may go on
+	// with its open transactions there, or take to stop.
+	formerHostTime = 10 * time.Second
+)
 
 // ReportFromAny runs a command at a target with the function own, which is Report or
 // ReportUnregistered. If this host does not reach the target, all other hosts that may
@@ -66,11 +72,49 @@
 	return report.Report{}, failed
 }
 
+// formerHost is a host that connected to targets until a time.
+type formerHost struct {
+	info  gossip.HostInfo
+	until time.Duration
+}
+
+// noteFormerHosts notes which of the hosts that connected to targets before don't any more:
+// they stop, or others are nearer. The caller holds the lock.
+func (rs *ReplicaSet) noteFormerHosts(before []gossip.HostInfo) {
+	for _, h := range before {
+		rs.formerHosts[h.Host] = formerHost{h, rs.now()}
+	}
+	for _, h := range rs.connectingHosts("") {
+		delete(rs.formerHosts, h.Host)
+	}
+	maps.DeleteFunc(rs.formerHosts, func(_ string, f formerHost) bool { return rs.now()-f.until > formerHostTime })
+}
+
+// announcementHosts returns the other hosts that may send commits to a target of the group:
+// those that connect to it, and those that did until shortly.
+func (rs *ReplicaSet) announcementHosts() []gossip.HostInfo {
+	hosts := rs.otherHosts("")
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for name, f := range rs.formerHosts {
+		if rs.now()-f.until <= formerHostTime && !slices.ContainsFunc(hosts, func(h gossip.HostInfo) bool { return h.Host == name }) {
+			hosts = append(hosts, f.info)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b gossip.HostInfo) int { return cmp.Compare(a.Host, b.Host) })
+	return hosts
+}
+
 // otherHosts returns the other live hosts that connect to a target, or to any target of the
 // group if this one is not registered.
 func (rs *ReplicaSet) otherHosts(id string) []gossip.HostInfo {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	return rs.connectingHosts(id)
+}
+
+// connectingHosts returns what otherHosts does; the caller holds the lock.
+func (rs *ReplicaSet) connectingHosts(id string) []gossip.HostInfo {
 	if rs.borrower == nil {
 		return nil
 	}
--- a/process/rset/commits.go
+++ b/process/rset/commits.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// GatherAcknowledged asks the other hosts that connect to the group which commits they know
+// GatherAcknowledged asks the other hosts that connect to the group, or did shortly before, which commits they know
 // to be acknowledged. It returns what all that answer before the context ends know, and this
 // host, and how many were asked and answered. If leader is not empty, it also announces to
 // them, and to this host, that this host is about to replace that target.
@@ -54,7 +54,7 @@
 		err            error
 	}
 	rs.AnnounceReplacement(leader)
-	hosts := rs.otherHosts("")
+	hosts := rs.announcementHosts()
 	answers := make(chan answer, len(hosts))
 	for _, h := range hosts {
 		go func() {
--- a/process/rset/doubt.go
+++ b/process/rset/doubt.go
@@ -21,8 +21,10 @@
 	count uint64
 	// open is set while no commit may be sent to the leader.
 	open bool
-	// announced is when another host last announced to replace the leader, 0 if none did.
-	announced time.Duration
+	// announced is when a host last announced to replace a target, 0 if none did, and
+	// announcedID that target, which may be found to lead later.
+	announced   time.Duration
+	announcedID string
 }
 
 // AnnounceReplacement records that a host is about to replace a target that may lead. It
@@ -31,10 +33,13 @@
 func (rs *ReplicaSet) AnnounceReplacement(id string) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if id == "" || rs.leader != id {
+	if id == "" {
+		return
+	}
+	rs.doubt.announced, rs.doubt.announcedID = rs.now(), id
+	if rs.leader != id {
 		return
 	}
-	rs.doubt.announced = rs.now()
 	rs.doubtLeader("replacement announced")
 	rs.raiseAlarm()
 	ts, ok := rs.states[id]
@@ -52,6 +57,7 @@
 // holds the lock.
 func (rs *ReplicaSet) doubtLeader(why string) {
 	rs.doubt.count++
+	signal(rs.doubted)
 	if !rs.doubt.open {
 		rs.doubt.open = true
 		rs.log.Info("leader doubted", zap.String("Group", rs.Name), zap.String("Target", rs.leader), zap.String("Why", why))
@@ -65,7 +71,7 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	announced = -1
-	if rs.doubt.announced != 0 {
+	if rs.doubt.announced != 0 && rs.doubt.announcedID == rs.leader {
 		announced = rs.now() - rs.doubt.announced
 	}
 	return rs.doubt.count, rs.doubt.open, announced
@@ -83,14 +89,20 @@
 	}
 }
 
-// awaitTrust waits until commits may be sent to a target: not while it is doubted, or is the
-// last leader and none is known. It returns ErrNotSent if the context ends first.
-func (rs *ReplicaSet) awaitTrust(ctx context.Context, id string) error {
+// awaitTrust waits until commits may be sent on a connection: not while its target is doubted,
+// or is the last leader and none is known, nor without a permit. A host that lends the
+// connection waits for the permit itself. It returns ErrNotSent if the context ends first.
+func (rs *ReplicaSet) awaitTrust(ctx context.Context, cn *conn.Conn) error {
 	for {
+		known := rs.leasesKnownAt()
 		rs.mu.Lock()
-		open, changed := rs.doubt.open && rs.leader == id || rs.leader == "" && rs.lastLeader == id, rs.changed
+		open, changed := rs.doubt.open && rs.leader == cn.Target || rs.leader == "" && rs.lastLeader == cn.Target, rs.changed
+		left := rs.permit.Left(rs.now(), known)
+		if !open && !cn.Borrowed && rs.permit.RenewalDue(left) {
+			rs.startConfirming()
+		}
 		rs.mu.Unlock()
-		if !open {
+		if !open && (cn.Borrowed || left > 0) {
 			return nil
 		}
 		select {
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -59,17 +59,25 @@
 // from the replies. It waits with what may commit data while the leader may be being
 // replaced. If it returns ErrNotSent, nothing was sent.
 func (rs *ReplicaSet) Run(ctx context.Context, cn *conn.Conn, who caller.Caller, stage ...stmt.Stmt) ([]reply.Reply, error) {
-	if mayCommit(cn, stage) {
-		if err := rs.awaitTrust(ctx, cn.Target); err != nil {
+	commits := mayCommit(cn, stage)
+	if commits {
+		if err := rs.awaitTrust(ctx, cn); err != nil {
 			return nil, err
 		}
+		if !cn.Borrowed {
+			defer rs.guardCommit(cn)()
+		}
 	}
 	sent := rs.Acknowledged()
 	replies, err := rs.runMonitored(cn.Target, probeAfter, func() ([]reply.Reply, error) { return cn.Run(ctx, who, stage...) })
-	if err == nil {
-		rs.noteCommits(cn, sent, stage, replies)
+	if err != nil {
+		return nil, err
 	}
-	return replies, err
+	if commits && !cn.Borrowed && rs.permitLeft() <= 0 {
+		return nil, errLapsed
+	}
+	rs.noteCommits(cn, sent, stage, replies)
+	return replies, nil
 }
 
 // cancelOnFailure registers a function to be called when a target stops
--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -341,7 +341,7 @@
 	for _, ts := range rs.states {
 		ts.lag = lag{}
 	}
-	rs.doubt.open, rs.doubt.announced = false, 0
+	rs.doubt.open = false
 	first := rs.lastLeader == "" && rs.firstStart
 	if !first && (why == byRegistration || why == byTransaction || why == ByReport) {
 		// It may be the former leader, restarted under its ID or another one, while the
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotray/pistachiotray/process/borrow"
 	"github.com/pistachiotray/pistachiotray/process/conns"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/permit"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/process/wmark"
@@ -94,6 +95,15 @@
 	// be being replaced.
 	lastLeader string
 	doubt      doubt
+	// permit is how long commits may be sent to the leader, leasesKnownAt the time as of which
+	// the table of leases is known, and confirming is set while other hosts are asked for a
+	// confirmation.
+	permit        permit.Permit
+	leasesKnownAt func() time.Duration
+	confirming    bool
+	startedAt     time.Duration
+	// formerHosts holds the hosts that connected to targets until a time.
+	formerHosts map[string]formerHost
 	// firstStart is set if the whole system starts for the first time, so that no leader was
 	// replaced before.
 	firstStart bool
@@ -115,6 +125,8 @@
 	renewal *renewal
 	// alarm has a value while a check of the leader is due.
 	alarm chan struct{}
+	// doubted has a value while a new reason to doubt the leader was not noticed.
+	doubted chan struct{}
 	// targetsChanged has a value while a change of the registered targets was not noticed.
 	targetsChanged chan struct{}
 	// nextLagHandover is the earliest time of the next handover for replica
@@ -175,7 +187,9 @@
 		Name: name, log: log, dialer: d, now: now, distance: distance,
 		states: map[string]*targetState{}, changed: make(chan struct{}), watermarks: wmark.New(),
 		alarm: make(chan struct{}, 1), targetsChanged: make(chan struct{}, 1), drainTime: defaultDrainTime,
+		doubted: make(chan struct{}, 1), formerHosts: map[string]formerHost{},
 	}
+	rs.leasesKnownAt, rs.startedAt = now, now()
 	for _, o := range options {
 		o(rs)
 	}
@@ -194,10 +208,12 @@
 func (rs *ReplicaSet) SetAssignment(a assign.Assignment) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	before := rs.connectingHosts("")
 	rs.assignment = a
 	for _, ts := range rs.states {
 		rs.updateLenders(ts)
 	}
+	rs.noteFormerHosts(before)
 }
 
 // updateLenders updates whether this host connects to the target directly or
--- a/process/topo/topology.go
+++ b/process/topo/topology.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/assign"
+	"github.com/pistachiotray/pistachiotray/process/lease"
 	"github.com/pistachiotray/pistachiotray/process/roster"
 	"github.com/pistachiotray/pistachiotray/process/rset"
 	"github.com/pistachiotray/pistachiotray/version/plan"
@@ -83,6 +84,14 @@
 	t.refresh()
 }
 
+// NoteLease takes note of a group's stored lease. A lease of an unknown group is ignored,
+// since the first leader of a group that becomes known is doubted anyway.
+func (t *Topology) NoteLease(l lease.Lease) {
+	if rs, ok := t.ReplicaSet(l.Group); ok {
+		rs.NoteLease(l)
+	}
+}
+
 // refresh creates the groups that are new in the plan, and updates all groups
 // of the plan from the roster; the caller holds the lock.
 func (t *Topology) refresh() {
--- a/standin/qgroup/network_test.go
+++ b/standin/qgroup/network_test.go
@@ -21,6 +21,8 @@
 	listeners map[string]*listener
 	// isolated has true for each host that can't be connected to.
 	isolated map[string]bool
+	// silenced has true for each host that can't connect to others.
+	silenced map[string]bool
 	// conns are the ends of all connections opened.
 	conns []net.Conn
 }
@@ -45,12 +47,23 @@
 	return gossip.New(fmt.Sprintf("host-%d", i), fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", i), 0)
 }
 
+// from returns the network as seen from host i.
+func (n *network) from(i int) networkView {
+	return networkView{n, hostInfo(i).Host}
+}
+
+// networkView is the network as seen from one host.
+type networkView struct {
+	*network
+	host string
+}
+
 // Host opens a connection to a host. It implements the dialer of package borrow.
-func (n *network) Host(_ context.Context, h gossip.HostInfo) (*remote.Remote, error) {
+func (n networkView) Host(_ context.Context, h gossip.HostInfo) (*remote.Remote, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l, ok := n.listeners[h.Host]
-	if !ok || n.isolated[h.Host] {
+	if !ok || n.isolated[h.Host] || n.silenced[n.host] {
 		return nil, errors.New("refused")
 	}
 	near, far := net.Pipe()
@@ -75,6 +88,20 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.isolated[hostInfo(i).Host] = isolated
+	n.reset()
+}
+
+// setSilenced sets whether host i can't connect to other hosts, and closes all connections
+// between hosts.
+func (n *network) setSilenced(i int, silenced bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silenced[hostInfo(i).Host] = silenced
+	n.reset()
+}
+
+// reset closes all connections between hosts; the caller holds the lock.
+func (n *network) reset() {
 	for _, c := range n.conns {
 		_ = c.Close()
 	}
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -41,6 +41,9 @@
 	// settleTime lets the group recover from the last fault before the logs are
 	// checked.
 	settleTime = 8 * time.Second
+	// permitTime is how long hosts send commits without a confirmation that the leader is not
+	// being replaced.
+	permitTime = 2 * time.Second
 	// maxAge is the staleness bound of the routes.
 	maxAge = 1500 * time.Millisecond
 )
@@ -144,6 +147,9 @@
 	// registrationsCut holds a flag for each host. While the flag is set, the host
 	// gets no registrations.
 	registrationsCut []*atomic.Bool
+	// leasesCut holds a flag for each host. While the flag is set, the host is not told of
+	// the stored lease.
+	leasesCut []*atomic.Bool
 	// ctx ends the sessions and the faults.
 	ctx         context.Context
 	readsServed atomic.Int64
@@ -161,7 +167,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Hour + time.Since(began) }
 	c := &testCluster{
-		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}, isolated: map[string]bool{}},
+		t: t, group: group, now: now, ctx: ctx, network: &network{listeners: map[string]*listener{}, isolated: map[string]bool{}, silenced: map[string]bool{}},
 		history: &history{acknowledged: map[string][]ack{}, wantValues: map[string]map[string]string{}},
 		log:     func(int) *zap.Logger { return zap.NewNop() },
 	}
@@ -180,23 +186,26 @@
 	i, now, log := len(c.hosts), c.now, c.log(len(c.hosts))
 	ctx, stop := context.WithCancel(ctx)
 	c.stopHosts = append(c.stopHosts, stop)
+	leasesKnownAt := &atomic.Int64{}
 	rs := rset.New("g", log, c.group.From(i), now, func(zone string) time.Duration {
 		if zone == fmt.Sprintf("zone-%d", i) {
 			return 0
 		}
 		return 100 * time.Millisecond
-	}, rset.WithBorrower(borrow.New(c.network, now)))
+	}, rset.WithBorrower(borrow.New(c.network.from(i), now)), rset.WithPermit(permitTime, func() time.Duration { return time.Duration(leasesKnownAt.Load()) }))
 	c.hosts = append(c.hosts, hostTables{rs})
 	c.network.serve(i, hostTables{rs})
 	c.registrationsCut = append(c.registrationsCut, &atomic.Bool{})
 	registrations := &feed{group: c.group, replicaSet: rs}
 	go c.feedRegistrations(ctx, registrations, c.registrationsCut[i])
+	c.leasesCut = append(c.leasesCut, &atomic.Bool{})
+	go c.feedLeases(ctx, rs, leasesKnownAt, c.leasesCut[i])
 	members := keeper.New("g", log, c.store, rs, now)
 	go members.Run(ctx)
 	isolated := &atomic.Bool{}
 	c.isolated = append(c.isolated, isolated)
 	go promo.New(fmt.Sprintf("host-%d", i), log, rs, c.store, promo.WithIsolationCheck(isolated.Load), promo.WithRestores(c.sinceRestore),
-		promo.WithMembers(members.Refresh, members.Known), promo.WithClock(now),
+		promo.WithMembers(members.Refresh, members.Known), promo.WithClock(now), promo.WithPermits(permitTime),
 		promo.WithRegistrations(c.reader(registrations), func() bool { return true })).Run(ctx)
 }
 
@@ -227,6 +236,16 @@
 	}
 }
 
+// feedLeases tells a host of the stored lease, as the feed of the platform's store does.
+func (c *testCluster) feedLeases(ctx context.Context, rs *rset.ReplicaSet, knownAt *atomic.Int64, cut *atomic.Bool) {
+	for ; ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
+		if at := c.now(); !cut.Load() && !c.store.Down() {
+			rs.NoteLease(c.store.Lease())
+			knownAt.Store(int64(at))
+		}
+	}
+}
+
 // reader returns a function that updates a host's replica set from the registrations
 // in the lease store, unless that is down.
 func (c *testCluster) reader(f *feed) func(context.Context) error {
@@ -635,11 +654,22 @@
 
 // runFaultsFor is like runFaultsWithHosts, with the given duration.
 func runFaultsFor(t *testing.T, d time.Duration, hosts int, seed uint64, inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
+	return runCluster(t, d, hosts, seed, (*testCluster).introduce, inject, options...)
+}
+
+// runStrangers is like runFaults, with hosts that do not know each other.
+func runStrangers(t *testing.T, seed uint64, inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
+	return runCluster(t, runTime, 2, seed, func(*testCluster) {}, inject, options...)
+}
+
+// runCluster runs sessions and faults with a cluster that the function prepare prepares. It
+// returns the violations found, and how many reads were served.
+func runCluster(t *testing.T, d time.Duration, hosts int, seed uint64, prepare func(c *testCluster), inject func(c *testCluster, random *rand.Rand), options ...func(*qgroup.Group)) (violations []string, readsServed int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		runCtx, endRun := context.WithCancel(ctx)
 		c := newTestCluster(ctx, t, hosts, options...)
-		c.introduce()
+		prepare(c)
 		c.ctx = runCtx
 		time.Sleep(500 * time.Millisecond)
 		var done sync.WaitGroup
@@ -731,17 +761,18 @@
 		qgroup.BreakRefusals: "TWICE", qgroup.BreakDurability: "LOST", qgroup.BreakReadOnly: "STALE",
 	} {
 		t.Run(promise, func(t *testing.T) {
-			inject := (*testCluster).injectFaults
+			inject, run := (*testCluster).injectFaults, runFaults
 			switch promise {
 			case qgroup.BreakReadOnly:
 				// Random faults rarely leave a host with a leader that was replaced.
 				inject = (*testCluster).injectForgottenLeaders
 			case qgroup.BreakPause:
-				// Hosts that reach each other stop using a leader that one of them replaces.
-				inject = (*testCluster).injectSeparatedHosts
+				// Hosts that know each other stop using a leader that one of them replaces,
+				// also if they don't reach each other.
+				inject, run = (*testCluster).injectSeparatedHosts, runStrangers
 			}
 			for seed := uint64(1); seed <= maxSeeds; seed++ {
-				violations, _ := runFaults(t, seed, inject, qgroup.WithBrokenPromise(promise))
+				violations, _ := run(t, seed, inject, qgroup.WithBrokenPromise(promise))
 				if slices.ContainsFunc(violations, func(v string) bool { return strings.HasPrefix(v, verdict) }) {
 					return
 				}
@@ -756,3 +787,14 @@
 func TestPromisesWhileHostsDoNotReachEachOther(t *testing.T) {
 	requirePromises(t, (*testCluster).injectSeparatedHosts)
 }
+
+// TestPromisesOfHostsThatDoNotKnowEachOther checks the same for hosts that have not learned of
+// each other.
+func TestPromisesOfHostsThatDoNotKnowEachOther(t *testing.T) {
+	for seed := uint64(1); seed <= seedCount(t); seed++ {
+		violations, _ := runStrangers(t, seed, (*testCluster).injectSeparatedHosts)
+		for _, v := range violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+	}
+}
