Replace a leader whose replicas are held although no order is known

If its host ends before it is carried out, a host that starts finds the lease free, trusts the leader that is back, and loses its commits when the order is carried out.

Change: while the lease has reserved claims, a host that starts, or heard an announcement, asks the replicas before it trusts the leader. One that still holds entries back was told so by a host whose order may be under way; the leader is then handed over with a later token, which fences that order.

Still open: all replicas restarted meanwhile, or the host trusted the leader while the store was away.

--- a/process/promo/pending.go
+++ b/process/promo/pending.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/process/lease"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
 // pendingOrder returns the lease with the order that may still be carried out when this
@@ -34,6 +37,7 @@
 	}
 	_, _, ago := p.group.Doubts()
 	announced := ago >= 0 && ago < claimHold
+	p.heldAsked = p.heldAsked && !announced
 	limit := claimTimeoutReserved
 	if announced {
 		limit = claimTimeout
@@ -54,7 +58,43 @@
 	if _, ago := p.restored(); announced || ago < claimHold {
 		return true
 	}
-	return l.HeldByOther(p.host, now, claimHold) && !planned(why)
+	if l.HeldByOther(p.host, now, claimHold) {
+		return !planned(why)
+	}
+	if l.Reserves > 0 && !p.heldAsked && p.replicaHeld(ctx, leader) {
+		// The holder of a reserved lease may have ended after its order. An order with a
+		// later token fences that one.
+		p.orderPending = true
+		return true
+	}
+	p.heldAsked = true
+	return false
+}
+
+// replicaHeld reports whether a replica still holds back the leader's entries, as a host told
+// it to that prepared a replacement.
+func (p *Promoter) replicaHeld(ctx context.Context, leader target.Target) bool {
+	ctx, stop := context.WithTimeout(ctx, absentTimeout)
+	defer stop()
+	targets := slices.DeleteFunc(p.group.Targets(), func(t target.Target) bool { return t.ID == leader.ID })
+	held := make(chan bool, len(targets))
+	for _, t := range targets {
+		go func() {
+			r, err := p.group.Report(ctx, t, stmt.New(stmt.ProxyID, stmt.Status, ""))
+			if err != nil {
+				p.log.Info("can't read replica status", zap.String("Target", t.ID), zap.String("Error", err.Error()))
+			}
+			if err == nil && r.Held != 0 {
+				p.log.Warn("replica is held without a known replacement", zap.Any("Report", r))
+			}
+			held <- err == nil && r.Held != 0
+		}()
+	}
+	found := false
+	for range targets {
+		found = <-held || found
+	}
+	return found
 }
 
 // fence demotes a leader that serves while the order of another host for another target
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -150,6 +150,9 @@
 	// even if the leader serves again, since replicas must not receive log entries
 	// before an order is answered, and one that joins meanwhile would.
 	orderPending bool
+	// heldAsked is set once no replica was found that holds back entries, since this host
+	// started or last heard an announcement.
+	heldAsked bool
 	// claimed is the last claim of this host, until its order was carried out or it was
 	// released. Its token is 0 if there is none.
 	claimed lease.Lease
