Ask the leader for its position while a member is missing

If the hosts that acknowledged later commits have ended, those that started since order a replica that lacks them.

Change: the hosts that write the row, which check it 3 s after their start and each 8 s while a member is missing, first ask the leader for its position, with a transaction that takes no slot. It covers all commits acknowledged before.

--- a/process/keeper/keeper.go
+++ b/process/keeper/keeper.go
@@ -61,6 +61,8 @@
 	// LearnAcknowledged adds what others know.
 	Acknowledged() acked.Acked
 	LearnAcknowledged(floor, ceiling mark.Mark)
+	// LearnPosition asks the leader for a position that covers all acknowledged commits.
+	LearnPosition(ctx context.Context) error
 	// Rank returns how many live hosts precede this one in an order by their distance
 	// to a target.
 	Rank(t target.Target) int
@@ -229,6 +231,13 @@
 		return err
 	}
 	members := k.Known()
+	if members.Incomplete() {
+		// Who acknowledged commits to others before may be lost, and a member come back
+		// without them.
+		if err := k.group.LearnPosition(ctx); err != nil {
+			k.log.Info("leader's position not learned", zap.String("Error", err.Error()))
+		}
+	}
 	known := k.group.Acknowledged()
 	if len(members.Members()) == 0 || !members.Differs(read.members) && (!members.Incomplete() || known.Floor == read.acked.Floor) {
 		return nil
--- a/process/keeper/keeper_test.go
+++ b/process/keeper/keeper_test.go
@@ -40,6 +40,8 @@
 	return g.acked
 }
 
+func (g *registrations) LearnPosition(context.Context) error { return nil }
+
 func (g *registrations) LearnAcknowledged(floor, ceiling mark.Mark) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/process/rset/commits.go
+++ b/process/rset/commits.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/process/acked"
 	"github.com/pistachiotray/pistachiotray/request/mark"
@@ -25,6 +27,24 @@
 	rs.acked = rs.acked.With(floor, ceiling)
 }
 
+// LearnPosition asks the leader, if this host connects to it, for the position of its log,
+// which includes all commits that it has acknowledged.
+func (rs *ReplicaSet) LearnPosition(ctx context.Context) error {
+	leader, ok := rs.Leader()
+	if !ok || !rs.ConnectsTo(leader.ID) {
+		return nil
+	}
+	r, err := rs.tryTransaction(ctx, leader)
+	if err != nil {
+		return err
+	}
+	if !r.OK() {
+		return errors.Errorf("the target does not lead: %s", r.Code.Name())
+	}
+	rs.LearnAcknowledged(mark.Mark{}, r.Mark)
+	return nil
+}
+
 // noteCommits records the commits that were acknowledged by the replies to a stage. sent is
 // what was known when the stage was sent.
 func (rs *ReplicaSet) noteCommits(cn *conn.Conn, sent acked.Acked, stage []stmt.Stmt, replies []reply.Reply) {
