Send no commits to a leader while the copy of its lease names another target

NoteLease announced a replacement to this host whenever the lease named an order, also where the leader had been demoted: each planned replacement would have closed all connections to the former leader, reads among them. An announcement also ends after 3 s, while the order is pending until the lease says otherwise; a host that reads the leases through others, but not from the store, trusted the leader again then (by reading).

Now the order is a state: as long as the copy names one, commits go to its target only, and the host does not confirm another leader to others. Only leaders that could not be demoted are announced.

--- a/process/rset/doubt.go
+++ b/process/rset/doubt.go
@@ -96,7 +96,7 @@
 	for {
 		known := rs.leasesKnownAt()
 		rs.mu.Lock()
-		open, changed := rs.doubt.open && rs.leader == cn.Target || rs.leader == "" && rs.lastLeader == cn.Target, rs.changed
+		open, changed := rs.mayBeReplaced(cn.Target), rs.changed
 		left := rs.permit.Left(rs.now(), known)
 		if !open && !cn.Borrowed && rs.permit.RenewalDue(left) {
 			rs.startConfirming()
--- a/process/rset/permit.go
+++ b/process/rset/permit.go
@@ -34,15 +34,34 @@
 	return func(rs *ReplicaSet) { rs.permit, rs.leasesKnownAt = permit.New(limit), known }
 }
 
-// NoteLease takes note of a stored lease, whose holder may be replacing the leader.
+// NoteLease takes note of a stored lease. As long as it names an order that may still be
+// carried out, no commits are sent to a leader other than the ordered target.
 func (rs *ReplicaSet) NoteLease(l lease.Lease) {
-	if l.Done {
-		return
+	if !l.Done {
+		rs.AnnounceReplacement(l.Replaces)
 	}
-	rs.AnnounceReplacement(l.Replaces)
+	ordered := ""
 	if l.OrderPending() {
-		rs.AnnounceReplacement(l.Former)
+		ordered = l.Target
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.ordered != ordered {
+		rs.ordered = ordered
+		rs.notifyChanged()
+	}
+}
+
+// mayBeReplaced reports whether a target is a leader that may be being replaced; the caller
+// holds the lock.
+func (rs *ReplicaSet) mayBeReplaced(id string) bool {
+	switch rs.leader {
+	case id:
+		return rs.doubt.open || rs.ordered != "" && rs.ordered != id
+	case "":
+		return rs.lastLeader == id
 	}
+	return false
 }
 
 // permitLeft returns for how long commits may still be sent to the leader.
@@ -94,7 +113,7 @@
 func (rs *ReplicaSet) confirm(ctx context.Context) bool {
 	known := rs.leasesKnownAt()
 	rs.mu.Lock()
-	left, leader, open := rs.permit.Left(rs.now(), known), rs.leader, rs.doubt.open
+	left, leader, open := rs.permit.Left(rs.now(), known), rs.leader, rs.mayBeReplaced(rs.leader)
 	due := rs.permit.RenewalDue(left)
 	rs.mu.Unlock()
 	if !due {
@@ -147,5 +166,5 @@
 	known := rs.leasesKnownAt()
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return rs.leader == leader && !rs.doubt.open && known >= rs.startedAt
+	return rs.leader == leader && !rs.mayBeReplaced(leader) && known >= rs.startedAt
 }
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -102,6 +102,9 @@
 	leasesKnownAt func() time.Duration
 	confirming    bool
 	startedAt     time.Duration
+	// ordered is the target of the order that the lease names as pending, empty if there is
+	// none.
+	ordered string
 	// formerHosts holds the hosts that connected to targets until a time.
 	formerHosts map[string]formerHost
 	// firstStart is set if the whole system starts for the first time, so that no leader was
--- a/standin/qgroup/fence_test.go
+++ b/standin/qgroup/fence_test.go
@@ -108,6 +108,27 @@
 	})
 }
 
+// A host that is told of a pending order sends no commits to a leader other than the ordered
+// target, although it finds no problem with that leader.
+func TestNoCommitsWhileTheLeaseNamesAnotherTarget(t *testing.T) {
+	runWithHosts(t, 3, 1, func(_ context.Context, t *testing.T, c *testCluster) {
+		is := is.New(t)
+		cl := c.newClient(0, "primary")
+		is.True(cl.writeFor(time.Second) > 20)
+		c.leasesCut[0].Store(true)
+		time.Sleep(300 * time.Millisecond)
+		ordered := lease.New("g").WithClaim("host-9", c.now()).WithOrder("g-1")
+		rs := c.hosts[0].replicaSet
+		rs.NoteLease(ordered)
+		is.Equal(cl.writeFor(time.Second), 0)
+		rs.NoteLease(ordered.WithOrder("g-0"))
+		is.True(cl.writeFor(300*time.Millisecond) > 5)
+		rs.NoteLease(ordered)
+		rs.NoteLease(ordered.WithDone())
+		is.True(cl.writeFor(300*time.Millisecond) > 5)
+	})
+}
+
 // While the store is down, hosts that reach most of the others go on sending commits.
 func TestHostsSendCommitsWhileTheStoreIsDown(t *testing.T) {
 	runWithHosts(t, 3, 3, func(_ context.Context, t *testing.T, c *testCluster) {
