--- a/standin/qgroup/orders_test.go
+++ b/standin/qgroup/orders_test.go
@@ -74,10 +74,11 @@
 				}
 				c.group.SetPartitioned(0, qgroup.AllHosts, false)
 				c.startHost(ctx)
-				stop := make(chan struct{})
+				stop, ended := make(chan struct{}), make(chan struct{})
 				var acknowledged []string
 				cl := c.newClient(1, "primary")
 				go func() {
+					defer close(ended)
 					for k := 0; ; k++ {
 						select {
 						case <-stop:
@@ -94,6 +95,7 @@
 				c.store.SetDown(false)
 				time.Sleep(6 * time.Second)
 				close(stop)
+				<-ended
 				time.Sleep(2 * time.Second)
 				is.Equal(len(c.lostOf(acknowledged)), 0)
 			})
