Count the same hosts for confirmations and for announcements

A host asked those that connect to the leader, a replacement counted all that connect to the group, and former ones too: where connections are lent, all seven lenders of a leader could be silent while most of the others answered. A host that the others don't count, since it starts or stops, counted itself in addition, so that half of the hosts were enough. What was confirmed of one leader counted for the next one.

Now both count the hosts that connect to the group (process/heard), a host confirms only to those, and a change of the leader ends what was confirmed.

--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -34,8 +34,8 @@
 	// Acknowledged asks which commits of Group the other host knows to be acknowledged, and
 	// announces that the asking host is about to replace Target, unless that is empty.
 	Acknowledged
-	// Confirm asks whether the other host knows that Target leads Group and of no
-	// replacement of it. The answer has a Fault if it does not.
+	// Confirm asks whether the other host confirms to Host that Target leads Group, and knows
+	// of no replacement of it. The answer has a Fault if it does not.
 	Confirm
 )
 
@@ -47,6 +47,8 @@
 	// Group and Target identify the target of Take, TakeFresh and Report.
 	Group  string
 	Target string
+	// Host is the name of the asking host, in a request with the verb Confirm.
+	Host string
 	// Priority is the route's priority. Batches with a lower number get a connection
 	// first.
 	Priority int
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -239,7 +239,7 @@
 	if !ok {
 		return notServed()
 	}
-	if !group.Confirms(p.Target) {
+	if !group.Confirms(p.Target, p.Host) {
 		return parcel.Parcel{Fault: "the target may not lead"}
 	}
 	return parcel.Parcel{}
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -121,11 +121,11 @@
 	return answer.Report.Applied, answer.Report.Received, refusal(answer)
 }
 
-// Confirm asks whether the other host knows that a target leads a group and of no replacement
-// of it. It returns nil if the host confirms both, and an error that wraps ErrRefused if it
+// Confirm asks whether the other host confirms to this host, self, that a target leads a group,
+// and knows of no replacement of it. It returns nil if the host confirms both, and an error that wraps ErrRefused if it
 // does not.
-func (r *Remote) Confirm(ctx context.Context, group, leader string) error {
-	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Confirm, Group: group, Target: leader, TimeMs: timeLeft(ctx).Milliseconds()})
+func (r *Remote) Confirm(ctx context.Context, group, leader, self string) error {
+	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Confirm, Group: group, Target: leader, Host: self, TimeMs: timeLeft(ctx).Milliseconds()})
 	if err != nil {
 		return errors.Wrap(err, "Remote.Confirm")
 	}
--- a/process/permit/permit.go
+++ b/process/permit/permit.go
@@ -28,6 +28,13 @@
 	return p
 }
 
+// WithoutConfirmation returns the Permit without what other hosts confirmed, which they did for
+// another leader.
+func (p Permit) WithoutConfirmation() Permit {
+	p.confirmed = 0
+	return p
+}
+
 // Left returns for how long commits may still be sent, which is not positive once the permit
 // has lapsed. The table of leases, in which hosts announce replacements, is known as it was
 // at the time known, 0 if it is not known.
@@ -49,8 +56,8 @@
 }
 
 // Majority reports whether the hosts that confirmed are more than half of those that send
-// commits to the leader. Any such majority has a host in common with the hosts to which a
-// replacement was announced, since only a minority of these may not have answered.
+// commits to the leader. Any such majority has a host in common with those that answered the
+// announcement of a replacement, since no more than half of the hosts may not have.
 func Majority(confirmed, hosts int) bool {
 	return 2*confirmed > hosts
 }
--- a/process/permit/permit_test.go
+++ b/process/permit/permit_test.go
@@ -36,14 +36,15 @@
 	p := permit.New(time.Second).WithConfirmed(5 * time.Second).WithConfirmed(4 * time.Second)
 	is.Equal(p.Left(5*time.Second, 0), time.Second)
 	is.True(p.RenewalDue(p.Left(5900*time.Millisecond, 0)))
+	is.Equal(p.WithoutConfirmation().Left(5*time.Second, 0), time.Duration(0))
 }
 
-// Two majorities of the same hosts have a host in common.
+// Half of the hosts are no majority.
 func TestMajority(t *testing.T) {
 	is := is.New(t)
 	for hosts := 1; hosts < 10; hosts++ {
 		for n := range hosts + 1 {
-			is.True(!permit.Majority(n, hosts) || !permit.Majority(hosts-n, hosts))
+			is.Equal(permit.Majority(n, hosts), n > hosts/2)
 		}
 	}
 	is.True(permit.Majority(1, 1))
--- a/process/promo/commits.go
+++ b/process/promo/commits.go
@@ -6,29 +6,21 @@
 
 	"go.uber.org/zap"
 
-	"github.com/pistachiotray/pistachiotray/process/acked"
-	"github.com/pistachiotray/pistachiotray/process/permit"
+	"github.com/pistachiotray/pistachiotray/process/heard"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/request/mark"
 )
 
-// gathered is what the other hosts told that answered within gatherTimeout.
-type gathered struct {
-	// known is what they and this host know of acknowledged commits.
-	known acked.Acked
-	// all is set if all of them answered, and most if so many did that the others are not
-	// more than half of all hosts.
-	all, most bool
-}
-
-// gatherAcknowledged asks the other hosts which commits were acknowledged to them. If a leader
-// is given, those that answer send it no more commits until they know whether it is replaced.
-func (p *Promoter) gatherAcknowledged(ctx context.Context, leader string) gathered {
+// gatherAcknowledged asks the other hosts which commits were acknowledged to them, and returns
+// what those tell that answer within gatherTimeout. If a leader is given, they send it no more
+// commits until they know whether it is replaced.
+func (p *Promoter) gatherAcknowledged(ctx context.Context, leader string) heard.Heard {
 	ctx, stop := context.WithTimeout(ctx, gatherTimeout)
 	defer stop()
-	known, asked, answered := p.group.GatherAcknowledged(ctx, leader)
-	p.log.Info("acknowledged commits gathered", zap.Stringer("Floor", known.Floor), zap.Stringer("Ceiling", known.Ceiling), zap.Int("Asked", asked), zap.Int("Answered", answered))
-	return gathered{known: known, all: asked == answered, most: !permit.Majority(asked-answered, asked+1)}
+	told := p.group.GatherAcknowledged(ctx, leader)
+	p.log.Info("acknowledged commits gathered", zap.Stringer("Floor", told.Known.Floor), zap.Stringer("Ceiling", told.Known.Ceiling),
+		zap.Int("Asked", told.Asked), zap.Int("Answered", told.Answered), zap.Bool("Most", told.Most()))
+	return told
 }
 
 // hasAcknowledged reports whether the log of the target that sent a report reaches a position.
@@ -46,7 +38,7 @@
 // are known to be acknowledged to any host.
 func (p *Promoter) hasKnown(ctx context.Context, reports []report.Report) bool {
 	told := p.gatherAcknowledged(ctx, "")
-	return told.all && slices.ContainsFunc(reports, func(r report.Report) bool { return r.Received.AtLeast(told.known.Ceiling) })
+	return told.All() && slices.ContainsFunc(reports, func(r report.Report) bool { return r.Received.AtLeast(told.Known.Ceiling) })
 }
 
 // mayReturn reports whether a member that was not heard may come back with commits that the
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/heard"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/target"
@@ -68,7 +69,7 @@
 	electing, stop := context.WithTimeout(ctx, electTimeout)
 	defer stop()
 	last, demoted := p.demote(electing, leader)
-	told := gathered{known: p.group.Acknowledged(), all: true}
+	told := heard.New(p.group.Acknowledged(), 0, 0)
 	if demoted {
 		p.count(leader, countedDemoted, last, nil)
 	} else {
@@ -77,14 +78,14 @@
 		}
 		// Other hosts stop using the leader before the others are heard once more.
 		told = p.gatherAcknowledged(electing, leader.ID)
-		if !told.all && leader.ID != "" && p.outwaited != leader.ID {
+		if !told.All() && leader.ID != "" && p.outwaited != leader.ID {
 			if !p.outwait(ctx, leader, told) {
 				return report.Report{}, false
 			}
 			return p.elect(ctx, leader, preferred)
 		}
 	}
-	known := told.known
+	known := told.Known
 	polled := p.pauseReplicas(electing, leader.ID)
 	reports := polled.reports
 	switch {
@@ -97,7 +98,7 @@
 		if len(reports) == 0 && p.pending.Token == 0 {
 			reports = append(reports, last)
 		}
-	case !polled.complete || (polled.silent || polled.ended) && !told.all:
+	case !polled.complete || (polled.silent || polled.ended) && !told.All():
 		return report.Report{}, false
 	}
 	best, ok := mostReceived(reports, preferred)
@@ -124,10 +125,10 @@
 // some hosts did not answer the announcement of its replacement. It announces that in the
 // lease, which hosts read, or else their permits lapse. It returns false if the leader may not
 // be replaced under the present claim.
-func (p *Promoter) outwait(ctx context.Context, leader target.Target, told gathered) bool {
+func (p *Promoter) outwait(ctx context.Context, leader target.Target, told heard.Heard) bool {
 	began := p.now()
 	switch {
-	case told.most:
+	case told.Most():
 		p.silentSince = 0
 	case p.silentSince == 0:
 		p.silentSince = began
@@ -136,8 +137,8 @@
 		p.outwaited = leader.ID
 		return true
 	}
-	if p.claimed.Token == 0 || !told.most && began-p.silentSince < silentHostsTime {
-		p.log.Warn("leader not replaced while hosts may use it", zap.String("Leader", leader.ID), zap.Bool("Most", told.most), zap.Bool("Claimed", p.claimed.Token != 0))
+	if p.claimed.Token == 0 || !told.Most() && began-p.silentSince < silentHostsTime {
+		p.log.Warn("leader not replaced while hosts may use it", zap.String("Leader", leader.ID), zap.Bool("Most", told.Most()), zap.Bool("Claimed", p.claimed.Token != 0))
 		return false
 	}
 	if !p.renewClaim(ctx, leader.ID) {
--- a/process/rset/anyhost.go
+++ b/process/rset/anyhost.go
@@ -90,14 +90,14 @@
 	maps.DeleteFunc(rs.formerHosts, func(_ string, f formerHost) bool { return rs.now()-f.until > formerHostTime })
 }
 
-// announcementHosts returns the other hosts that may send commits to a target of the group:
-// those that connect to it, and those that did until shortly.
-func (rs *ReplicaSet) announcementHosts() []gossip.HostInfo {
-	hosts := rs.otherHosts("")
+// formerlyConnecting returns the hosts that connected to targets of the group until shortly,
+// and may still send commits to them.
+func (rs *ReplicaSet) formerlyConnecting() []gossip.HostInfo {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	for name, f := range rs.formerHosts {
-		if rs.now()-f.until <= formerHostTime && !slices.ContainsFunc(hosts, func(h gossip.HostInfo) bool { return h.Host == name }) {
+	var hosts []gossip.HostInfo
+	for _, f := range rs.formerHosts {
+		if rs.now()-f.until <= formerHostTime {
 			hosts = append(hosts, f.info)
 		}
 	}
--- a/process/rset/commits.go
+++ b/process/rset/commits.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/go-faster/errors"
 
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/process/acked"
+	"github.com/pistachiotray/pistachiotray/process/heard"
 	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
@@ -64,34 +66,36 @@
 	}
 }
 
-// GatherAcknowledged asks the other hosts that connect to the group, or did shortly before, which commits they know
-// to be acknowledged. It returns what all that answer before the context ends know, and this
-// host, and how many were asked and answered. If leader is not empty, it also announces to
-// them, and to this host, that this host is about to replace that target.
-func (rs *ReplicaSet) GatherAcknowledged(ctx context.Context, leader string) (known acked.Acked, asked, answered int) {
+// GatherAcknowledged asks the other hosts that connect to the group, or did shortly before,
+// which commits they know to be acknowledged, and returns what those tell that answer before
+// the context ends. If leader is not empty, it also announces to them, and to this host, that
+// this host is about to replace that target.
+func (rs *ReplicaSet) GatherAcknowledged(ctx context.Context, leader string) heard.Heard {
+	rs.AnnounceReplacement(leader)
+	connecting, former := rs.otherHosts(""), rs.formerlyConnecting()
+	hosts := slices.Concat(connecting, former)
 	type answer struct {
+		host           int
 		floor, ceiling mark.Mark
 		err            error
 	}
-	rs.AnnounceReplacement(leader)
-	hosts := rs.announcementHosts()
 	answers := make(chan answer, len(hosts))
-	for _, h := range hosts {
+	for i, h := range hosts {
 		go func() {
 			floor, ceiling, err := rs.borrower.Acknowledged(ctx, rs.Name, leader, h)
-			answers <- answer{floor, ceiling, err}
+			answers <- answer{i, floor, ceiling, err}
 		}()
 	}
+	told := heard.New(rs.Acknowledged(), len(connecting), len(former))
 	for range hosts {
 		select {
 		case a := <-answers:
 			if a.err == nil {
-				answered++
-				rs.LearnAcknowledged(a.floor, a.ceiling)
+				told = told.WithAnswer(a.floor, a.ceiling, a.host < len(connecting))
 			}
 		case <-ctx.Done():
-			return rs.Acknowledged(), len(hosts), answered
 		}
 	}
-	return rs.Acknowledged(), len(hosts), answered
+	rs.LearnAcknowledged(told.Known.Floor, told.Known.Ceiling)
+	return told.WithKnown(rs.Acknowledged())
 }
--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -342,6 +342,7 @@
 		ts.lag = lag{}
 	}
 	rs.doubt.open = false
+	rs.permit = rs.permit.WithoutConfirmation()
 	first := rs.lastLeader == "" && rs.firstStart
 	if !first && (why == byRegistration || why == byTransaction || why == ByReport) {
 		// It may be the former leader, restarted under its ID or another one, while the
--- a/process/rset/permit.go
+++ b/process/rset/permit.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/lease"
 	"github.com/pistachiotray/pistachiotray/process/permit"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
@@ -135,19 +137,22 @@
 	return true
 }
 
-// mostConfirm reports whether most hosts that connect to a target, this one included, confirm
-// that they know of no replacement of it.
+// mostConfirm reports whether most hosts that connect to the group, this one included, confirm
+// that they know of no replacement of a leader. GatherAcknowledged counts the same hosts.
 func (rs *ReplicaSet) mostConfirm(ctx context.Context, leader string) bool {
 	ctx, stop := context.WithTimeout(ctx, confirmTimeout)
 	defer stop()
-	hosts := rs.otherHosts(leader)
+	hosts := rs.otherHosts("")
 	confirmed := 0
-	if rs.Confirms(leader) {
+	rs.mu.Lock()
+	self := rs.assignment.Self()
+	rs.mu.Unlock()
+	if rs.Confirms(leader, self) {
 		confirmed++
 	}
 	answers := make(chan error, len(hosts))
 	for _, h := range hosts {
-		go func() { answers <- rs.borrower.Confirm(ctx, rs.Name, leader, h) }()
+		go func() { answers <- rs.borrower.Confirm(ctx, rs.Name, leader, self, h) }()
 	}
 	for range hosts {
 		if permit.Majority(confirmed, len(hosts)+1) {
@@ -160,11 +165,14 @@
 	return permit.Majority(confirmed, len(hosts)+1)
 }
 
-// Confirms reports whether this host knows that a target leads and of no replacement of it.
-// A host that started may have forgotten an announcement until it has read the leases.
-func (rs *ReplicaSet) Confirms(leader string) bool {
+// Confirms reports whether this host knows that a target leads and of no replacement of it, and
+// that the host that asks, which may be this one, connects to the group: one that the others
+// do not count must not be confirmed, since half of them may not have heard of a replacement. A
+// host that started may have forgotten an announcement until it has read the leases.
+func (rs *ReplicaSet) Confirms(leader, host string) bool {
 	known := rs.leasesKnownAt()
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return rs.leader == leader && !rs.mayBeReplaced(leader) && known >= rs.startedAt
+	counted := host == rs.assignment.Self() || slices.ContainsFunc(rs.connectingHosts(""), func(h gossip.HostInfo) bool { return h.Host == host })
+	return counted && rs.leader == leader && !rs.mayBeReplaced(leader) && known >= rs.startedAt
 }
