--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -122,8 +122,8 @@
 }
 
 // Confirm asks whether the other host confirms to this host, self, that a target leads a group,
-// and knows of no replacement of it. It returns nil if the host confirms both, and an error that wraps ErrRefused if it
-// does not.
+// and knows of no replacement of it. It returns nil if the host confirms both, and an error
+// that wraps ErrRefused if it does not.
 func (r *Remote) Confirm(ctx context.Context, group, leader, self string) error {
 	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Confirm, Group: group, Target: leader, Host: self, TimeMs: timeLeft(ctx).Milliseconds()})
 	if err != nil {
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -124,8 +124,8 @@
 }
 
 // Confirm asks a host whether it confirms to this host, self, that a target leads a group, and
-// knows of no replacement of it. It returns nil if the host confirms both. The host is asked even if it could not be
-// reached lately.
+// knows of no replacement of it. It returns nil if the host confirms both. The host is asked
+// even if it could not be reached lately.
 func (br *Borrower) Confirm(ctx context.Context, group, leader, self string, h gossip.HostInfo) error {
 	return br.tryHost(ctx, h, func(r *remote.Remote) (bool, error) {
 		return false, r.Confirm(ctx, group, leader, self)
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -122,9 +122,9 @@
 }
 
 // outwait waits until no host sends commits to a leader that could not be demoted, although
-// some hosts did not answer the announcement of its replacement. It announces that in the
-// lease, which hosts read, or else their permits lapse. It returns false if the leader may not
-// be replaced under the present claim.
+// some hosts did not answer the announcement of its replacement: it announces the replacement
+// in the lease, and hosts that do not read that have no permit to send commits by the end. It
+// returns false if the leader may not be replaced under the present claim.
 func (p *Promoter) outwait(ctx context.Context, leader target.Target, told heard.Heard) bool {
 	began := p.now()
 	switch {
--- a/process/rset/anyhost.go
+++ b/process/rset/anyhost.go
@@ -78,7 +78,7 @@
 	until time.Duration
 }
 
-// noteFormerHosts notes which of the hosts that connected to targets before don't any more:
+// noteFormerHosts notes which of the hosts that connected to targets before do not any more:
 // they stop, or others are nearer. The caller holds the lock.
 func (rs *ReplicaSet) noteFormerHosts(before []gossip.HostInfo) {
 	for _, h := range before {
