--- a/process/topo/topology.go
+++ b/process/topo/topology.go
@@ -11,8 +11,10 @@
 
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/lease"
+	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/roster"
 	"github.com/pistachiotray/pistachiotray/process/rset"
+	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 )
 
@@ -84,11 +86,18 @@
 	t.refresh()
 }
 
-// NoteLease takes note of a group's stored lease. A lease of an unknown group is ignored,
-// since the first leader of a group that becomes known is doubted anyway.
-func (t *Topology) NoteLease(l lease.Lease) {
-	if rs, ok := t.ReplicaSet(l.Group); ok {
-		rs.NoteLease(l)
+// NoteLeases takes note of the leases in changed rows. The lease of an unknown group is
+// ignored, since the first leader of a group that becomes known is doubted anyway.
+func (t *Topology) NoteLeases(rows []record.Row, _ stamp.Stamp, _ bool) {
+	for _, r := range rows {
+		l, err := lease.Decode(r.Key, r)
+		if err != nil {
+			t.log.Error("invalid lease", zap.String("Group", r.Key), zap.Uint64("Version", r.Version), zap.String("Error", err.Error()))
+			continue
+		}
+		if rs, ok := t.ReplicaSet(l.Group); ok {
+			rs.NoteLease(l)
+		}
 	}
 }
 
