--- a/process/promo/pending.go
+++ b/process/promo/pending.go
@@ -8,7 +8,6 @@
 
 	"github.com/pistachiotray/pistachiotray/process/lease"
 	"github.com/pistachiotray/pistachiotray/process/target"
-	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
 // pendingOrder returns the lease with the order that may still be carried out when this
@@ -74,25 +73,13 @@
 // replicaHeld reports whether a replica still holds back the leader's entries, as a host told
 // it to that prepared a replacement.
 func (p *Promoter) replicaHeld(ctx context.Context, leader target.Target) bool {
-	ctx, stop := context.WithTimeout(ctx, absentTimeout)
-	defer stop()
-	targets := slices.DeleteFunc(p.group.Targets(), func(t target.Target) bool { return t.ID == leader.ID })
-	held := make(chan bool, len(targets))
-	for _, t := range targets {
-		go func() {
-			r, err := p.group.Report(ctx, t, stmt.New(stmt.ProxyID, stmt.Status, ""))
-			if err != nil {
-				p.log.Info("can't read replica status", zap.String("Target", t.ID), zap.String("Error", err.Error()))
-			}
-			if err == nil && r.Held != 0 {
-				p.log.Warn("replica is held without a known replacement", zap.Any("Report", r))
-			}
-			held <- err == nil && r.Held != 0
-		}()
-	}
+	replicas := slices.DeleteFunc(p.group.Targets(), func(t target.Target) bool { return t.ID == leader.ID })
 	found := false
-	for range targets {
-		found = <-held || found
+	for _, r := range p.statuses(ctx, replicas, absentTimeout) {
+		if r.Held != 0 {
+			found = true
+			p.log.Warn("replica is held without a known replacement", zap.Any("Report", r))
+		}
 	}
 	return found
 }
--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -78,23 +78,38 @@
 	if len(found) == 0 {
 		return target.Target{}, false
 	}
-	var asked sync.WaitGroup
+	targets := make([]target.Target, len(found))
 	for i := range found {
+		targets[i] = found[i].target
+	}
+	for i, r := range p.statuses(ctx, targets, stepTimeout) {
+		found[i].received = r.Received
+	}
+	best := slices.MaxFunc(found, func(a, b candidate) int {
+		return cmp.Or(a.received.Compare(b.received), cmp.Compare(a.lag, b.lag), cmp.Compare(b.target.ID, a.target.ID))
+	})
+	return best.target, true
+}
+
+// statuses returns the reports of replicas in their order, the zero Report of one that does not
+// answer within limit. It changes nothing at the replicas.
+func (p *Promoter) statuses(ctx context.Context, replicas []target.Target, limit time.Duration) []report.Report {
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	reports := make([]report.Report, len(replicas))
+	var asked sync.WaitGroup
+	for i, t := range replicas {
 		asked.Go(func() {
-			ctx, stop := context.WithTimeout(ctx, stepTimeout)
-			defer stop()
-			r, err := p.group.Report(ctx, found[i].target, stmt.New(stmt.ProxyID, stmt.Status, ""))
+			r, err := p.group.Report(ctx, t, stmt.New(stmt.ProxyID, stmt.Status, ""))
 			if err != nil {
-				p.log.Info("can't read replica status", zap.String("Target", found[i].target.ID), zap.String("Error", err.Error()))
+				p.log.Info("can't read replica status", zap.String("Target", t.ID), zap.String("Error", err.Error()))
+				return
 			}
-			found[i].received = r.Received
+			reports[i] = r
 		})
 	}
 	asked.Wait()
-	best := slices.MaxFunc(found, func(a, b candidate) int {
-		return cmp.Or(a.received.Compare(b.received), cmp.Compare(a.lag, b.lag), cmp.Compare(b.target.ID, a.target.ID))
-	})
-	return best.target, true
+	return reports
 }
 
 // receivedAll reports whether the target that sent report r received everything
--- a/standin/soak/cut_test.go
+++ b/standin/soak/cut_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -81,9 +79,7 @@
 	t.Parallel()
 	const startTime = 5 * time.Second
 	seeds, from, cuts := 1, 1, 2
-	if text := os.Getenv("PISTACHIOTRAY_SOAK_CUTS"); text != "" {
-		seeds, _ = strconv.Atoi(text)
-		from, _ = strconv.Atoi(os.Getenv("PISTACHIOTRAY_SOAK_FROM"))
+	if byHand(&seeds, &from, "PISTACHIOTRAY_SOAK_CUTS") {
 		cuts = 8
 	}
 	program := buildProgram(t)
--- a/standin/soak/size_test.go
+++ b/standin/soak/size_test.go
@@ -32,15 +32,25 @@
 	return program
 }
 
+// byHand sets the number of seeds from a variable, and the first one from
+// PISTACHIOTRAY_SOAK_FROM. It returns false and sets nothing if the variable is not set.
+func byHand(seeds, from *int, variable string) bool {
+	text := os.Getenv(variable)
+	if text == "" {
+		return false
+	}
+	*seeds, _ = strconv.Atoi(text)
+	*from, _ = strconv.Atoi(os.Getenv("PISTACHIOTRAY_SOAK_FROM"))
+	return true
+}
+
 // TestSoakAtSize runs hosts and members at the size of the deployments as processes of
 // their own. PISTACHIOTRAY_SOAK_SIZE sets the number of seeds and makes the runs longer,
 // and PISTACHIOTRAY_SOAK_FROM sets the first one.
 func TestSoakAtSize(t *testing.T) {
 	t.Parallel()
 	n, from, away := 1, 1, []time.Duration{12 * time.Second}
-	if text := os.Getenv("PISTACHIOTRAY_SOAK_SIZE"); text != "" {
-		n, _ = strconv.Atoi(text)
-		from, _ = strconv.Atoi(os.Getenv("PISTACHIOTRAY_SOAK_FROM"))
+	if byHand(&n, &from, "PISTACHIOTRAY_SOAK_SIZE") {
 		away = []time.Duration{13 * time.Second, 15 * time.Second, 13 * time.Second}
 	}
 	program := buildProgram(t)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -611,10 +611,7 @@
 func TestSoak(t *testing.T) {
 	const defaultSeeds, length = 2, 10 * time.Second
 	n, from := defaultSeeds, 1
-	if text := os.Getenv("PISTACHIOTRAY_SOAK"); text != "" {
-		n, _ = strconv.Atoi(text)
-		from, _ = strconv.Atoi(os.Getenv("PISTACHIOTRAY_SOAK_FROM"))
-	}
+	byHand(&n, &from, "PISTACHIOTRAY_SOAK")
 	program := filepath.Join(t.TempDir(), "pistachiotray")
 	if output, err := exec.Command("go", "build", "-o", program, "../../cmd/pistachiotray").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
