Let the next leader have all that a demoted one may still acknowledge

Cause: "a demoted leader acknowledges no more" was concluded from the stand-ins. A replacement stopped the replicas first and demoted the leader 0.2 s or more later, so that commits waited at a busy leader. A replica that restarted during the promotion received them, the demoted leader acknowledged them, and the ordered target led without them.

Now the replicas are only asked before the demotion, and stop once one of them has all entries of the demoted leader, for which 0.12 s are waited at most. If the one with most still lacks some, all hosts close their connections to the demoted leader before it is elected; otherwise one with all entries or the leader itself is.

--- a/process/promo/count.go
+++ b/process/promo/count.go
@@ -16,6 +16,7 @@
 
 // How the preparation of a replacement counted a member.
 const (
+	countedAnswered   = "answered"
 	countedStopped    = "stopped"
 	countedFormer     = "left out, former leader"
 	countedEnded      = "left out, ended"
--- a/process/promo/fence.go
+++ b/process/promo/fence.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
@@ -62,57 +63,72 @@
 // returns false if a target did not stop and the leader was not demoted, or if the target
 // lacks a commit that any host knows to be acknowledged.
 //
-// A demoted leader acknowledges nothing more, whatever the replicas do after their
-// reports: they may restart, or a former holder of the lease may make them receive
-// again.
+// A demoted leader accepts nothing more, whatever the replicas do after their reports: they
+// may restart, or a former holder of the lease may make them receive again. It may still
+// acknowledge what it accepted before, so that a target which lacks that is elected only once
+// the hosts have closed their connections to it.
 func (p *Promoter) elect(ctx context.Context, leader target.Target, preferred string) (report.Report, bool) {
 	electing, stop := context.WithTimeout(ctx, electTimeout)
 	defer stop()
 	last, demoted := p.demote(electing, leader)
-	told := heard.New(p.group.Acknowledged(), 0, 0)
-	if demoted {
-		p.count(leader, countedDemoted, last, nil)
-	} else {
+	if !demoted {
 		if leader.ID != "" {
 			p.count(leader, countedNotDemoted, last, nil)
 		}
 		// Other hosts stop using the leader before the others are heard once more.
-		told = p.gatherAcknowledged(electing, leader.ID)
+		told := p.gatherAcknowledged(electing, leader.ID)
 		if !told.All() && leader.ID != "" && p.outwaited != leader.ID {
 			if !p.outwait(ctx, leader, told) {
 				return report.Report{}, false
 			}
 			return p.elect(ctx, leader, preferred)
 		}
+		return p.choose(electing, leader.ID, preferred, nil, told)
 	}
-	known := told.Known
-	polled := p.pauseReplicas(electing, leader.ID)
+	p.count(leader, countedDemoted, last, nil)
+	if p.pending.Token == 0 {
+		p.awaitReceived(electing, leader.ID, last.Received)
+	}
+	best, ok := p.choose(electing, leader.ID, preferred, &last, heard.New(p.group.Acknowledged(), 0, 0))
+	if !ok || best.Received.AtLeast(last.Received) {
+		return best, ok
+	}
+	return p.choose(electing, leader.ID, preferred, &last, p.gatherAcknowledged(electing, leader.ID))
+}
+
+// choose stops all targets but the leader and returns the report of the one to lead, as elect
+// does. last is the report of the leader if it was demoted, and told what hosts told of
+// acknowledged commits. Those that did not answer may still have connections to the leader.
+func (p *Promoter) choose(ctx context.Context, leader, preferred string, last *report.Report, told heard.Heard) (report.Report, bool) {
+	polled := p.pauseReplicas(ctx, leader)
 	reports := polled.reports
 	switch {
-	case polled.leads.ID != "" || demoted && polled.highest > last.Term:
+	case polled.leads.ID != "" || last != nil && polled.highest > last.Term:
 		p.log.Warn("another target has led since", zap.String("Target", polled.leads.ID), zap.Uint64("Term", polled.highest))
 		return report.Report{}, false
-	case demoted && (!polled.complete || polled.leftOut || polled.ended && !p.hasKnown(electing, reports)):
+	case last != nil && (!polled.complete || polled.leftOut || !told.All() || polled.ended && !p.hasKnown(ctx, reports)):
 		// A target with all of the leader's entries has the acknowledged ones.
 		reports = slices.DeleteFunc(reports, func(r report.Report) bool { return !r.Received.AtLeast(last.Received) })
 		if len(reports) == 0 && p.pending.Token == 0 {
-			reports = append(reports, last)
+			reports = append(reports, *last)
 		}
-	case !polled.complete || (polled.silent || polled.ended) && !told.All():
+	case last == nil && (!polled.complete || (polled.silent || polled.ended) && !told.All()):
 		return report.Report{}, false
 	}
 	best, ok := mostReceived(reports, preferred)
-	if demoted && best.Leaving && !last.Leaving && p.pending.Token == 0 {
+	if last != nil && best.Leaving && !last.Leaving && p.pending.Token == 0 {
 		// A target that is leaving may end before the order is carried out.
-		best = last
+		best = *last
 	}
+	known := told.Known
 	if !best.Received.AtLeast(known.Floor) && polled.former.Received.AtLeast(known.Floor) {
 		// The former leader has acknowledged commits that are lost elsewhere.
 		best, ok = polled.former, true
 	}
-	p.log.Info("target elected", zap.String("Chosen", best.Member), zap.Bool("Demoted", demoted), zap.Bool("Complete", polled.complete), zap.Bool("LeftOut", polled.leftOut))
-	if demoted {
-		polled.heard = append(polled.heard, leader.ID)
+	p.log.Info("target elected", zap.String("Chosen", best.Member), zap.Bool("Demoted", last != nil), zap.Bool("Complete", polled.complete), zap.Bool("LeftOut", polled.leftOut),
+		zap.Bool("HasAll", last != nil && best.Received.AtLeast(last.Received)))
+	if last != nil {
+		polled.heard = append(polled.heard, leader)
 	}
 	required := known.Floor
 	if polled.leftOut || polled.ended {
@@ -121,6 +137,20 @@
 	return best, ok && (p.hasAcknowledged(best, required) || !p.mayReturn(polled.heard))
 }
 
+// awaitReceived waits until a target other than the demoted leader has received all entries
+// up to a position, or tailTime has passed: entries that the leader sent may still arrive.
+func (p *Promoter) awaitReceived(ctx context.Context, leader string, position mark.Mark) {
+	ctx, stop := context.WithTimeout(ctx, tailTime)
+	defer stop()
+	for ctx.Err() == nil {
+		polled := p.pollOnce(ctx, []string{leader}, 0)
+		if slices.ContainsFunc(polled.reports, func(r report.Report) bool { return r.Received.AtLeast(position) }) {
+			return
+		}
+		sleep.For(ctx, tailPause)
+	}
+}
+
 // outwait waits until no host sends commits to a leader that could not be demoted, although
 // some hosts did not answer the announcement of its replacement: it announces the replacement
 // in the lease, and hosts that do not read that have no permit to send commits by the end. It
--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -52,20 +52,31 @@
 // was leaving is not waited for once it is not registered any more, since its log goes with
 // it, nor one that is absent.
 func (p *Promoter) pauseReplicas(ctx context.Context, except ...string) poll {
-	term := p.group.Term() + 1
+	return p.pollReplicas(ctx, except, p.group.Term()+1)
+}
+
+// askReplicas is like pauseReplicas, but the members go on receiving.
+func (p *Promoter) askReplicas(ctx context.Context, except ...string) poll {
+	return p.pollReplicas(ctx, except, 0)
+}
+
+func (p *Promoter) pollReplicas(ctx context.Context, except []string, term uint64) poll {
 	for {
-		polled := p.pauseOnce(ctx, except, term)
+		polled := p.pollOnce(ctx, except, term)
 		if polled.complete || polled.leads.ID != "" || ctx.Err() != nil {
 			return polled
 		}
-		term = max(term, polled.highest+1)
+		if term != 0 {
+			term = max(term, polled.highest+1)
+		}
 		sleep.For(ctx, checkPause)
 	}
 }
 
-// pauseOnce orders each member except the given ones once to stop receiving log entries,
-// with the given term. A member ignores an order with a term that it has already reached.
-func (p *Promoter) pauseOnce(ctx context.Context, except []string, term uint64) poll {
+// pollOnce orders each member except the given ones once to stop receiving log entries,
+// with the given term. A member ignores an order with a term that it has already reached, so
+// that the term 0 only asks for its report.
+func (p *Promoter) pollOnce(ctx context.Context, except []string, term uint64) poll {
 	members := p.members()
 	p.tally.members = members
 	targets := slices.DeleteFunc(members.Members(), func(t target.Target) bool { return slices.Contains(except, t.ID) })
@@ -101,7 +112,7 @@
 		}
 		counted := p.classify(members, o, former, term)
 		switch counted {
-		case countedStopped:
+		case countedStopped, countedAnswered:
 			polled.reports = append(polled.reports, o.report)
 		case countedFormer:
 			if o.err == nil && o.report.Held >= term {
@@ -138,6 +149,8 @@
 		return countedFormer
 	case o.err == nil && o.report.Primary:
 		return countedLeads
+	case o.err == nil && term == 0:
+		return countedAnswered
 	case o.err == nil && o.report.Held >= term:
 		return countedStopped
 	case o.err == nil:
--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -153,14 +153,20 @@
 }
 
 // takeover prepares the replacement of a leader that does not serve. All other
-// targets stop receiving log entries, and the one that received most is elected.
+// targets stop receiving log entries, and the one that received most is elected. A leader
+// that may be demoted has the others receive until then, since it might acknowledge later
+// what they lack.
 // If several received equally much, takeover prefers the target that an earlier
 // order names, so that both orders name the same target. It returns false if a
 // replica did not stop or no target may be chosen.
 func (p *Promoter) takeover(ctx context.Context, leader target.Target, ordered, why string) (report.Report, bool) {
 	preparing, stop := context.WithTimeout(ctx, prepareTimeout)
 	defer stop()
-	polled := p.pauseReplicas(preparing, leader.ID)
+	poll := p.pauseReplicas
+	if leader.ID != "" && p.pending.Token == 0 {
+		poll = p.askReplicas
+	}
+	polled := poll(preparing, leader.ID)
 	switch t := polled.leads; {
 	case t.ID == "":
 	case p.members().MissingSince(t.ID) == 0:
@@ -168,7 +174,7 @@
 	case leader.ID == "":
 		// Hosts can't use a leader that is not registered.
 		leader = t
-		polled = p.pauseReplicas(preparing, leader.ID)
+		polled = poll(preparing, leader.ID)
 	}
 	if !polled.complete {
 		return report.Report{}, false
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -47,6 +47,11 @@
 	// electTimeout is the maximum duration of an election: of the commands that
 	// demote the leader, and of those that stop the other targets once more.
 	electTimeout = 1200 * time.Millisecond
+	// tailTime is how long entries may take to arrive that a leader had sent when it was
+	// demoted: several times the latency between regions. tailPause is the pause between two
+	// checks whether they have.
+	tailTime  = 120 * time.Millisecond
+	tailPause = 20 * time.Millisecond
 	// absentTimeout is the maximum duration of a command to a member that is absent, which is
 	// not waited for: several round trips between regions.
 	absentTimeout = 200 * time.Millisecond
--- a/process/rset/doubt.go
+++ b/process/rset/doubt.go
@@ -37,11 +37,10 @@
 		return
 	}
 	rs.doubt.announced, rs.doubt.announcedID = rs.now(), id
-	if rs.leader != id {
-		return
+	if rs.leader == id {
+		rs.doubtLeader("replacement announced")
+		rs.raiseAlarm()
 	}
-	rs.doubtLeader("replacement announced")
-	rs.raiseAlarm()
 	ts, ok := rs.states[id]
 	if !ok {
 		return
--- a/standin/qgroup/connection.go
+++ b/standin/qgroup/connection.go
@@ -212,7 +212,7 @@
 	for {
 		c.group.mu.Lock()
 		onReplica := c.group.onReplica(c.member, at)
-		leads, changed := c.member.leads && c.member.up && c.member.term == at.Term, c.member.changed
+		leads, changed := c.group.acknowledges(c.member) && c.member.term == at.Term, c.member.changed
 		c.group.mu.Unlock()
 		if !leads {
 			return errAnswerLost
--- a/standin/qgroup/failover_test.go
+++ b/standin/qgroup/failover_test.go
@@ -37,12 +37,12 @@
 	runWithHosts(t, n, 2, f)
 }
 
-// runWithHosts is like runWithMembers, with the given number of hosts.
-func runWithHosts(t *testing.T, n, hosts int, f func(ctx context.Context, t *testing.T, c *testCluster)) {
+// runWithHosts is like runWithMembers, with the given number of hosts and a group with options.
+func runWithHosts(t *testing.T, n, hosts int, f func(ctx context.Context, t *testing.T, c *testCluster), options ...func(*qgroup.Group)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		group := qgroup.New("g", n)
+		group := qgroup.New("g", n, options...)
 		for i := 3; i < n; i++ {
 			group.Crash(i)
 		}
--- a/standin/qgroup/group.go
+++ b/standin/qgroup/group.go
@@ -142,6 +142,21 @@
 	// brokenPromise is the promise that the members break, or "" if they break
 	// none.
 	brokenPromise string
+	// lateAcknowledgements is described at WithLateAcknowledgements.
+	lateAcknowledgements bool
+}
+
+// WithLateAcknowledgements returns an option that lets a demoted leader, until another member
+// is promoted, send the entries that it has to replicas, and acknowledge commits that it
+// accepted while it led once a replica has received them.
+func WithLateAcknowledgements() func(*Group) {
+	return func(g *Group) { g.lateAcknowledgements = true }
+}
+
+// acknowledges reports whether a member may acknowledge commits that it accepted; the caller
+// holds the lock.
+func (g *Group) acknowledges(m *member) bool {
+	return m.up && (m.leads || m.demoted && g.lateAcknowledgements)
 }
 
 // WithBrokenPromise returns an option that makes the members break one promise;
--- a/standin/qgroup/promotion.go
+++ b/standin/qgroup/promotion.go
@@ -93,7 +93,7 @@
 // delay; the caller holds the lock.
 func (g *Group) scheduleShipping() {
 	for _, m := range g.members {
-		if term := m.term; m.leads {
+		if term := m.term; g.acknowledges(m) {
 			time.AfterFunc(g.shipDelay, func() { g.shipLog(m, term) })
 		}
 	}
@@ -105,7 +105,7 @@
 func (g *Group) shipLog(leader *member, term uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !leader.leads || leader.term != term || !leader.up || leader.silent {
+	if !g.acknowledges(leader) || leader.term != term || leader.silent {
 		return
 	}
 	for _, m := range g.members {
--- a/standin/qgroup/replacement_test.go
+++ b/standin/qgroup/replacement_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/pistachiotray/pistachiotray/standin/qgroup"
 )
 
 // injectReplacements has the leader replaced again and again, and ends what such a
@@ -83,3 +85,48 @@
 		})
 	}
 }
+
+// injectPartialCuts has hosts replace a leader that only they can't reach, again and again.
+// Meanwhile one or two members restart, under their IDs or others.
+func (c *testCluster) injectPartialCuts(random *rand.Rand) {
+	millis := func(from, to int) time.Duration {
+		return time.Duration(from+random.IntN(to-from)) * time.Millisecond
+	}
+	time.Sleep(2 * time.Second)
+	for next := 3; c.ctx.Err() == nil; {
+		leader, host := max(c.group.Leader(), 0), random.IntN(len(c.hosts))
+		c.group.SetPartitioned(leader, host, true)
+		time.Sleep(millis(500, 2200))
+		restarting := random.Perm(3)[:1+random.IntN(2)]
+		for _, i := range restarting {
+			c.group.Crash(i)
+		}
+		time.Sleep(millis(0, 400))
+		for _, i := range restarting {
+			if random.IntN(2) == 0 {
+				c.group.Start(i)
+				continue
+			}
+			c.group.StartAs(i, fmt.Sprintf("g-%d", next))
+			next++
+		}
+		time.Sleep(millis(1000, 3000))
+		c.group.SetPartitioned(leader, host, false)
+		time.Sleep(millis(500, 1500))
+	}
+}
+
+// TestPromisesWhileDemotedLeadersAcknowledgeLate checks the promises while members restart
+// during a replacement, and demoted leaders acknowledge what they accepted before.
+func TestPromisesWhileDemotedLeadersAcknowledgeLate(t *testing.T) {
+	const hosts = 4
+	for seed := uint64(1); seed <= seedCount(t); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel() // each run has a clock of its own
+			violations, _ := runFaultsWithHosts(t, hosts, seed, (*testCluster).injectPartialCuts, qgroup.WithLateAcknowledgements())
+			for _, v := range violations {
+				t.Error(v)
+			}
+		})
+	}
+}
--- a/standin/qgroup/restart_test.go
+++ b/standin/qgroup/restart_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/pistachiotray/pistachiotray/request/stmt"
+	"github.com/pistachiotray/pistachiotray/standin/qgroup"
 )
 
 // A replica that restarts after its report has forgotten that it was stopped. A leader that
@@ -40,6 +41,28 @@
 	})
 }
 
+// A demoted leader may still acknowledge commits that it accepted before, once a replica has
+// received them. A replica that restarts receives again.
+func TestCommitsThatADemotedLeaderAcknowledgesLateAreNotLost(t *testing.T) {
+	for _, ms := range []int{0, 50, 100, 150, 200} {
+		t.Run(fmt.Sprint(ms), func(t *testing.T) {
+			runWithHosts(t, 3, 4, func(ctx context.Context, t *testing.T, c *testCluster) {
+				is := is.New(t)
+				c.introduce()
+				w := c.startWriters(ctx)
+				time.Sleep(2 * time.Second)
+				c.group.SetPartitioned(0, 1, true)
+				_, other := c.awaitOrder(is)
+				c.group.Crash(other)
+				time.Sleep(time.Duration(ms) * time.Millisecond)
+				c.group.StartAs(other, "g-3")
+				time.Sleep(6 * time.Second)
+				is.Equal(len(w.lost(is)), 0)
+			}, qgroup.WithLateAcknowledgements())
+		})
+	}
+}
+
 // A leader that was demoted, and restarts under another ID before its successor leads, leads
 // again. It must acknowledge no commits with a replica that restarted too.
 func TestDemotedLeaderThatRestartsUnderAnotherIDLosesNoWrites(t *testing.T) {
