--- a/standin/ctlmsg/message.go
+++ b/standin/ctlmsg/message.go
@@ -39,7 +39,10 @@
 
 	// OK means that the request was carried out. The fields below and Term describe the
 	// member's state after it.
-	OK     bool
-	Leads  bool
-	Length int
+	OK    bool
+	Leads bool
+	// Demoted means that the member led until it was demoted, and that no other was promoted
+	// since.
+	Demoted bool
+	Length  int
 }
