Doubt a leader that closed connections until the lease was read

Callers lose acknowledged writes: a demoted leader that restarts under its ID before its successor leads, leads again. A host that sent it nothing after the demotion learns of the restart from the registration only, and until then sends commits on new connections.

The pool now counts connections that the target closed, and new ones opened when none is left. When a commit is about to be sent and the number has grown, the leader is doubted until the lease was read, as a restarted one is once its registration shows it.

--- a/process/conns/grow.go
+++ b/process/conns/grow.go
@@ -71,6 +71,10 @@
 	case err == nil && p.closed:
 		cn.Close()
 	case err == nil:
+		if p.openCount == 0 && p.opened {
+			p.lost++
+		}
+		p.opened = true
 		p.openCount++
 		if p.openCount >= p.share && p.warmSince == 0 {
 			p.warmSince = p.now()
--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -92,6 +92,9 @@
 	// that are being opened.
 	openCount    int
 	openingCount int
+	// lost is described at Lost. opened is set once a connection was opened.
+	lost   uint64
+	opened bool
 	// warmSince is when the number of open connections first reached share, or
 	// 0 if it has not yet.
 	warmSince time.Duration
@@ -243,11 +246,22 @@
 			return false
 		}
 		p.openCount--
+		p.lost++
 		cn.Close()
 		return true
 	})
 }
 
+// Lost returns a number that grows when connections are found broken, and when one is opened
+// while none of those opened before is left. As long as it stays the same, all connections
+// lead to the same process of the target.
+func (p *Pool) Lost() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeBroken()
+	return p.lost
+}
+
 // recordUse updates the average time of use when a call ends its use of a
 // connection; the caller holds the lock.
 func (p *Pool) recordUse(cn *conn.Conn) {
@@ -306,6 +320,9 @@
 		p.recordUse(cn)
 		delete(p.inUse, cn)
 		p.openCount--
+		if cn.Broken() {
+			p.lost++
+		}
 	}
 	cn.Close()
 }
--- a/process/rset/doubt.go
+++ b/process/rset/doubt.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// doubtIfLost doubts a leader if connections to it were lost since the last call. Its process
+// may have restarted, and lead again although it was demoted meanwhile.
+func (rs *ReplicaSet) doubtIfLost(id string) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	ts, ok := rs.states[id]
+	if !ok {
+		return
+	}
+	lost := ts.pool.Lost()
+	if lost != ts.lost && rs.leader == id {
+		rs.doubtLeader("connections lost")
+		rs.raiseAlarm()
+	}
+	ts.lost = lost
+}
+
 // Doubts returns how many reasons for a doubt of a leader there were so far, whether no
 // commit may be sent to the present one, and how long ago a host announced to replace it. The
 // time is negative if none did.
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -61,6 +61,9 @@
 func (rs *ReplicaSet) Run(ctx context.Context, cn *conn.Conn, who caller.Caller, stage ...stmt.Stmt) ([]reply.Reply, error) {
 	commits := mayCommit(cn, stage)
 	if commits {
+		if !cn.Borrowed {
+			rs.doubtIfLost(cn.Target)
+		}
 		if err := rs.awaitTrust(ctx, cn); err != nil {
 			return nil, err
 		}
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -175,6 +175,9 @@
 	// connRefused is set if the target's machine refused the last attempt to
 	// connect.
 	connRefused bool
+	// lost is the number of lost connections that this host knew of when it last sent a
+	// commit.
+	lost uint64
 	// lag is how far the target's log is behind the leader's.
 	lag lag
 	// failures is the recent share of the target's runs that failed.
--- a/standin/qgroup/restart_test.go
+++ b/standin/qgroup/restart_test.go
@@ -89,6 +89,28 @@
 	}
 }
 
+// A demoted leader that restarts under its ID, before its registration shows that, leads again
+// for hosts that did not use it meanwhile.
+func TestDemotedLeaderThatRestartsUnnoticedLosesNoWrites(t *testing.T) {
+	for _, ms := range []int{0, 10, 20, 40, 60} {
+		t.Run(fmt.Sprint(ms), func(t *testing.T) {
+			runWithHosts(t, 3, 4, func(ctx context.Context, t *testing.T, c *testCluster) {
+				is := is.New(t)
+				c.introduce()
+				w := c.startWriters(ctx)
+				time.Sleep(2 * time.Second)
+				c.group.SetPartitioned(0, 1, true)
+				_, other := c.awaitOrder(is)
+				time.Sleep(time.Duration(ms) * time.Millisecond)
+				c.restart(0)
+				c.restart(other)
+				time.Sleep(6 * time.Second)
+				is.Equal(len(w.lost(is)), 0)
+			})
+		})
+	}
+}
+
 // A leader must be demoted even if the host that replaces it does not reach it.
 func TestLeaderIsDemotedThroughAnotherHost(t *testing.T) {
 	runWithMembers(t, 3, func(ctx context.Context, t *testing.T, c *testCluster) {
