--- a/process/conns/pool_test.go
+++ b/process/conns/pool_test.go
@@ -240,3 +240,31 @@
 		p.Close()
 	})
 }
+
+// A target that restarts closes all connections, and must not be taken for the process that
+// they led to.
+func TestCountsLostConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var opened atomic.Int64
+		p := conns.New(2, clock(), openAfter(time.Millisecond, &opened))
+		take := func() *conn.Conn {
+			cn, err := p.Take(context.Background(), noCaller, 0)
+			is.NoErr(err)
+			return cn
+		}
+		cn := take()
+		is.Equal(p.Lost(), uint64(0)) // the first connection
+		p.Put(cn)
+		cn.Close()
+		is.Equal(p.Lost(), uint64(1)) // closed while idle
+		cn = take()
+		is.Equal(p.Lost(), uint64(2)) // opened while none was left
+		other := take()
+		is.Equal(p.Lost(), uint64(2))
+		p.Put(other)
+		cn.Close()
+		p.Drop(cn)
+		is.Equal(p.Lost(), uint64(3)) // closed while in use
+	})
+}
--- a/process/promo/prepare.go
+++ b/process/promo/prepare.go
@@ -162,11 +162,11 @@
 func (p *Promoter) takeover(ctx context.Context, leader target.Target, ordered, why string) (report.Report, bool) {
 	preparing, stop := context.WithTimeout(ctx, prepareTimeout)
 	defer stop()
-	poll := p.pauseReplicas
+	hear := p.pauseReplicas
 	if leader.ID != "" && p.pending.Token == 0 {
-		poll = p.askReplicas
+		hear = p.askReplicas
 	}
-	polled := poll(preparing, leader.ID)
+	polled := hear(preparing, leader.ID)
 	switch t := polled.leads; {
 	case t.ID == "":
 	case p.members().MissingSince(t.ID) == 0:
@@ -174,7 +174,7 @@
 	case leader.ID == "":
 		// Hosts can't use a leader that is not registered.
 		leader = t
-		polled = poll(preparing, leader.ID)
+		polled = hear(preparing, leader.ID)
 	}
 	if !polled.complete {
 		return report.Report{}, false
