--- a/standin/soak/cluster_test.go
+++ b/standin/soak/cluster_test.go
@@ -98,11 +98,14 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", c.network, kind, from, memberPort+member)
 }
 
+// networksTried is the number of calls of networkNumber.
+var networksTried atomic.Int64
+
 // networkNumber returns the second number of the addresses of a run, which no other run uses.
 func networkNumber(t *testing.T) int {
 	const first, count = 10, 200
 	for i := range count {
-		n := first + (os.Getpid()*7+int(portsTried.Add(1))+i)%count
+		n := first + (os.Getpid()*7+int(networksTried.Add(1))+i)%count
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.0:%d", n, hostNet, memberPort))
 		if err == nil {
 			t.Cleanup(func() { _ = l.Close() })
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -18,7 +18,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -90,31 +89,6 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, arguments...))
 }
 
-// The ports of the processes lie below those that the kernel gives out, which another
-// process could take before a process of the soak, or while it restarts.
-const (
-	firstPort = 12_000
-	portCount = 20_000
-)
-
-// portsTried is the number of ports that freePort has tried.
-var portsTried atomic.Int64
-
-// freePort returns a TCP port of loopback that no other call returns and that was free at
-// the time of the call. Test processes that run at the same time begin at different ports.
-func freePort(t *testing.T) int {
-	for range portCount {
-		port := firstPort + (os.Getpid()*100+int(portsTried.Add(1)))%portCount
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			_ = l.Close()
-			return port
-		}
-	}
-	t.Fatal("no free port")
-	return 0
-}
-
 // addHost writes the settings file of host i and starts its process. store and cloud
 // are the addresses of the table store and of the cloud API.
 func (s *soakRun) addHost(i int, store, cloud string) {
