Simulated members abort open transactions when they stop being primary

Trace: m0 begins a transaction with a key in term 1 and is cut off; m1 leads term 2 and withdraws the key; m0 follows and leads term 3; the COMMIT, under way since term 1, commits the transaction of term 1, which inserted the key that is withdrawn. A database aborts open transactions when it stops being the primary, as the platform's members do (READONLY), and standin/qgroup compares terms. The simulated member now does, too.

--- a/standin/simul/slot.go
+++ b/standin/simul/slot.go
@@ -15,6 +15,8 @@
 // memberSlot is the member's side of one slot.
 type memberSlot struct {
 	inTransaction bool
+	// term is the term in which the open transaction that may write began.
+	term uint64
 	// writes holds the entries that the open transaction will append to the log.
 	writes []entry
 	// failed means that a transaction in the slot failed because its member was
@@ -69,7 +71,8 @@
 	if c.Class.Read {
 		return m.answer(s, false, false)
 	}
-	if !m.primary {
+	// A database that stops being the primary aborts its open transactions.
+	if !m.primary || s.inTransaction && s.term != m.term {
 		s.failed = s.inTransaction
 		if !s.inTransaction {
 			return m.answer(s, true, false)
@@ -88,7 +91,7 @@
 	}
 	switch {
 	case c.Begins:
-		s.inTransaction = true
+		s.inTransaction, s.term = true, m.term
 		s.writes = []entry{{id: c.ID, key: c.Key, kind: "ran"}}
 	case c.InTransaction && string(c.Body) == "COMMIT":
 		m.commit(s)
