Tests: one set-up for partial cuts, one way to restart a member in the soak

Read again: three tests of restart_test.go repeated the course up to the order, both cuts of the soak the restart of a member and the end of the cut, and Ledger.Leads a condition that the group has. Assertions, times and the order of random draws are the same.

--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -192,7 +192,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := l.groups[name]
-	return g.leader == id && !g.demoted
+	m := g.members[id]
+	return m != nil && g.leads(m)
 }
 
 // Ordered returns the ID of the member that the last accepted order names, or "" if there
--- a/standin/qgroup/restart_test.go
+++ b/standin/qgroup/restart_test.go
@@ -41,23 +41,34 @@
 	})
 }
 
+// requireNoWritesLost has a host that does not reach the leader, g-0, order a successor. Then it
+// calls the function disturb with the index of the other replica, and fails the test if the next
+// leader lacks an acknowledged write.
+func requireNoWritesLost(t *testing.T, hosts int, prepare func(c *testCluster), disturb func(c *testCluster, other int), options ...func(*qgroup.Group)) {
+	t.Helper()
+	runWithHosts(t, 3, hosts, func(ctx context.Context, t *testing.T, c *testCluster) {
+		is := is.New(t)
+		c.introduce()
+		w := c.startWriters(ctx)
+		time.Sleep(2 * time.Second)
+		prepare(c)
+		c.group.SetPartitioned(0, 1, true)
+		_, other := c.awaitOrder(is)
+		disturb(c, other)
+		time.Sleep(6 * time.Second)
+		is.Equal(len(w.lost(is)), 0)
+	}, options...)
+}
+
 // A demoted leader may still acknowledge commits that it accepted before, once a replica has
 // received them. A replica that restarts receives again.
 func TestCommitsThatADemotedLeaderAcknowledgesLateAreNotLost(t *testing.T) {
 	for _, ms := range []int{0, 50, 100, 150, 200} {
 		t.Run(fmt.Sprint(ms), func(t *testing.T) {
-			runWithHosts(t, 3, 4, func(ctx context.Context, t *testing.T, c *testCluster) {
-				is := is.New(t)
-				c.introduce()
-				w := c.startWriters(ctx)
-				time.Sleep(2 * time.Second)
-				c.group.SetPartitioned(0, 1, true)
-				_, other := c.awaitOrder(is)
+			requireNoWritesLost(t, 4, func(*testCluster) {}, func(c *testCluster, other int) {
 				c.group.Crash(other)
 				time.Sleep(time.Duration(ms) * time.Millisecond)
 				c.group.StartAs(other, "g-3")
-				time.Sleep(6 * time.Second)
-				is.Equal(len(w.lost(is)), 0)
 			}, qgroup.WithLateAcknowledgements())
 		})
 	}
@@ -68,22 +79,15 @@
 func TestDemotedLeaderThatRestartsUnderAnotherIDLosesNoWrites(t *testing.T) {
 	for _, ms := range []int{0, 50, 100, 150, 200} {
 		t.Run(fmt.Sprint(ms), func(t *testing.T) {
-			runWithHosts(t, 3, 3, func(ctx context.Context, t *testing.T, c *testCluster) {
-				is := is.New(t)
-				c.introduce()
-				w := c.startWriters(ctx)
-				time.Sleep(2 * time.Second)
+			requireNoWritesLost(t, 3, func(c *testCluster) {
 				c.store.SetReadTime(60 * time.Millisecond)
-				c.group.SetPartitioned(0, 1, true)
 				c.group.DelayOrder(600 * time.Millisecond)
-				_, other := c.awaitOrder(is)
+			}, func(c *testCluster, other int) {
 				c.group.Crash(0)
 				c.group.Crash(other)
 				time.Sleep(time.Duration(ms) * time.Millisecond)
 				c.group.StartAs(0, "g-3")
 				c.group.StartAs(other, "g-4")
-				time.Sleep(6 * time.Second)
-				is.Equal(len(w.lost(is)), 0)
 			})
 		})
 	}
@@ -94,18 +98,10 @@
 func TestDemotedLeaderThatRestartsUnnoticedLosesNoWrites(t *testing.T) {
 	for _, ms := range []int{0, 10, 20, 40, 60} {
 		t.Run(fmt.Sprint(ms), func(t *testing.T) {
-			runWithHosts(t, 3, 4, func(ctx context.Context, t *testing.T, c *testCluster) {
-				is := is.New(t)
-				c.introduce()
-				w := c.startWriters(ctx)
-				time.Sleep(2 * time.Second)
-				c.group.SetPartitioned(0, 1, true)
-				_, other := c.awaitOrder(is)
+			requireNoWritesLost(t, 4, func(*testCluster) {}, func(c *testCluster, other int) {
 				time.Sleep(time.Duration(ms) * time.Millisecond)
 				c.restart(0)
 				c.restart(other)
-				time.Sleep(6 * time.Second)
-				is.Equal(len(w.lost(is)), 0)
 			})
 		})
 	}
--- a/standin/soak/cut_test.go
+++ b/standin/soak/cut_test.go
@@ -26,10 +26,31 @@
 	maxDownTime = 300 * time.Millisecond
 )
 
+// hostsToCut returns the numbers of the hosts that a cut separates from a leader.
+func (c *cluster) hostsToCut(r *rand.Rand) []int {
+	return r.Perm(len(c.hosts))[:int(cutShare*float64(len(c.hosts))+0.5)]
+}
+
+// restartAfter kills the member after a time, and starts it again once it was down for another,
+// under its ID or a new one.
+func (m *slot) restartAfter(wait, down time.Duration, sameID bool) {
+	time.Sleep(wait)
+	m.disturb(memberKilled, 0, nil)
+	time.Sleep(down)
+	m.restart(sameID)
+}
+
+// endCut ends a cut of the member once it has lasted for cutTime, and waits for cutPause.
+func (m *slot) endCut(began time.Time) {
+	time.Sleep(cutTime - time.Since(began))
+	m.end(memberKilled)
+	time.Sleep(cutPause)
+}
+
 // cutLeader cuts the leader of a group off from some hosts. Once a successor is ordered, it
 // restarts the others, among them the leader in some cases, and then ends the cut.
 func (c *cluster) cutLeader(r *rand.Rand, group int) {
-	hosts := r.Perm(len(c.hosts))[:int(cutShare*float64(len(c.hosts))+0.5)]
+	hosts := c.hostsToCut(r)
 	mode := faulty.Silent
 	if r.IntN(3) == 0 {
 		mode = cutModes[r.IntN(len(cutModes))]
@@ -57,18 +78,11 @@
 			if m.currentID() == ordered || m == leader && !leaderToo {
 				continue
 			}
-			restarting.Go(func() {
-				time.Sleep(after[i])
-				m.disturb(memberKilled, 0, nil)
-				time.Sleep(down)
-				m.restart(sameID)
-			})
+			restarting.Go(func() { m.restartAfter(after[i], down, sameID) })
 		}
 	}
 	restarting.Wait()
-	time.Sleep(cutTime - time.Since(began))
-	leader.end(memberKilled)
-	time.Sleep(cutPause)
+	leader.endCut(began)
 }
 
 // crashReplicas cuts the leader of a group off from some hosts, and restarts one or two members
@@ -76,7 +90,7 @@
 // before it is ordered.
 func (c *cluster) crashReplicas(r *rand.Rand, group int) {
 	const detection, preparation = 4500 * time.Millisecond, 1500 * time.Millisecond
-	hosts := r.Perm(len(c.hosts))[:int(cutShare*float64(len(c.hosts))+0.5)]
+	hosts := c.hostsToCut(r)
 	at := detection + time.Duration(r.Int64N(int64(preparation+c.size.promote)))
 	down, sameID, crashes := maxDownTime, r.IntN(4) == 0, 1+r.IntN(2)
 	members := c.slots[group*groupSize : (group+1)*groupSize]
@@ -91,16 +105,10 @@
 			continue
 		}
 		crashes--
-		restarting.Go(func() {
-			m.disturb(memberKilled, 0, nil)
-			time.Sleep(down)
-			m.restart(sameID)
-		})
+		restarting.Go(func() { m.restartAfter(0, down, sameID) })
 	}
 	restarting.Wait()
-	time.Sleep(cutTime - time.Since(began))
-	leader.end(memberKilled)
-	time.Sleep(cutPause)
+	leader.endCut(began)
 }
 
 // TestSoakReplicasCrashWhileTheLeaderIsCutFromSomeHosts guards against the loss of commits when
