Log on which plan a refusal rests, and how the configuration reaches a host

A refused database was logged without the plan that decided it, so that a plan that came late, one that came and was not used, and a host that started with an older copy looked the same. 'caller refused' names the plan's version, its position and age, who told it and whom the host follows; 'upstream chosen' says why, and a copy that is older than it gets in operation is logged once. story takes a database or a caller and prints the refusals with what led to them.

--- a/process/delta/delta.go
+++ b/process/delta/delta.go
@@ -24,6 +24,10 @@
 	Whole bool
 	// Age is the time for which the store may have had newer changes.
 	Age time.Duration
+	// from and hops are not sent to other hosts: the host that told the changes, empty if
+	// the store did, and the number of hosts through which they came.
+	from string
+	hops int
 }
 
 // New returns the changes of a table up to a position in the history of the store.
@@ -42,6 +46,19 @@
 	return d
 }
 
+// WithFrom returns a copy that says which host told the changes, and through how many hosts
+// they came.
+func (d Delta) WithFrom(host string, hops int) Delta {
+	d.from, d.hops = host, hops
+	return d
+}
+
+// From returns the host that told the changes, empty if the store did, and through how many
+// hosts they came.
+func (d Delta) From() (host string, hops int) {
+	return d.from, d.hops
+}
+
 // WithAge returns a copy with another age.
 func (d Delta) WithAge(age time.Duration) Delta {
 	d.Age = age
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -74,6 +74,12 @@
 	started time.Duration
 	// answeredAt is when another host last answered, 0 if none ever did.
 	answeredAt time.Duration
+	// asked is the host that is followed now, empty if this host reads the store itself.
+	asked string
+	// reason says why the hosts that may be followed changed last, empty if a pause ended.
+	reason string
+	// late holds since when the copies of tables have been older than they get in operation.
+	late map[string]time.Duration
 }
 
 // New returns a Follower of the tables of ages, which maps each to the age that the
@@ -81,7 +87,7 @@
 func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, options ...func(*Follower)) *Follower {
 	f := &Follower{
 		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages,
-		skipped: skips.New(), retryAt: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
+		skipped: skips.New(), retryAt: map[string]time.Duration{}, late: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
 	}
 	for _, age := range ages {
 		if f.wait == 0 || age/3 < f.wait {
@@ -111,6 +117,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hosts = hosts
+	f.reason = "hosts changed"
 	if f.knownAt == 0 {
 		f.knownAt = f.now()
 	}
@@ -147,16 +154,13 @@
 func (f *Follower) Run(ctx context.Context) {
 	var link *remote.Remote
 	defer func() { closeLink(link) }()
-	previous := ""
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		changed := f.changed
 		f.mu.Unlock()
 		upstream, hops, ok := f.upstream()
-		if upstream.Host != previous {
-			f.log.Info("upstream chosen", zap.String("Peer", upstream.Host), zap.Int("Hops", hops), zap.String("Before", previous))
-			previous = upstream.Host
-		}
+		f.noteUpstream(upstream.Host, hops)
+		f.noteLate()
 		if !ok {
 			f.pause(ctx, changed, f.wait)
 			continue
@@ -165,7 +169,7 @@
 			closeLink(link)
 			link = nil
 		}
-		link = f.ask(ctx, link, upstream)
+		link = f.ask(ctx, link, upstream, hops)
 		if link != nil && f.stale(hops) {
 			f.noteOld(upstream)
 		}
@@ -197,7 +201,7 @@
 
 // ask asks a host once for changes and applies them. It opens a connection if link is
 // nil, and returns the connection, or nil if the host did not answer in time.
-func (f *Follower) ask(ctx context.Context, link *remote.Remote, upstream gossip.HostInfo) *remote.Remote {
+func (f *Follower) ask(ctx context.Context, link *remote.Remote, upstream gossip.HostInfo, hops int) *remote.Remote {
 	began := f.now()
 	askCtx, stop := context.WithTimeout(ctx, f.wait+answerMargin)
 	defer stop()
@@ -206,7 +210,7 @@
 		link, err = f.dialer.Host(askCtx, upstream)
 	}
 	if err == nil {
-		err = f.exchange(askCtx, link)
+		err = f.exchange(askCtx, link, hops)
 	}
 	if err == nil {
 		f.mu.Lock()
@@ -223,7 +227,7 @@
 }
 
 // exchange asks a host for changes over an open connection and applies them.
-func (f *Follower) exchange(ctx context.Context, link *remote.Remote) error {
+func (f *Follower) exchange(ctx context.Context, link *remote.Remote, hops int) error {
 	news, err := link.Follow(ctx, f.mirror.Stamps(), f.wait)
 	if err != nil {
 		return err
@@ -239,16 +243,66 @@
 			f.log.Warn("upstream host tells of a restored store", zap.String("Peer", link.Host), zap.String("Table", d.Table), zap.Uint64("Era", d.Era),
 				zap.Uint64("Before", known.Era), zap.Uint64("Version", d.Version), zap.Uint64("Known", known.Version))
 		}
-		rescue.Run(f.log, func() { f.mirror.Apply(d) })
+		rescue.Run(f.log, func() { f.mirror.Apply(d.WithFrom(link.Host, hops)) })
 	}
 	return nil
 }
 
+// noteUpstream logs that this host follows another host than before, or none.
+func (f *Follower) noteUpstream(host string, hops int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if host != f.asked {
+		f.log.Info("upstream chosen", zap.String("Peer", host), zap.Int("Hops", hops), zap.String("Before", f.asked), zap.String("Why", f.reason))
+		f.asked = host
+	}
+	f.reason = ""
+}
+
+// noteLate logs each table whose copy has become older than it gets in operation, or is no
+// longer.
+func (f *Follower) noteLate() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for table := range f.ages {
+		fresh := f.mirror.FreshAt(table)
+		age := f.now() - fresh
+		since, late := f.late[table]
+		switch {
+		case fresh == 0 || late == (age > f.MaxAge(table)):
+		case late:
+			delete(f.late, table)
+			f.log.Info("copy of a table is current again", zap.String("Table", table), zap.Duration("Late", f.now()-since))
+		default:
+			f.late[table] = f.now()
+			f.log.Info("copy of a table is late", zap.String("Table", table), zap.Duration("Age", age), zap.String("Upstream", f.asked), zap.Duration("Silent", f.silentFor()))
+		}
+	}
+}
+
+// LogFields returns whom this host follows, empty if it reads the store itself, and for how
+// long no other host has answered it, -1 if none ever did.
+func (f *Follower) LogFields() []zap.Field {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return []zap.Field{zap.String("Upstream", f.asked), zap.Duration("Silent", f.silentFor())}
+}
+
+// silentFor returns for how long no other host has answered, -1 if none ever did; the caller
+// holds the lock.
+func (f *Follower) silentFor() time.Duration {
+	if f.answeredAt == 0 {
+		return -1
+	}
+	return f.now() - f.answeredAt
+}
+
 // noteUnreachable skips a host that could not be reached.
 func (f *Follower) noteUnreachable(h gossip.HostInfo, took time.Duration, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	length := f.skipped.Unreachable(h.Host, f.now())
+	f.reason = "upstream lost"
 	f.notifyChanged()
 	f.log.Info("upstream host lost", zap.String("Peer", h.Host), zap.Duration("Took", took), zap.Duration("Pause", length), zap.String("Error", err.Error()))
 }
@@ -259,6 +313,7 @@
 	defer f.mu.Unlock()
 	pause := 2 * f.wait
 	f.skipped.Until(h.Host, f.now()+pause)
+	f.reason = "upstream old"
 	f.notifyChanged()
 	f.log.Info("copy of the upstream host is old", zap.String("Peer", h.Host), zap.Duration("Pause", pause))
 }
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
@@ -114,6 +116,22 @@
 	return 0
 }
 
+// LogFields returns what is known of a table: its position in the history of the store, the
+// age of the copy, and from which host, empty for the store, and through how many that was
+// heard. The age is -1 if the table was never read.
+func (m *Mirror) LogFields(name string) []zap.Field {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t, ok := m.tables[name]
+	if !ok || t.freshAt == 0 {
+		return []zap.Field{zap.Duration("Age", -1)}
+	}
+	return []zap.Field{
+		zap.Uint64("Era", t.at.Era), zap.Uint64("Position", t.at.Version), zap.Duration("Age", m.now()-t.freshAt),
+		zap.String("Heard", t.freshFrom), zap.Int("Hops", t.hops),
+	}
+}
+
 // Metrics returns, for each table, its position in the history of the store, the age of
 // the copy in milliseconds, and the number of rows that are held.
 func (m *Mirror) Metrics() any {
--- a/process/mirror/table.go
+++ b/process/mirror/table.go
@@ -45,6 +45,10 @@
 	// freshAt is the latest time at which the store is known to have had no newer
 	// changes. It is 0 if the table was never read.
 	freshAt time.Duration
+	// freshFrom is the host from which that is known, empty if from the store, and hops the
+	// number of hosts through which it came.
+	freshFrom string
+	hops      int
 	// restoredAt is when the table was first read in the present era, 0 if the store
 	// was never restored.
 	restoredAt time.Duration
@@ -81,7 +85,10 @@
 		changed = t.merge(changes, away, now)
 		t.at = stamp.New(d.Era, max(t.at.Version, d.Version))
 	}
-	t.freshAt = max(t.freshAt, now-d.Age)
+	if now-d.Age > t.freshAt {
+		t.freshAt = now - d.Age
+		t.freshFrom, t.hops = d.From()
+	}
 	return append(changed, t.release()...)
 }
 
--- a/process/reqlog/requestlog.go
+++ b/process/reqlog/requestlog.go
@@ -52,7 +52,7 @@
 }
 
 // New reads the log lines of any number of hosts for the request or target with the
-// given ID. Text before a line's first brace is skipped. Lines without a brace are
+// given ID, or for the refusals of a caller or of the callers of a database with that name. Text before a line's first brace is skipped. Lines without a brace are
 // ignored, and lines that can't be parsed are counted.
 func New(r io.Reader, id string) (*RequestLog, error) {
 	rl := &RequestLog{id: id}
@@ -87,7 +87,7 @@
 		delete(fields, known)
 	}
 	switch {
-	case fields["ID"] == rl.id:
+	case fields["ID"] == rl.id || l.isRefusalOf(rl.id):
 		rl.requestLines = append(rl.requestLines, l)
 	case l.message != statementMessage && l.message != commitMessage:
 		rl.otherLines = append(rl.otherLines, l)
@@ -104,10 +104,11 @@
 // these hosts from shortly before that may be related to it. For a commit that was
 // acknowledged, it adds what the host knew of the group then, and the replacements of
 // the group's leader since. For a target, it writes the replacements in which the target
-// was ordered to lead. Members of a group follow on lines of their own. If lines were
+// was ordered to lead. For a refusal, it adds how the configuration had reached the host.
+// Members of a group follow on lines of their own. If lines were
 // unreadable, a last line states their number.
 func (rl *RequestLog) Write(w io.Writer) error {
-	selected := slices.Concat(rl.requestLines, rl.viewLines(), rl.promotionLines())
+	selected := slices.Concat(rl.requestLines, rl.viewLines(), rl.promotionLines(), rl.planLines())
 	for _, l := range rl.otherLines {
 		if slices.ContainsFunc(rl.requestLines, func(request line) bool { return l.relatesTo(request) }) {
 			selected = append(selected, l)
--- a/process/reqlog/requestlog_test.go
+++ b/process/reqlog/requestlog_test.go
@@ -93,3 +93,24 @@
 	is.NoErr(err)
 	is.True(!rl.Found())
 }
+
+const refusal = `{"Time":"2026-05-25T14:19:00Z","Host":"a","Message":"plan adopted","From":1,"To":4}
+{"Time":"2026-05-25T14:19:01Z","Host":"a","Message":"upstream chosen","Peer":"b","Hops":2,"Before":"","Why":"hosts changed"}
+{"Time":"2026-05-25T14:19:02Z","Host":"c","Message":"plan adopted","From":4,"To":5}
+{"Time":"2026-05-25T14:19:08Z","Host":"a","Message":"copy of a table is late","Table":"op","Age":3600,"Upstream":"b","Silent":3400}
+{"Time":"2026-05-25T14:19:11Z","Host":"a","Message":"caller refused","Caller":"a-7","Outcome":"UnknownDatabase","Reason":"orders","Plan":4,"Position":31,"Age":6600,"Upstream":"b","Silent":6400}
+{"Time":"2026-05-25T14:19:12Z","Host":"a","Message":"plan adopted","From":4,"To":5}
+`
+
+func ExampleRequestLog_Write_refusal() {
+	rl, err := reqlog.New(strings.NewReader(refusal), "orders")
+	if err != nil {
+		panic(err)
+	}
+	_ = rl.Write(os.Stdout)
+	// Output:
+	// 14:19:00.000 a plan adopted From=1 To=4
+	// 14:19:01.000 a upstream chosen Before="" Hops=2 Peer="b" Why="hosts changed"
+	// 14:19:08.000 a copy of a table is late Age=3600 Silent=3400 Table="op" Upstream="b"
+	// 14:19:11.000 a caller refused Age=6600 Caller="a-7" Outcome="UnknownDatabase" Plan=4 Position=31 Reason="orders" Silent=6400 Upstream="b"
+}
