Stand-in store: tell the version up to which the rows of an answer are complete

The rows and the version were read one after the other, so that an answer could tell a version whose change it lacked, and the hosts never learned of it.

--- a/standin/platd/server.go
+++ b/standin/platd/server.go
@@ -191,11 +191,8 @@
 	}
 }
 
-// sendRows sends an answer with rows; the caller must not hold the lock.
-func (s *Server) sendRows(w http.ResponseWriter, status int, rows []row) {
-	s.mu.Lock()
-	version := s.version
-	s.mu.Unlock()
+// sendRows sends an answer with rows that are complete up to a version.
+func (s *Server) sendRows(w http.ResponseWriter, status int, rows []row, version uint64) {
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"rows": rows, "HasMore": false, "RowVersion": version, "NowMs": time.Since(s.startTime).Milliseconds(),
@@ -213,8 +210,9 @@
 			rows = append(rows, stored)
 		}
 	}
+	version := s.version
 	s.mu.Unlock()
-	s.sendRows(w, http.StatusOK, rows)
+	s.sendRows(w, http.StatusOK, rows, version)
 }
 
 // feed sends the changes of a table after a version. If there are none yet, it
@@ -233,19 +231,19 @@
 	era := s.era
 	s.mu.Unlock()
 	for {
-		rows, complete, changed := s.changesAfter(query.Get("Table"), after, era)
+		rows, version, complete, changed := s.changesAfter(query.Get("Table"), after, era)
 		if !complete {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		if len(rows) > 0 {
-			s.sendRows(w, http.StatusOK, rows)
+			s.sendRows(w, http.StatusOK, rows, version)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			s.sendRows(w, http.StatusOK, nil)
+			s.sendRows(w, http.StatusOK, nil, version)
 			return
 		case <-r.Context().Done():
 			return
@@ -256,14 +254,14 @@
 	}
 }
 
-// changesAfter returns the changes of a table after a version of an era, whether the
-// history has all changes since that version, and a channel that is closed at the next
-// change of any table.
-func (s *Server) changesAfter(table string, after, era uint64) (rows []row, complete bool, changed chan struct{}) {
+// changesAfter returns the changes of a table after a version of an era, the version up to
+// which they are complete, whether the history has all changes since the version asked for,
+// and a channel that is closed at the next change of any table.
+func (s *Server) changesAfter(table string, after, era uint64) (rows []row, version uint64, complete bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if era != s.era || after > s.version {
-		return nil, false, s.changed
+		return nil, s.version, false, s.changed
 	}
 	complete = after == s.version || len(s.changes) > 0 && s.changes[0].RowVersion <= after+1
 	for _, r := range s.changes {
@@ -271,7 +269,7 @@
 			rows = append(rows, r)
 		}
 	}
-	return rows, complete, s.changed
+	return rows, s.version, complete, s.changed
 }
 
 // commit runs the writes of a transaction if every row in its precondition still
@@ -299,11 +297,12 @@
 	if lost {
 		s.answersToLose--
 	}
+	version := s.version
 	s.mu.Unlock()
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
-	s.sendRows(w, status, nil)
+	s.sendRows(w, status, nil, version)
 }
 
 // promote passes a promotion order on to its group. It answers 409 Conflict if the
