--- a/standin/soak/cluster_test.go
+++ b/standin/soak/cluster_test.go
@@ -217,14 +217,14 @@
 }
 
 // listen serves a handler on loopback until the test ends.
-func (c *cluster) listen(h http.Handler) string {
+func (s *soakRun) listen(h http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		c.t.Fatal(err)
+		s.t.Fatal(err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.Serve(l) }()
-	c.t.Cleanup(func() { _ = s.Close() })
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	s.t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -92,34 +92,41 @@
 // addHost writes the settings file of host i and starts its process. store and cloud
 // are the addresses of the table store and of the cloud API.
 func (s *soakRun) addHost(i int, store, cloud string) {
-	h := &host{name: fmt.Sprintf("host-%d", i), output: &bytes.Buffer{}, settingsFile: filepath.Join(s.t.TempDir(), "boot.toml")}
+	s.addHostIn(fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", i%zoneCount), zoneCount, store, cloud, "DrainTimeoutMs = 7000")
+}
+
+// addHostIn adds a host with the given name in one of a number of zones. bounds are further
+// lines of the settings' bounds.
+func (s *soakRun) addHostIn(name, zone string, zones int, store, cloud, bounds string) {
+	h := &host{name: name, output: &bytes.Buffer{}, settingsFile: filepath.Join(s.t.TempDir(), "boot.toml")}
 	proxy, err := faulty.New(store)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	h.storeProxy = proxy
 	h.front = fmt.Sprintf("127.0.0.1:%d", freePort(s.t))
-	settings := fmt.Sprintf(`NodeName = "host-%d"
-Zone = "zone-%d"
+	regions := ""
+	for z := range zones {
+		regions += fmt.Sprintf("zone-%d = \"r%d\"\n", z, z%zoneCount)
+	}
+	settings := fmt.Sprintf(`NodeName = %q
+Zone = %q
 IpAddress = "127.0.0.1"
 InternalPortRange = [%d, %d]
 [Zones]
-zone-0 = "r0"
-zone-1 = "r1"
-zone-2 = "r2"
-[ListenAddresses]
+%s[ListenAddresses]
 Front = %q
 Ready = "127.0.0.1:%d"
 [Limits]
 MemoryMb = 256
 [Bounds]
 GracePeriodS = %d
-DrainTimeoutMs = 7000
+%s
 [platform]
 Address = %q
 [CloudApi]
 Address = %q
-`, i, i%zoneCount, freePort(s.t), freePort(s.t), h.front, freePort(s.t), int(gracePeriod/time.Second), proxy.Address(), cloud)
+`, name, zone, freePort(s.t), freePort(s.t), regions, h.front, freePort(s.t), int(gracePeriod/time.Second), bounds, proxy.Address(), cloud)
 	if err := os.WriteFile(h.settingsFile, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
