Read the store again as long as it answers, when those that a host follows don't

Callers saw NODATABASE for a route that had been added more than 6 s before, at two hosts of one zone. A host whose copy was old read the store, and then not again for 7 s (4 ages; 5 s where ConfigApplyMs is 4 s), also if the store had answered at once. The pause was meant for a store that answers nobody. Where the hosts before it in the order were stopped, slow or gave answers too late, changes since that read reached it after 7 s.

A read now pauses the next only if nothing fresher is known since it began: for 2 ages after the first unanswered read, then 4. So a host that reaches the store has each change after 4.1 s and a call, whatever the other hosts do.

--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -21,9 +21,11 @@
 	// startPatience is how long a host that knows the other hosts waits for their
 	// copy of a table before it reads the store.
 	startPatience = 400 * time.Millisecond
-	// retryAges is the pause between two reads of a table from the store by a host
-	// that follows others, as a multiple of the table's age.
-	retryAges = 4
+	// firstRetryAges and retryAges are the pauses between reads of a table from the store
+	// that were not answered, by a host that follows others: the first pause and the later
+	// ones, as multiples of the table's age.
+	firstRetryAges = 2
+	retryAges      = 4
 	// answerMargin is the time for which a host may be silent beyond the wait of a
 	// question: some round trips between regions, or a retransmission.
 	answerMargin = 350 * time.Millisecond
@@ -67,9 +69,9 @@
 	rankUntil time.Duration
 	// changed is closed and replaced when the hosts or the skipped ones change.
 	changed chan struct{}
-	// retryAt holds for each table when this host, which follows others, may read the
-	// table from the store again.
-	retryAt map[string]time.Duration
+	// reads holds for each table the last read from the store by this host while it
+	// followed others.
+	reads   map[string]ownRead
 	skipped *skips.Skips
 	started time.Duration
 	// answeredAt is when another host last answered, 0 if none ever did.
@@ -82,12 +84,18 @@
 	late map[string]time.Duration
 }
 
+// ownRead is a read of a table from the store: when it began, and the pause that follows
+// unless the table is known to be fresh since then.
+type ownRead struct {
+	at, pause time.Duration
+}
+
 // New returns a Follower of the tables of ages, which maps each to the age that the
 // copy of a host that reads the store gets.
 func New(log *zap.Logger, d dialer, m *mirror.Mirror, now func() time.Duration, self gossip.HostInfo, ages map[string]time.Duration, options ...func(*Follower)) *Follower {
 	f := &Follower{
 		log: log, dialer: d, mirror: m, now: now, self: self, ages: ages,
-		skipped: skips.New(), retryAt: map[string]time.Duration{}, late: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
+		skipped: skips.New(), reads: map[string]ownRead{}, late: map[string]time.Duration{}, changed: make(chan struct{}), started: now(),
 	}
 	for _, age := range ages {
 		if f.wait == 0 || age/3 < f.wait {
@@ -409,12 +417,20 @@
 	case fresh == 0:
 		dueAt = f.knownAt + startPatience
 	default:
-		// If the store answers nobody, the hosts that follow others ask seldom, since
-		// those that they follow go on asking.
-		dueAt = max(fresh+f.limit(table, r.Hops())+f.wait, f.retryAt[table])
+		dueAt = fresh + f.limit(table, r.Hops()) + f.wait
+		read := f.reads[table]
+		unanswered := read.at > fresh
+		if unanswered {
+			// The store may answer nobody, and those that this host follows go on asking.
+			dueAt = max(dueAt, read.at+read.pause)
+		}
 		if now >= dueAt {
 			f.log.Info("copy of a table is old, reading the store", zap.String("Table", table), zap.Duration("Age", now-fresh))
-			f.retryAt[table] = now + retryAges*f.ages[table]
+			next := ownRead{at: now, pause: firstRetryAges * f.ages[table]}
+			if unanswered {
+				next.pause = retryAges * f.ages[table]
+			}
+			f.reads[table] = next
 		}
 	}
 	if ok {
