Let large changes reach the hosts that follow: pack rows, don't restart answers

Callers saw NODATABASE for routes added more than 6 s before, beside a configuration of 1,400 routes (290 KB). Each change of it went whole to up to 21 followers of a host over a link of 10 Mbit/s. A follower gave its question up after 0.93 s, while the answer arrived, and asked the next host for the same, so that links were full of answers that nobody read to their end.

Rows of 4 KB and more are compressed once for all followers (19 KB), and a host that answers is given up only when nothing arrives for 0.35 s.

--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -84,8 +84,10 @@
 	Known map[string]uint64
 	Eras  map[string]uint64
 	// News is the answer to the verb Follow, and HeldMs the time for which the
-	// question waited, in milliseconds.
+	// question waited, in milliseconds. If Packed is not empty, it holds the rows of News,
+	// as package pack encodes them.
 	News   []delta.Delta
+	Packed []byte
 	HeldMs int64
 	// Fault is the reason why the request failed, or empty.
 	Fault string
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/connection/huff"
+	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
@@ -51,6 +52,7 @@
 	// lent counts the connections in use by other hosts.
 	lent     atomic.Int64
 	stopping atomic.Bool
+	packer   pack.Packer
 }
 
 // New returns a relay that lends the connections of the groups and passes on the
@@ -151,7 +153,13 @@
 	defer stop()
 	began := time.Now()
 	changes := r.news.Next(ctx, p.Positions())
-	return parcel.Parcel{News: changes, HeldMs: time.Since(began).Milliseconds()}
+	held := time.Since(began).Milliseconds()
+	changes, packed, err := r.packer.Pack(changes)
+	if err != nil {
+		r.log.Error("changes of tables not packed", zap.String("Error", err.Error()))
+		return parcel.Parcel{Fault: err.Error()}
+	}
+	return parcel.Parcel{News: changes, Packed: packed, HeldMs: held}
 }
 
 // requestContext returns a context that ends when the time limit of the request has
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/connection/huff"
+	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
@@ -38,7 +39,7 @@
 type Remote struct {
 	// Host is the name of the other host.
 	Host      string
-	conn      net.Conn
+	conn      *steadyConn
 	decoder   *gob.Decoder
 	encoder   *gob.Encoder
 	broken    atomic.Bool
@@ -47,8 +48,9 @@
 
 // New returns a Remote over an open connection to the named host.
 func New(host string, c net.Conn) *Remote {
-	compressed := huff.New(c)
-	return &Remote{Host: host, conn: c, decoder: gob.NewDecoder(compressed), encoder: gob.NewEncoder(compressed)}
+	steady := &steadyConn{Conn: c}
+	compressed := huff.New(steady)
+	return &Remote{Host: host, conn: steady, decoder: gob.NewDecoder(compressed), encoder: gob.NewEncoder(compressed)}
 }
 
 // Take borrows a connection to a target and runs a batch on it. It returns the
@@ -132,11 +134,36 @@
 	return refusal(answer)
 }
 
+// steadyConn is a connection whose deadline for reads moves with each read, by extend unless
+// that is 0.
+type steadyConn struct {
+	net.Conn
+	extend time.Duration
+}
+
+func (c *steadyConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && err == nil && c.extend > 0 {
+		err = c.SetReadDeadline(time.Now().Add(c.extend))
+	}
+	return n, err
+}
+
 // Follow asks the other host for the changes of the platform's tables after the known
-// positions, and waits for a change for up to wait. The age of the changes counts the
-// time on the way in both directions.
-func (r *Remote) Follow(ctx context.Context, known map[string]stamp.Stamp, wait time.Duration) ([]delta.Delta, error) {
+// positions, and waits for a change for up to wait. It gives the other host up when nothing
+// arrives for margin, so that an answer that takes long on the way is not asked for anew.
+// The age of the changes counts the time on the way in both directions.
+func (r *Remote) Follow(ctx context.Context, known map[string]stamp.Stamp, wait, margin time.Duration) ([]delta.Delta, error) {
 	began := time.Now()
+	if err := r.conn.SetReadDeadline(began.Add(wait + margin)); err != nil {
+		return nil, errors.Wrap(err, "Remote.Follow")
+	}
+	r.conn.extend = margin
+	defer func() {
+		r.conn.extend = 0
+		// This fails only if the connection is already closed.
+		_ = r.conn.SetReadDeadline(time.Time{})
+	}()
 	answer, err := r.ask(ctx, parcel.NewFollow(known, wait))
 	if err != nil {
 		return nil, errors.Wrap(err, "Remote.Follow")
@@ -145,10 +172,15 @@
 		return nil, errors.Wrap(err, "Remote.Follow")
 	}
 	transit := max(time.Since(began)-time.Duration(answer.HeldMs)*time.Millisecond, 0)
-	for i, d := range answer.News {
-		answer.News[i] = d.WithAge(d.Age + transit)
+	news, err := pack.Unpack(answer.News, answer.Packed)
+	if err != nil {
+		return nil, errors.Wrap(err, "Remote.Follow")
+	}
+	aged := make([]delta.Delta, len(news))
+	for i, d := range news {
+		aged[i] = d.WithAge(d.Age + transit)
 	}
-	return answer.News, nil
+	return aged, nil
 }
 
 // Put gives the borrowed connection back to the other host, which does not answer.
@@ -195,7 +227,7 @@
 // Without that, the data could be delivered after a network failure, and its
 // statements run late.
 func (r *Remote) abort() {
-	if c, ok := r.conn.(*net.TCPConn); ok {
+	if c, ok := r.conn.Conn.(*net.TCPConn); ok {
 		// This fails only if the connection is already closed.
 		_ = c.SetLinger(0)
 	}
--- a/process/delta/delta.go
+++ b/process/delta/delta.go
@@ -46,6 +46,12 @@
 	return d
 }
 
+// WithRows returns a copy with other rows.
+func (d Delta) WithRows(rows []record.Row) Delta {
+	d.Rows = rows
+	return d
+}
+
 // WithFrom returns a copy that says which host told the changes, and through how many hosts
 // they came.
 func (d Delta) WithFrom(host string, hops int) Delta {
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -27,8 +27,10 @@
 	firstRetryAges = 2
 	retryAges      = 4
 	// answerMargin is the time for which a host may be silent beyond the wait of a
-	// question: some round trips between regions, or a retransmission.
+	// question, and within its answer: some round trips between regions, or a retransmission.
 	answerMargin = 350 * time.Millisecond
+	// maxTransfer bounds the time in which an answer arrives whose first part was in time.
+	maxTransfer = 5 * time.Second
 	// maxHops is the largest number of hosts through which news reaches a host.
 	maxHops = 2
 	// minPause is the shortest pause before the place and the ages are checked again.
@@ -211,14 +213,12 @@
 // nil, and returns the connection, or nil if the host did not answer in time.
 func (f *Follower) ask(ctx context.Context, link *remote.Remote, upstream gossip.HostInfo, hops int) *remote.Remote {
 	began := f.now()
-	askCtx, stop := context.WithTimeout(ctx, f.wait+answerMargin)
-	defer stop()
 	var err error
 	if link == nil {
-		link, err = f.dialer.Host(askCtx, upstream)
+		link, err = f.dial(ctx, upstream)
 	}
 	if err == nil {
-		err = f.exchange(askCtx, link, hops)
+		err = f.exchange(ctx, link, hops)
 	}
 	if err == nil {
 		f.mu.Lock()
@@ -234,9 +234,18 @@
 	return nil
 }
 
+// dial opens a connection to a host.
+func (f *Follower) dial(ctx context.Context, h gossip.HostInfo) (*remote.Remote, error) {
+	ctx, stop := context.WithTimeout(ctx, f.wait+answerMargin)
+	defer stop()
+	return f.dialer.Host(ctx, h)
+}
+
 // exchange asks a host for changes over an open connection and applies them.
 func (f *Follower) exchange(ctx context.Context, link *remote.Remote, hops int) error {
-	news, err := link.Follow(ctx, f.mirror.Stamps(), f.wait)
+	ctx, stop := context.WithTimeout(ctx, f.wait+maxTransfer)
+	defer stop()
+	news, err := link.Follow(ctx, f.mirror.Stamps(), f.wait, answerMargin)
 	if err != nil {
 		return err
 	}
