Refuse a database as unknown only with a plan that is young enough to tell

The refusal rested on a fact that had been true when it was learned, and nothing looked at it anew.

A plan older than it gets in operation is now read from the store before the answer is no, once for all callers that wait. With a young plan the refusal comes at once, as before.

Failed without it: TestAddedRouteIsNotRefusedWithAnOldPlan and TestFailedReadIsNotRepeatedByEachCaller in process/lookup.

--- a/process/lookup/lookup_test.go
+++ b/process/lookup/lookup_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -21,15 +23,24 @@
 
 const table = "op"
 
+// maxAge is how old the copy of the table gets in operation.
+const maxAge = 2500 * time.Millisecond
+
 // host is what a host knows: a plan in force and a copy of the table that holds it.
 type host struct {
-	plan    plan.Plan
-	mirror  *mirror.Mirror
-	elapsed time.Duration
+	plan   plan.Plan
+	mirror *mirror.Mirror
+	began  time.Time
+	// stored is the database that the store's plan has at version 8, and readTime how long a
+	// read takes. failure is the error of a read.
+	stored   string
+	readTime time.Duration
+	failure  error
+	reads    int
 }
 
 func newHost() *host {
-	h := &host{}
+	h := &host{began: time.Now()}
 	h.mirror = mirror.New(h.now)
 	h.mirror.Handle(table, func(rows []record.Row, _ stamp.Stamp, _ bool) {
 		for _, r := range rows {
@@ -39,9 +50,9 @@
 	return h
 }
 
-func (h *host) now() time.Duration { return time.Hour + h.elapsed }
+func (h *host) now() time.Duration { return time.Hour + time.Since(h.began) }
 
-// learn applies a row of the table that another host told some time ago.
+// learn applies a row of the table that another host told, or the store if from is empty.
 func (h *host) learn(database string, version uint64, from string) {
 	rows := []record.Row{record.New("config", []byte(database)).WithVersion(version)}
 	h.mirror.Apply(delta.New(table, rows, stamp.New(1, version)).WithWhole(true).WithFrom(from, 2))
@@ -54,18 +65,102 @@
 	return ok, nil
 }
 
+func (h *host) MaxAge(string) time.Duration { return maxAge }
+
+// refresh reads the table from the store.
+func (h *host) refresh(context.Context) error {
+	h.reads++
+	time.Sleep(h.readTime)
+	if h.failure == nil {
+		h.learn(h.stored, 8, "")
+	}
+	return h.failure
+}
+
+// lookup returns a Lookup in what the host knows.
+func (h *host) lookup() *lookup.Lookup {
+	return lookup.New(zap.NewNop(), h, h.mirror, h, table, h.refresh, h.now)
+}
+
 // LogFields returns whom the host follows.
 func (h *host) LogFields() []zap.Field { return []zap.Field{zap.String("Upstream", "front-2")} }
 
 func TestRefusalNamesThePlanAndItsAge(t *testing.T) {
-	is := is.New(t)
-	h := newHost()
-	h.learn("orders", 7, "front-1")
-	h.elapsed = 3 * time.Second
-	core, logs := observer.New(zapcore.InfoLevel)
-	zap.New(core).Info("caller refused", lookup.New(h, h.mirror, h, table).LogFields()...)
-	got := logs.All()[0].ContextMap()
-	is.Equal(got, map[string]any{
-		"Plan": uint64(7), "Era": uint64(1), "Position": uint64(7), "Age": 3 * time.Second, "Heard": "front-1", "Hops": int64(2), "Upstream": "front-2",
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost()
+		h.learn("orders", 7, "front-1")
+		time.Sleep(3 * time.Second)
+		core, logs := observer.New(zapcore.InfoLevel)
+		zap.New(core).Info("caller refused", h.lookup().LogFields()...)
+		is.Equal(logs.All()[0].ContextMap(), map[string]any{
+			"Plan": uint64(7), "Era": uint64(1), "Position": uint64(7), "Age": 3 * time.Second, "Heard": "front-1", "Hops": int64(2), "Upstream": "front-2",
+		})
+	})
+}
+
+// A host that has not heard of the store for long must not refuse a route that was added since.
+func TestAddedRouteIsNotRefusedWithAnOldPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost()
+		h.stored, h.readTime = "added", 10*time.Millisecond
+		h.learn("orders", 7, "front-1")
+		time.Sleep(maxAge + time.Millisecond)
+		l := h.lookup()
+		has, err := l.HasDatabase(t.Context(), "added")
+		is.NoErr(err)
+		is.True(has)
+		has, err = l.HasDatabase(t.Context(), "orders")
+		is.NoErr(err)
+		is.True(!has)
+		is.Equal(h.reads, 1)
+	})
+}
+
+func TestUnknownDatabaseIsRefusedAtOnceWithAYoungPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost()
+		h.stored = "added"
+		h.learn("orders", 7, "front-1")
+		time.Sleep(maxAge)
+		has, err := h.lookup().HasDatabase(t.Context(), "added")
+		is.NoErr(err)
+		is.True(!has)
+		is.Equal(h.reads, 0)
+	})
+}
+
+// Callers that ask for nonsense while the store is away cost few reads, and wait for none that
+// is bound to fail.
+func TestFailedReadIsNotRepeatedByEachCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost()
+		h.failure, h.readTime = errors.New("the store is away"), time.Second
+		h.learn("orders", 7, "front-1")
+		time.Sleep(maxAge + time.Millisecond)
+		l := h.lookup()
+		answers := make(chan error)
+		for range 50 {
+			go func() {
+				_, err := l.HasDatabase(t.Context(), "nonsense")
+				answers <- err
+			}()
+		}
+		for range 50 {
+			is.True(errors.Is(<-answers, lookup.ErrOld))
+		}
+		is.Equal(h.reads, 1)
+		began := time.Now()
+		_, err := l.HasDatabase(t.Context(), "nonsense")
+		is.True(errors.Is(err, lookup.ErrOld))
+		is.Equal(time.Since(began), time.Duration(0))
+		time.Sleep(3 * time.Second)
+		h.failure, h.stored = nil, "added"
+		has, err := l.HasDatabase(t.Context(), "added")
+		is.NoErr(err)
+		is.True(has)
 	})
 }
--- a/request/code/code.go
+++ b/request/code/code.go
@@ -48,6 +48,9 @@
 	// NotRunUnprepared ends the execution of a prepared statement that the session
 	// or the target doesn't know.
 	NotRunUnprepared Code = 112
+	// NotRunOldPlan refuses a caller whose database has no route in a configuration that
+	// may be too old to tell.
+	NotRunOldPlan Code = 113
 
 	// OutcomeUnknown ends a request that was sent and whose result is not known.
 	OutcomeUnknown Code = 200
@@ -130,6 +133,7 @@
 	NotRunBusy:        {"NotRunBusy", stateInsufficientResources, "not run: the target's slots and queue are full", "retry after the hint"},
 	NotRunWrongTarget: {"NotRunWrongTarget", stateCannotConnectNow, "not run: another target answers at the address", "retry"},
 	NotRunUnprepared:  {"NotRunUnprepared", stateCannotConnectNow, "not run: the target does not know the prepared statement", "prepare it again"},
+	NotRunOldPlan:     {"NotRunOldPlan", stateCannotConnectNow, "not run: the host's configuration has no such database, but is old and could not be read again", "retry, also at another host"},
 	TargetFailed:      {"TargetFailed", stateResolutionUnknown, "the target ran the request and failed", "retry what only reads"},
 	DeadlinePassed:    {"DeadlinePassed", stateQueryCanceled, "sent, and not answered before the deadline", "check before a retry"},
 	TransactionLost:   {"TransactionLost", stateTransactionRollback, "the open transaction was rolled back with its connection; nothing of it remains", "run the transaction again"},
