Don't wait for a watcher that asks nobody

While the store fails, the watchers of registrations and leases wait for that of the configuration to reach it again, for 5 s at most. On a host that follows others, that one asks nobody for as long as another host's copy is fresh, so that each failed read of the registrations was followed by 5 s without another. The wait ends when the other watcher's gate is closed. Found by reading; TestWatcherDoesNotWaitForAPrerequisiteThatAsksNobody failed before.

--- a/process/watch/watcher.go
+++ b/process/watch/watcher.go
@@ -27,6 +27,9 @@
 	// prerequisite reaches the store again. The wait is limited because the
 	// store may refuse the prerequisite's calls but not those of this Watcher.
 	maxPrerequisiteWait = 5 * time.Second
+	// gatePatience is how long the gate may be closed before others no longer wait for
+	// this Watcher to reach the store.
+	gatePatience = 50 * time.Millisecond
 )
 
 // ErrHistoryDropped is returned when the store no longer has all changes after
@@ -94,8 +97,8 @@
 	// failedSince is when the current series of failures began, or zero if the
 	// last request succeeded.
 	failedSince time.Time
-	// outage is nil while the store answers. Otherwise it is a channel that is
-	// closed when the store answers again; mu guards the field.
+	// outage is nil while the store answers or the gate is closed. Otherwise it is a
+	// channel that is closed when either begins; mu guards the field.
 	mu     sync.Mutex
 	outage chan struct{}
 }
@@ -146,7 +149,7 @@
 	pause.MaxInterval = maxPause
 	dropped := false
 	w.sleep(ctx, w.initialDelay)
-	for w.gate.Await(ctx, w.table) {
+	for w.awaitGate(ctx) {
 		known := w.mirror.Stamp(w.table)
 		era, _ := w.mirror.SinceRestore()
 		d, err := w.fetch(ctx, known.Version, known.Version == 0 || dropped || era > known.Era)
@@ -175,6 +178,15 @@
 	}
 }
 
+// awaitGate waits until the gate opens, and returns false if the context ended. While the gate
+// is closed, this Watcher does not find out whether the store answers, so that others must
+// not wait for it.
+func (w *Watcher) awaitGate(ctx context.Context) bool {
+	closed := time.AfterFunc(gatePatience, w.endOutage)
+	defer closed.Stop()
+	return w.gate.Await(ctx, w.table)
+}
+
 // awaitPrerequisite waits while the prerequisite can't reach the store, for at
 // most maxPrerequisiteWait.
 func (w *Watcher) awaitPrerequisite(ctx context.Context) {
@@ -230,15 +242,27 @@
 }
 
 // noteFailure records a failed request. The first failure of a series is logged
-// and starts an outage.
+// and starts an outage, as does a failure after the gate was closed.
 func (w *Watcher) noteFailure(err error, version uint64) {
 	if w.failedSince.IsZero() {
 		w.failedSince = time.Now()
-		w.mu.Lock()
-		w.outage = make(chan struct{})
-		w.mu.Unlock()
 		w.log.Warn("store lost", zap.String("Table", w.table), zap.Uint64("Version", version), zap.String("Error", err.Error()))
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outage == nil {
+		w.outage = make(chan struct{})
+	}
+}
+
+// endOutage lets those that wait for this Watcher to reach the store go on.
+func (w *Watcher) endOutage() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outage != nil {
+		close(w.outage)
+		w.outage = nil
+	}
 }
 
 // noteSuccess records a successful request, which ends an outage if there is
@@ -247,10 +271,7 @@
 	if !w.failedSince.IsZero() {
 		w.log.Info("store regained", zap.String("Table", w.table), zap.Duration("Lost", time.Since(w.failedSince)))
 		w.failedSince = time.Time{}
-		w.mu.Lock()
-		close(w.outage)
-		w.outage = nil
-		w.mu.Unlock()
+		w.endOutage()
 	}
 }
 
--- a/process/watch/watcher_test.go
+++ b/process/watch/watcher_test.go
@@ -136,6 +136,36 @@
 	})
 }
 
+// onceGate is open at once the first time, and then stays closed.
+type onceGate struct{ opened bool }
+
+func (g *onceGate) Await(ctx context.Context, _ string) bool {
+	if g.opened {
+		<-ctx.Done()
+	}
+	g.opened = true
+	return ctx.Err() == nil
+}
+
+// A Watcher that does not ask the store for long must not keep others from asking it.
+func TestWatcherDoesNotWaitForAPrerequisiteThatAsksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+		defer stop()
+		recovery := time.Now().Add(100 * time.Millisecond)
+		first, second := &failingStore{recovery: recovery}, &failingStore{recovery: recovery}
+		var regained time.Time
+		prerequisite := watch.New(zap.NewNop(), first, newMirror("a", func(uint64, bool) {}), "a", time.Second, time.Second, watch.WithGate(&onceGate{}))
+		go prerequisite.Run(ctx)
+		time.Sleep(time.Millisecond)
+		m := newMirror("b", func(uint64, bool) { regained = time.Now() })
+		watch.New(zap.NewNop(), second, m, "b", time.Second, time.Second, watch.WithPrerequisite(prerequisite)).Run(ctx)
+		is.True(!regained.IsZero())
+		is.True(regained.Sub(recovery) < time.Second)
+	})
+}
+
 func TestInitialDelay(t *testing.T) {
 	is := is.New(t)
 	s := &store{steps: []step{{nil, 1, nil}}}
