Count a leaving leader's time from when it may have begun to leave

A host that hears of it late, by up to 4 s where those that it follows are silent, gave it work for longer than DrainTimeoutMs allows if nobody could succeed it.

The time now runs from the last moment at which the registrations were known without it; half of it remains, to replace the leader.

--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -26,6 +26,9 @@
 	tables map[string]*table
 	// changed is closed and replaced when a row changes.
 	changed chan struct{}
+	// freshBefore holds, by name of the table, a time.Duration: what FreshAt returned before
+	// the last changes.
+	freshBefore sync.Map
 }
 
 // New returns a Mirror without tables. The clock now must never return 0.
@@ -65,6 +68,7 @@
 	if !ok || !t.accepts(d) {
 		return
 	}
+	m.freshBefore.Store(d.Table, t.freshAt)
 	changed := t.apply(d, m.now())
 	switch {
 	case d.Whole:
@@ -116,6 +120,14 @@
 	return 0
 }
 
+// FreshBefore returns what FreshAt returned before the last changes of a table were applied:
+// each of them was made later than that. Handlers may call it.
+func (m *Mirror) FreshBefore(name string) time.Duration {
+	at, _ := m.freshBefore.Load(name)
+	before, _ := at.(time.Duration)
+	return before
+}
+
 // LogFields returns what is known of a table: its position in the history of the store, the
 // age of the copy, and from which host, empty for the store, and through how many that was
 // heard. The age is -1 if the table was never read.
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -121,8 +121,10 @@
 	assignment assign.Assignment
 	// lastCancelID is the last key used in targetState.cancels.
 	lastCancelID uint64
-	// drainTime is how long a leaving leader still gets work.
-	drainTime  time.Duration
+	// drainTime is how long a leaving leader still gets work, from when it may have begun to
+	// leave: from registrationsKnownAt, if that is set.
+	drainTime            time.Duration
+	registrationsKnownAt func() time.Duration
 	watermarks *wmark.Watermarks
 	// renewal is the watermark renewal in progress, or nil if there is none.
 	renewal *renewal
@@ -248,6 +250,12 @@
 	return func(rs *ReplicaSet) { rs.firstStart = first }
 }
 
+// WithRegistrationsKnown returns an option that sets when all changes of the registrations but
+// the last ones were known.
+func WithRegistrationsKnown(at func() time.Duration) func(*ReplicaSet) {
+	return func(rs *ReplicaSet) { rs.registrationsKnownAt = at }
+}
+
 // WithDrainTime returns an option that sets how long a leaving leader still
 // gets work.
 func WithDrainTime(d time.Duration) func(*ReplicaSet) {
@@ -313,7 +321,7 @@
 		// The target is new to this host and may have been leaving for a while.
 		ts.drainUntil = rs.now() + rs.drainTime/2
 	case !ts.target.Leaving:
-		ts.drainUntil = rs.now() + rs.drainTime
+		ts.drainUntil = rs.drainEnd()
 	}
 	if !ts.target.Same(t) {
 		rs.changeView()
@@ -327,6 +335,17 @@
 	rs.updateLenders(ts)
 }
 
+// drainEnd returns until when the leader, which is now known to leave, still gets work. Where
+// that was heard late, half of the drain time remains to replace it.
+func (rs *ReplicaSet) drainEnd() time.Duration {
+	now := rs.now()
+	since := now
+	if rs.registrationsKnownAt != nil {
+		since = min(now, rs.registrationsKnownAt())
+	}
+	return max(since+rs.drainTime, now+rs.drainTime/2)
+}
+
 // removeTarget removes a target and closes its pool; the caller holds the lock.
 func (rs *ReplicaSet) removeTarget(id string, ts *targetState) {
 	ts.pool.Close()
