--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -125,7 +125,7 @@
 	// leave: from registrationsKnownAt, if that is set.
 	drainTime            time.Duration
 	registrationsKnownAt func() time.Duration
-	watermarks *wmark.Watermarks
+	watermarks           *wmark.Watermarks
 	// renewal is the watermark renewal in progress, or nil if there is none.
 	renewal *renewal
 	// alarm has a value while a check of the leader is due.
