--- a/process/follow/rule_test.go
+++ b/process/follow/rule_test.go
@@ -74,20 +74,25 @@
 		}
 	}
 	if kind == 7 {
+		s.silenceStore(span)
+	}
+}
+
+// silenceStore makes the store answer nobody for a time span.
+func (s *system) silenceStore(span time.Duration) {
+	set := func(silent bool) {
 		s.mu.Lock()
-		s.storeDisturbed = time.Now().Add(span)
+		defer s.mu.Unlock()
+		s.storeDisturbed = time.Now()
+		if silent {
+			s.storeDisturbed = time.Now().Add(span)
+		}
 		for _, n := range s.nodes {
-			n.cutFromStore = true
+			n.cutFromStore = silent
 		}
-		s.mu.Unlock()
-		time.AfterFunc(span, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			for _, n := range s.nodes {
-				n.cutFromStore = false
-			}
-		})
 	}
+	set(true)
+	time.AfterFunc(span, func() { set(false) })
 }
 
 // TestChangesAreInForceInTimeInRandomRuns disturbs some hosts, their links and the store, and
@@ -147,6 +152,33 @@
 	}
 }
 
+// Hosts whose upstream hosts are silent have each change in time after the store was away for
+// long.
+func TestHostsWithSilentUpstreamHostsHaveChangesInTimeAfterAnOutage(t *testing.T) {
+	for phase := range 8 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const step = 50 * time.Millisecond
+				s := newSystem(t, grownShape, 1)
+				defer s.close()
+				time.Sleep(8 * time.Second)
+				for _, info := range firstOf(s.infos[:s.shape.perZone], 11) {
+					s.disturb(s.nodes[info.Host], time.Hour, func(on bool) { s.nodes[info.Host].frozen = on })
+				}
+				s.silenceStore(15*time.Second + time.Duration(phase)*time.Second)
+				time.Sleep(15*time.Second + time.Duration(phase)*time.Second)
+				for i := range int(20 * time.Second / step) {
+					if i%10 == 0 {
+						s.configure()
+					}
+					time.Sleep(step)
+					s.check()
+				}
+			})
+		})
+	}
+}
+
 // A configuration of many routes that changes again and again is in force in time.
 func TestChangesOfALargeConfigurationAreInForceInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
