--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -279,24 +279,31 @@
 // noteLate logs each table whose copy has become older than it gets in operation, or is no
 // longer.
 func (f *Follower) noteLate() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for table := range f.ages {
-		fresh := f.mirror.FreshAt(table)
-		age := f.now() - fresh
-		since, late := f.late[table]
-		switch {
-		case fresh == 0 || late == (age > f.MaxAge(table)):
-		case late:
-			delete(f.late, table)
-			f.log.Info("copy of a table is current again", zap.String("Table", table), zap.Duration("Late", f.now()-since))
-		default:
-			f.late[table] = f.now()
-			f.log.Info("copy of a table is late", zap.String("Table", table), zap.Duration("Age", age), zap.String("Upstream", f.asked), zap.Duration("Silent", f.silentFor()))
+		// The lock of the Mirror comes before that of the Follower.
+		if fresh := f.mirror.FreshAt(table); fresh != 0 {
+			f.noteAge(table, f.now()-fresh)
 		}
 	}
 }
 
+// noteAge logs that the copy of a table has become older than it gets in operation, or is no
+// longer.
+func (f *Follower) noteAge(table string, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since, late := f.late[table]
+	switch {
+	case late == (age > f.MaxAge(table)):
+	case late:
+		delete(f.late, table)
+		f.log.Info("copy of a table is current again", zap.String("Table", table), zap.Duration("Late", f.now()-since))
+	default:
+		f.late[table] = f.now()
+		f.log.Info("copy of a table is late", zap.String("Table", table), zap.Duration("Age", age), zap.String("Upstream", f.asked), zap.Duration("Silent", f.silentFor()))
+	}
+}
+
 // LogFields returns whom this host follows, empty if it reads the store itself, and for how
 // long no other host has answered it, -1 if none ever did.
 func (f *Follower) LogFields() []zap.Field {
