--- a/standin/soak/config_test.go
+++ b/standin/soak/config_test.go
@@ -371,8 +371,8 @@
 	for _, h := range r.hosts {
 		done.Go(func() { r.probe(h) })
 	}
+	changes := rand.New(rand.NewPCG(r.random.Uint64(), 2))
 	done.Go(func() {
-		changes := rand.New(rand.NewPCG(r.random.Uint64(), 2))
 		for r.ctx.Err() == nil {
 			time.Sleep(time.Duration(300+changes.IntN(2700)) * time.Millisecond)
 			r.store()
