--- a/process/lookup/lookup.go
+++ b/process/lookup/lookup.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/pistachiotray/pistachiotray/process/rescue"
+	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 )
 
@@ -24,9 +25,6 @@
 	failurePause = 3 * time.Second
 )
 
-// ErrOld is returned when the plan lacks a database, but may be too old to say so.
-var ErrOld = errors.New("the configuration is old and could not be read again")
-
 // errPanic is the failure of a refresh that panicked.
 var errPanic = errors.New("reading the configuration ended by a panic")
 
@@ -81,30 +79,36 @@
 	return &Lookup{log: log, plans: p, mirror: m, follower: f, table: table, refresh: refresh, now: now}
 }
 
-// HasDatabase reports whether a database has a route. A plan that is older than it gets in
-// operation may lack a route that was added since: it is read again before the answer is no.
-// HasDatabase returns ErrOld if that fails, and the context's error if no configuration
-// arrives in time.
-func (l *Lookup) HasDatabase(ctx context.Context, database string) (bool, error) {
-	has, err := l.inPlan(ctx, database)
-	if has || err != nil || l.current() {
-		return has, err
+// Check returns code.Done if a database has a route, and otherwise the code and the reason with
+// which to refuse a caller. A plan that is older than it gets in operation may lack a route that
+// was added since: it is read again before the database is unknown.
+func (l *Lookup) Check(ctx context.Context, database string) (c code.Code, reason string) {
+	c, reason = l.inPlan(ctx, database)
+	if c != code.UnknownDatabase || l.current() {
+		return c, reason
 	}
 	if err := l.awaitRefresh(ctx); err != nil {
-		return false, errors.Wrap(ErrOld, err.Error())
+		return code.NotRunOldPlan, database
 	}
-	has, err = l.inPlan(ctx, database)
-	if has || err != nil || l.current() {
-		return has, err
+	c, reason = l.inPlan(ctx, database)
+	if c == code.UnknownDatabase && !l.current() {
+		c = code.NotRunOldPlan
 	}
-	return false, ErrOld
+	return c, reason
 }
 
-// inPlan reports whether the plan has a route for a database.
-func (l *Lookup) inPlan(ctx context.Context, database string) (bool, error) {
+// inPlan returns whether the plan has a route for a database, as Check does.
+func (l *Lookup) inPlan(ctx context.Context, database string) (c code.Code, reason string) {
 	ctx, stop := context.WithTimeout(ctx, planTimeout)
 	defer stop()
-	return l.plans.HasDatabase(ctx, database)
+	has, err := l.plans.HasDatabase(ctx, database)
+	switch {
+	case err != nil:
+		return code.NotRunStopping, "no configuration yet"
+	case !has:
+		return code.UnknownDatabase, database
+	}
+	return code.Done, ""
 }
 
 // current reports whether the plan is as new as it is in operation.
@@ -129,6 +133,9 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.failedAt, l.failure = l.now(), err
+		if err != nil {
+			l.log.Warn("configuration not read again", zap.String("Error", err.Error()))
+		}
 		return nil, err
 	})
 	select {
--- a/process/lookup/lookup_test.go
+++ b/process/lookup/lookup_test.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotray/pistachiotray/process/mirror"
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
+	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 	"github.com/pistachiotray/pistachiotray/version/route"
 )
@@ -85,6 +86,12 @@
 // LogFields returns whom the host follows.
 func (h *host) LogFields() []zap.Field { return []zap.Field{zap.String("Upstream", "front-2")} }
 
+// answer returns the code with which a Lookup answers.
+func answer(l *lookup.Lookup, database string) code.Code {
+	c, _ := l.Check(context.Background(), database)
+	return c
+}
+
 func TestRefusalNamesThePlanAndItsAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -108,12 +115,8 @@
 		h.learn("orders", 7, "front-1")
 		time.Sleep(maxAge + time.Millisecond)
 		l := h.lookup()
-		has, err := l.HasDatabase(t.Context(), "added")
-		is.NoErr(err)
-		is.True(has)
-		has, err = l.HasDatabase(t.Context(), "orders")
-		is.NoErr(err)
-		is.True(!has)
+		is.Equal(answer(l, "added"), code.Done)
+		is.Equal(answer(l, "orders"), code.UnknownDatabase)
 		is.Equal(h.reads, 1)
 	})
 }
@@ -125,9 +128,7 @@
 		h.stored = "added"
 		h.learn("orders", 7, "front-1")
 		time.Sleep(maxAge)
-		has, err := h.lookup().HasDatabase(t.Context(), "added")
-		is.NoErr(err)
-		is.True(!has)
+		is.Equal(answer(h.lookup(), "added"), code.UnknownDatabase)
 		is.Equal(h.reads, 0)
 	})
 }
@@ -142,25 +143,19 @@
 		h.learn("orders", 7, "front-1")
 		time.Sleep(maxAge + time.Millisecond)
 		l := h.lookup()
-		answers := make(chan error)
+		answers := make(chan code.Code)
 		for range 50 {
-			go func() {
-				_, err := l.HasDatabase(t.Context(), "nonsense")
-				answers <- err
-			}()
+			go func() { answers <- answer(l, "nonsense") }()
 		}
 		for range 50 {
-			is.True(errors.Is(<-answers, lookup.ErrOld))
+			is.Equal(<-answers, code.NotRunOldPlan)
 		}
 		is.Equal(h.reads, 1)
 		began := time.Now()
-		_, err := l.HasDatabase(t.Context(), "nonsense")
-		is.True(errors.Is(err, lookup.ErrOld))
+		is.Equal(answer(l, "nonsense"), code.NotRunOldPlan)
 		is.Equal(time.Since(began), time.Duration(0))
 		time.Sleep(3 * time.Second)
 		h.failure, h.stored = nil, "added"
-		has, err := l.HasDatabase(t.Context(), "added")
-		is.NoErr(err)
-		is.True(has)
+		is.Equal(answer(l, "added"), code.Done)
 	})
 }
