--- a/process/lookup/lookup_test.go
+++ b/process/lookup/lookup_test.go
@@ -61,7 +61,11 @@
 
 func (h *host) Plan() plan.Plan { return h.plan }
 
-func (h *host) HasDatabase(_ context.Context, database string) (bool, error) {
+func (h *host) HasDatabase(ctx context.Context, database string) (bool, error) {
+	if h.plan.Version == 0 {
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
 	_, ok := h.plan.Route(database)
 	return ok, nil
 }
@@ -121,6 +125,12 @@
 	})
 }
 
+func TestDatabaseIsNotUnknownWithoutAPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is.New(t).Equal(answer(newHost().lookup(), "orders"), code.NotRunStopping)
+	})
+}
+
 func TestUnknownDatabaseIsRefusedAtOnceWithAYoungPlan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
