--- a/process/lease/row_test.go
+++ b/process/lease/row_test.go
@@ -29,3 +29,20 @@
 	_, err = lease.Decode("g", record.New("g", []byte("{")).WithVersion(1))
 	is.True(err != nil)
 }
+
+// FuzzDecode feeds rows of other writers to Decode, which must not panic.
+func FuzzDecode(f *testing.F) {
+	r, err := lease.New("g").WithClaim("host-1", time.Minute).WithOrder("b").Row()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(r.Value)
+	f.Add([]byte(`{"Holder":7,"Token":1e30}`))
+	f.Add([]byte("\x00\xff"))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		l, err := lease.Decode("g", record.New("g", value).WithVersion(1))
+		if err == nil && l.Group != "g" {
+			t.Errorf("lease of the group %q", l.Group)
+		}
+	})
+}
