--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -99,7 +99,8 @@
 // lines of the settings' bounds.
 func (s *soakRun) addHostIn(name, zone string, zones int, store, cloud, bounds string) {
 	h := &host{name: name, output: &bytes.Buffer{}, settingsFile: filepath.Join(s.t.TempDir(), "boot.toml")}
-	proxy, err := faulty.New(store)
+	// The kernel would give a port of its own to another connection while the proxy refuses.
+	proxy, err := faulty.New(store, faulty.WithAddress(fmt.Sprintf("127.0.0.1:%d", freePort(s.t))))
 	if err != nil {
 		s.t.Fatal(err)
 	}
