--- a/standin/soak/config_test.go
+++ b/standin/soak/config_test.go
@@ -135,8 +135,9 @@
 		return ""
 	}
 	answer = strings.TrimSpace(answer)
+	words := strings.Fields(answer)
 	r.configMu.Lock()
-	r.answers[strings.Join(strings.Fields(answer)[:min(2, len(strings.Fields(answer)))], " ")]++
+	r.answers[strings.Join(words[:min(2, len(words))], " ")]++
 	r.configMu.Unlock()
 	return answer
 }
@@ -173,7 +174,8 @@
 		return
 	}
 	if version > newest-keptRoutes {
-		if answer := r.ask(h, fmt.Sprint("extra-", version)); isUnknown(answer) && r.inTouch(h, sent) && !r.removed(version) {
+		answer := r.ask(h, fmt.Sprint("extra-", version))
+		if answer != "" && !strings.HasPrefix(answer, "READY") && r.inTouch(h, sent) && !r.removed(version) {
 			r.violate(h, sent, version, answer)
 		}
 	}
