--- a/process/follow/rule_test.go
+++ b/process/follow/rule_test.go
@@ -14,6 +14,19 @@
 	"github.com/pistachiotray/pistachiotray/process/ranks"
 )
 
+// The kinds of faults of a random run.
+const (
+	hostsFrozen = iota
+	hostsCutFromStore
+	hostsCutFromHosts
+	hostsIsolated
+	hostsSlow
+	connectionsSilent
+	hostsRestarted
+	storeSilent
+	faultKinds
+)
+
 // disturb disturbs a host until the time span has passed. The function set sets the disturbance,
 // and ends it if its argument is false; both are called with the lock held.
 func (s *system) disturb(n *node, span time.Duration, set func(on bool)) {
@@ -38,38 +51,38 @@
 			hit = append(hit, s.nodes[info.Host])
 		}
 	}
-	kind := s.random.IntN(8)
+	kind := s.random.IntN(faultKinds)
 	for _, n := range hit {
 		switch kind {
-		case 0:
+		case hostsFrozen:
 			s.disturb(n, span, func(on bool) { n.frozen = on })
-		case 1:
+		case hostsCutFromStore:
 			s.disturb(n, span, func(on bool) { n.cutFromStore = on })
-		case 2:
+		case hostsCutFromHosts:
 			s.disturb(n, span, func(on bool) { n.cutFromHosts = on })
-		case 3:
+		case hostsIsolated:
 			s.disturb(n, span, func(on bool) { n.cutFromHosts, n.cutFromStore = on, on })
-		case 4:
+		case hostsSlow:
 			s.disturb(n, span, func(on bool) {
 				n.delay = 0
 				if on {
 					n.delay = 1200 * time.Millisecond
 				}
 			})
-		case 5:
+		case connectionsSilent:
 			s.disturb(n, 0, func(bool) {
 				for w := range n.wires {
 					w.silent = true
 				}
 			})
-		case 6:
+		case hostsRestarted:
 			if n.up {
 				s.kill(n)
 				time.AfterFunc(span/3, func() { s.start(n.info) })
 			}
 		}
 	}
-	if kind == 7 {
+	if kind == storeSilent {
 		s.silenceStore(span)
 	}
 }
--- a/process/follow/system_test.go
+++ b/process/follow/system_test.go
@@ -89,7 +89,7 @@
 	storeDisturbed time.Time
 	// routes is the text of the configuration's routes.
 	routes []byte
-	calls  int
+	// late holds the hosts that broke the rule.
 	late   map[string]bool
 	closed bool
 }
@@ -340,9 +340,6 @@
 	over := time.After(wait)
 	for {
 		s.mu.Lock()
-		if wait > 0 || after == 0 {
-			s.calls++
-		}
 		silent, changed, at := n.storeSilent(), s.changed, stamp.New(1, s.version)
 		rows := slices.Collect(maps.Values(s.rows[table]))
 		s.mu.Unlock()
