--- a/standin/soak/port_test.go
+++ b/standin/soak/port_test.go
@@ -3,8 +3,13 @@
 import (
 	"fmt"
 	"net"
+	"os/exec"
 	"sync"
+	"syscall"
 	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
 )
 
 const (
@@ -28,7 +33,9 @@
 var ports portBlocks
 
 // freePort returns a TCP port of loopback that no other call returns, in this process or
-// another test process, and that was free at the time of the call.
+// another test process, and on which nothing listened at the time of the call. It asks by
+// connecting, since a listener that it opened would be inherited by processes that start
+// meanwhile, until they run their own program, and a host could not listen on the port.
 func freePort(t *testing.T) int {
 	t.Helper()
 	ports.mu.Lock()
@@ -36,10 +43,13 @@
 	for ports.next < ports.end || ports.takeBlock() {
 		port := ports.next
 		ports.next++
-		if l, err := listenOn(port); err == nil {
-			_ = l.Close()
+		c, err := net.Dial("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			return port
 		}
+		if err == nil {
+			_ = c.Close()
+		}
 	}
 	t.Fatal("no free port")
 	return 0
@@ -62,3 +72,30 @@
 func listenOn(port int) (net.Listener, error) {
 	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 }
+
+// A port that was handed out must be free for a host while other processes start, which hold
+// copies of this process's listeners for a moment.
+func TestFreePortIsFreeWhileProcessesStart(t *testing.T) {
+	is := is.New(t)
+	stop := make(chan struct{})
+	var starting sync.WaitGroup
+	for range 4 {
+		starting.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command("true").Run()
+				}
+			}
+		})
+	}
+	defer starting.Wait()
+	defer close(stop)
+	for range 300 {
+		l, err := listenOn(freePort(t))
+		is.NoErr(err)
+		defer func() { _ = l.Close() }()
+	}
+}
