Tell customers apart by their keys, with connections of their own

Callers are now identified by the key in START and again when each operation begins. A connection to a target is opened in a customer's name and serves only that customer, also when it is lent. Deployments whose configuration has no customers are served as before.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -31,6 +31,9 @@
 	ID string
 	// Database is the database name that the caller asked for.
 	Database string
+	// Customer is the name of the customer for which the session works, empty if callers
+	// are not told apart. Targets and other hosts are told the name.
+	Customer string
 	// Status is the state of the session's transaction; see package reply.
 	Status byte
 	// Floor is the log position of the session's newest commit. FloorAt is when that
@@ -41,6 +44,9 @@
 	// values are sorted by name.
 	values   []sessionValue
 	prepared map[string]prepared
+	// key identifies the customer. It is unexported so that it is neither logged nor
+	// sent to other hosts.
+	key string
 }
 
 // New returns a session without values, outside of a transaction.
@@ -48,6 +54,23 @@
 	return Caller{ID: id, Database: database, Status: reply.Idle}
 }
 
+// WithKey returns the session with the key that its caller showed.
+func (c Caller) WithKey(key string) Caller {
+	c.key = key
+	return c
+}
+
+// Key returns the key that the caller showed.
+func (c Caller) Key() string {
+	return c.key
+}
+
+// WithCustomer returns the session working for the named customer.
+func (c Caller) WithCustomer(name string) Caller {
+	c.Customer = name
+	return c
+}
+
 // WithStatus returns the session with its transaction in another state.
 func (c Caller) WithStatus(status byte) Caller {
 	c.Status = status
--- a/connection/conn/conn.go
+++ b/connection/conn/conn.go
@@ -55,6 +55,9 @@
 type Conn struct {
 	// Target is the id of the target.
 	Target string
+	// Customer is the name of the customer for which the connection was opened, empty if
+	// it serves callers that are not told apart.
+	Customer string
 	// LastUsed is when the connection was last returned to its pool, as time since
 	// the machine started.
 	LastUsed time.Duration
@@ -84,6 +87,12 @@
 	return cn
 }
 
+// WithCustomer returns an option that sets the customer for which the connection was
+// opened.
+func WithCustomer(name string) func(*Conn) {
+	return func(cn *Conn) { cn.Customer = name }
+}
+
 // WithHost returns an option for a connection that is borrowed from a host. The host
 // sets the callers' values on the connection.
 func WithHost(h remoteHost) func(*Conn) {
@@ -105,6 +114,9 @@
 		replies, err := cn.host.Run(ctx, c, batch)
 		return replies, wrap.If(err, "Lane.Run")
 	}
+	if c.Customer != "" && c.Customer != cn.Customer {
+		return nil, errors.Errorf("Lane.Run: the connection belongs to customer %q, not %q", cn.Customer, c.Customer)
+	}
 	steps := cn.setup(c, batch)
 	n := len(steps)
 	for _, s := range batch {
--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -49,6 +49,9 @@
 	Target string
 	// Host is the name of the asking host, in a request with the verb Confirm.
 	Host string
+	// Customer is the name of the customer for which Take and TakeFresh need a connection,
+	// empty if any connection serves.
+	Customer string
 	// Priority is the route's priority. Batches with a lower number get a connection
 	// first.
 	Priority int
@@ -116,7 +119,7 @@
 // the whole request.
 func New(verb int, b batch.Batch, limit time.Duration) Parcel {
 	p := Parcel{
-		Verb: verb, Priority: b.Priority, Keep: b.Keep, Stages: b.Stages, Prepared: b.Prepared(),
+		Verb: verb, Customer: b.Caller.Customer, Priority: b.Priority, Keep: b.Keep, Stages: b.Stages, Prepared: b.Prepared(),
 		WaitMs: b.Wait.Milliseconds(), TimeMs: limit.Milliseconds(), MaxAgeMs: b.MaxAge.Milliseconds(),
 	}
 	b.Caller.Values(func(name, value string) {
@@ -131,7 +134,7 @@
 // Batch returns the batch in a request. Its Caller has only the values and the
 // prepared statements that the batch needs.
 func (p Parcel) Batch() batch.Batch {
-	var c caller.Caller
+	c := caller.Caller{}.WithCustomer(p.Customer)
 	for name, value := range p.Values {
 		c = c.WithValue(name, value)
 	}
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -74,7 +74,7 @@
 	if !answer.Kept {
 		return answer.Replies, nil, nil
 	}
-	return answer.Replies, conn.New(t.ID, nil, conn.WithHost(r)), nil
+	return answer.Replies, conn.New(t.ID, nil, conn.WithHost(r), conn.WithCustomer(b.Caller.Customer)), nil
 }
 
 // refusal returns the fault in an answer as an error, or nil if there is none. The
--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -155,14 +155,23 @@
 	return r.read(ctx, group, rt, s)
 }
 
-// route returns the route in force for the session's database, and the route's group.
-// If the route or its group does not exist, the group is nil and the reply is the
-// refusal of the statement.
+// route returns the route in force for the session's database, and the route's group. It sets
+// the customer for which the session works from now on. If the route or its group does not
+// exist, or the session's key belongs to no customer any more, the group is nil and the reply
+// is the refusal of the statement.
 func (r *Runner) route() (route.Route, *rset.ReplicaSet, reply.Reply) {
-	rt, ok := r.catalog.Plan().Route(r.caller.Database)
+	p := r.catalog.Plan()
+	rt, ok := p.Route(r.caller.Database)
 	if !ok {
 		return rt, nil, reply.Refuse(code.UnknownDatabase, r.caller.Database)
 	}
+	customer, ok := p.Identify(rt, r.caller.Key())
+	if !ok {
+		return rt, nil, reply.Refuse(code.UnknownKey, "the key is not in force")
+	}
+	if r.caller = r.caller.WithCustomer(customer.Name); customer.Name != "" {
+		r.addLogFields(zap.String("Customer", customer.Name))
+	}
 	r.addLogFields(zap.String("Group", rt.Group))
 	group, ok := r.catalog.ReplicaSet(rt.Group)
 	if !ok {
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -86,6 +86,9 @@
 	if tx.conn != nil {
 		return reply.Reply{}, true
 	}
+	if customer, ok := r.catalog.Plan().Identify(tx.route, r.caller.Key()); !ok || customer.Name != r.caller.Customer {
+		return reply.Refuse(code.UnknownKey, "the key is not in force"), false
+	}
 	var last reply.Reply
 	ts := targetSearch{group: tx.group, tried: map[string]bool{}}
 	for {
--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -216,6 +216,13 @@
 	return int(xxhash.Sum64String(t.ID+"/"+as.self) % uint64(max(n, 1)))
 }
 
+// CustomerIndex returns the index of the host that is asked first for a customer's
+// connections among n lenders of a target. It is the same at all hosts, so that each
+// customer has its connections at few lenders.
+func (as Assignment) CustomerIndex(t target.Target, customer string, n int) int {
+	return int(xxhash.Sum64String(t.ID+"/customer/"+customer) % uint64(max(n, 1)))
+}
+
 // LatencyPenalty returns a function that returns by how much longer a statement takes to
 // a target in a zone than to one in the host's own zone. regions maps each zone to its
 // region.
--- a/process/conns/grow.go
+++ b/process/conns/grow.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/connection/conn"
 )
 
 // grow starts to open connections for waiting calls. Up to this host's share,
-// it opens them at once; beyond the share, one per growPause, and beyond the
-// number crowd one per crowdedGrowPause. It never exceeds the limit; the caller holds the lock.
+// it opens them at once; beyond the share, it first closes idle connections that serve
+// none of these calls, and then opens one per growPause, and beyond the number crowd one
+// per crowdedGrowPause. It never exceeds the limit; the caller holds the lock.
 func (p *Pool) grow() {
 	if p.closed || len(p.waiting) == 0 {
 		return
@@ -19,8 +23,16 @@
 		p.growLater(p.pausedUntil - now)
 		return
 	}
-	for p.openingCount < len(p.waiting) && p.openCount+p.openingCount < p.limit {
-		if p.openCount+p.openingCount >= p.share {
+	for {
+		customer, ok := p.nextCustomer()
+		if !ok {
+			return
+		}
+		replaced := p.openCount+p.openingCount >= p.share && p.closeIdleOfOthers(customer)
+		if p.openCount+p.openingCount >= p.limit {
+			return
+		}
+		if !replaced && p.openCount+p.openingCount >= p.share {
 			if now < p.nextGrowth || p.openingCount > 0 {
 				p.growLater(max(p.nextGrowth-now, growPause/2))
 				return
@@ -28,8 +40,41 @@
 			p.nextGrowth = now + p.growthPause()
 		}
 		p.openingCount++
-		go p.openOne()
+		p.opening[customer]++
+		go p.openOne(customer)
+	}
+}
+
+// nextCustomer returns the customer of the first waiting call for which no connection is
+// being opened, and false if there is none; the caller holds the lock.
+func (p *Pool) nextCustomer() (string, bool) {
+	waiting := map[string]int{}
+	for _, w := range p.waiting {
+		customer := w.caller.Customer
+		if waiting[customer]++; waiting[customer] > p.opening[customer] {
+			return customer, true
+		}
+	}
+	return "", false
+}
+
+// closeIdleOfOthers closes the connection that has been idle for longest among those of
+// other customers. It returns false if there is none; the caller holds the lock.
+func (p *Pool) closeIdleOfOthers(customer string) bool {
+	i := slices.IndexFunc(p.idle, func(cn *conn.Conn) bool { return cn.Customer != customer })
+	if customer == "" || i < 0 {
+		return false
 	}
+	p.openCount--
+	p.idle[i].Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return true
+}
+
+// hasCustomers reports whether connections are idle that belong to a customer; the
+// caller holds the lock.
+func (p *Pool) hasCustomers() bool {
+	return slices.ContainsFunc(p.idle, func(cn *conn.Conn) bool { return cn.Customer != "" })
 }
 
 // growthPause returns the pause after a connection that is opened beyond the share;
@@ -56,17 +101,21 @@
 	})
 }
 
-// openOne opens a connection and passes it to the first waiting call. If the
+// openOne opens a connection for a customer and passes it to the first waiting call that it
+// serves. If the
 // target is full, no other connection is opened for fullPause, and the waiting
 // calls fail only if this host has no open connection to the target. After any
 // other error, all waiting calls fail.
-func (p *Pool) openOne() {
+func (p *Pool) openOne(customer string) {
 	ctx, stop := context.WithTimeout(context.Background(), openTimeout)
 	defer stop()
-	cn, err := p.open(ctx)
+	cn, err := p.open(ctx, customer)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openingCount--
+	if p.opening[customer]--; p.opening[customer] == 0 {
+		delete(p.opening, customer)
+	}
 	switch {
 	case err == nil && p.closed:
 		cn.Close()
--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -46,6 +46,9 @@
 	// minIdle is how many idle connections Trim keeps regardless of how long
 	// they were idle.
 	minIdle = 1
+	// customerIdle is how long a connection may be idle if connections belong to
+	// customers, each of which uses its own more rarely.
+	customerIdle = 30 * time.Second
 )
 
 // ErrTargetFull is returned when the target accepts no more connections.
@@ -59,8 +62,9 @@
 // removed.
 var ErrClosed = errors.New("the target is gone")
 
-// opener opens a connection to the target.
-type opener func(ctx context.Context) (*conn.Conn, error)
+// opener opens a connection to the target for a customer, or for any caller if
+// customer is empty.
+type opener func(ctx context.Context, customer string) (*conn.Conn, error)
 
 // waiter is a call of Take that waits for a connection.
 type waiter struct {
@@ -92,6 +96,8 @@
 	// that are being opened.
 	openCount    int
 	openingCount int
+	// opening holds the number of connections that are being opened for each customer.
+	opening map[string]int
 	// lost is described at Lost. opened is set once a connection was opened.
 	lost   uint64
 	opened bool
@@ -117,8 +123,8 @@
 
 // New returns an empty pool of up to limit connections. The clock now must
 // never return 0, which the pool's fields use for "not set".
-func New(limit int, now func() time.Duration, open func(ctx context.Context) (*conn.Conn, error)) *Pool {
-	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]time.Duration{}}
+func New(limit int, now func() time.Duration, open func(ctx context.Context, customer string) (*conn.Conn, error)) *Pool {
+	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]time.Duration{}, opening: map[string]int{}}
 }
 
 // SetLimit sets the maximum number of open connections. Connections that are
@@ -139,8 +145,8 @@
 	p.crowd = max(crowd, p.share)
 }
 
-// Take returns a connection, preferably one that already carries the caller's
-// session values. Of the waiting calls, the one with the lowest priority number
+// Take returns a connection of the caller's customer, preferably one that already
+// carries the caller's session values. A caller without a customer takes any connection. Of the waiting calls, the one with the lowest priority number
 // is served first. Take returns the context's error if the context ends first,
 // ErrBusy if no connection is expected to be free in time, ErrClosed if the
 // pool is closed, and the error of a failed attempt to open a connection.
@@ -215,13 +221,21 @@
 	p.waiting = slices.Insert(p.waiting, i, w)
 }
 
+// serves reports whether a connection may run the statements of a caller.
+func serves(cn *conn.Conn, c caller.Caller) bool {
+	return c.Customer == "" || c.Customer == cn.Customer
+}
+
 // takeIdle takes the idle connection whose session values differ least from the
-// caller's, preferring the one used last. It returns nil if none is idle; the
-// caller holds the lock.
+// caller's, preferring the one used last. It returns nil if none of the caller's
+// customer is idle; the caller holds the lock.
 func (p *Pool) takeIdle(c caller.Caller) *conn.Conn {
 	p.closeBroken()
 	best, distance := -1, 0
 	for i := len(p.idle) - 1; i >= 0; i-- {
+		if !serves(p.idle[i], c) {
+			continue
+		}
 		if d := p.idle[i].SetupSteps(c); best < 0 || d < distance {
 			best, distance = i, d
 		}
@@ -271,18 +285,20 @@
 }
 
 // handOver passes a connection that is new or was put back to the first waiting
-// call, or adds it to the idle ones if no call waits; the caller holds the
-// lock.
+// call that it serves. If there is none, it becomes idle, and makes room for another
+// customer's connection if that customer's calls wait; the caller holds the lock.
 func (p *Pool) handOver(cn *conn.Conn) {
 	p.recordUse(cn)
-	if len(p.waiting) == 0 {
+	i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return serves(cn, w.caller) })
+	if i < 0 {
 		delete(p.inUse, cn)
 		cn.LastUsed = p.now()
 		p.idle = append(p.idle, cn)
+		p.grow()
 		return
 	}
-	w := p.waiting[0]
-	p.waiting = slices.Delete(p.waiting, 0, 1)
+	w := p.waiting[i]
+	p.waiting = slices.Delete(p.waiting, i, i+1)
 	p.inUse[cn] = p.now()
 	w.granted <- grant{conn: cn}
 }
@@ -334,6 +350,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeBroken()
+	if p.hasCustomers() {
+		d = max(d, customerIdle)
+	}
 	for len(p.idle) > minIdle {
 		if p.openCount > p.share {
 			d = spareIdle
--- a/process/conns/pool_test.go
+++ b/process/conns/pool_test.go
@@ -38,8 +38,8 @@
 
 // openAfter returns a function that waits for d, adds 1 to n and returns a new
 // connection.
-func openAfter(d time.Duration, n *atomic.Int64) func(context.Context) (*conn.Conn, error) {
-	return func(context.Context) (*conn.Conn, error) {
+func openAfter(d time.Duration, n *atomic.Int64) func(context.Context, string) (*conn.Conn, error) {
+	return func(context.Context, string) (*conn.Conn, error) {
 		time.Sleep(d)
 		n.Add(1)
 		return conn.New("t", &link{}), nil
@@ -114,7 +114,7 @@
 func TestUnreachableTargetFailsAllWaiters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		p := conns.New(4, clock(), func(context.Context) (*conn.Conn, error) { return nil, syscall.ECONNREFUSED })
+		p := conns.New(4, clock(), func(context.Context, string) (*conn.Conn, error) { return nil, syscall.ECONNREFUSED })
 		_, err := p.Take(context.Background(), noCaller, 0)
 		is.True(errors.Is(err, syscall.ECONNREFUSED))
 	})
@@ -126,11 +126,11 @@
 		var full atomic.Bool
 		full.Store(true)
 		var opened atomic.Int64
-		p := conns.New(4, clock(), func(ctx context.Context) (*conn.Conn, error) {
+		p := conns.New(4, clock(), func(ctx context.Context, _ string) (*conn.Conn, error) {
 			if full.Load() && opened.Load() > 0 {
 				return nil, conns.ErrTargetFull
 			}
-			return openAfter(0, &opened)(ctx)
+			return openAfter(0, &opened)(ctx, "")
 		})
 		first, err := p.Take(context.Background(), noCaller, 0)
 		is.NoErr(err)
--- a/process/lookup/lookup.go
+++ b/process/lookup/lookup.go
@@ -79,26 +79,32 @@
 	return &Lookup{log: log, plans: p, mirror: m, follower: f, table: table, refresh: refresh, now: now}
 }
 
-// Check returns code.Done if a database has a route, and otherwise the code and the reason with
-// which to refuse a caller. A plan that is older than it gets in operation may lack a route that
-// was added since: it is read again before the database is unknown.
-func (l *Lookup) Check(ctx context.Context, database string) (c code.Code, reason string) {
-	c, reason = l.inPlan(ctx, database)
-	if c != code.UnknownDatabase || l.current() {
+// Check returns code.Done if a database has a route and the key may use it, and otherwise the code
+// and the reason with which to refuse a caller. A plan that is older than it gets in operation may
+// lack a route or a key that was added since: it is read again before either is unknown.
+func (l *Lookup) Check(ctx context.Context, database, key string) (c code.Code, reason string) {
+	c, reason = l.inPlan(ctx, database, key)
+	if !unknown(c) || l.current() {
 		return c, reason
 	}
 	if err := l.awaitRefresh(ctx); err != nil {
 		return code.NotRunOldPlan, database
 	}
-	c, reason = l.inPlan(ctx, database)
-	if c == code.UnknownDatabase && !l.current() {
+	c, reason = l.inPlan(ctx, database, key)
+	if unknown(c) && !l.current() {
 		c = code.NotRunOldPlan
 	}
 	return c, reason
 }
 
-// inPlan returns whether the plan has a route for a database, as Check does.
-func (l *Lookup) inPlan(ctx context.Context, database string) (c code.Code, reason string) {
+// unknown reports whether a code rests on what the plan lacks.
+func unknown(c code.Code) bool {
+	return c == code.UnknownDatabase || c == code.UnknownKey
+}
+
+// inPlan returns whether the plan has a route for a database that a key may use, as Check
+// does. The reason never holds the key.
+func (l *Lookup) inPlan(ctx context.Context, database, key string) (c code.Code, reason string) {
 	ctx, stop := context.WithTimeout(ctx, planTimeout)
 	defer stop()
 	has, err := l.plans.HasDatabase(ctx, database)
@@ -108,6 +114,14 @@
 	case !has:
 		return code.UnknownDatabase, database
 	}
+	p := l.plans.Plan()
+	rt, ok := p.Route(database)
+	if !ok {
+		return code.UnknownDatabase, database
+	}
+	if _, ok := p.Identify(rt, key); !ok {
+		return code.UnknownKey, database
+	}
 	return code.Done, ""
 }
 
--- a/process/lookup/lookup_test.go
+++ b/process/lookup/lookup_test.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/version/cust"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 	"github.com/pistachiotray/pistachiotray/version/route"
 )
@@ -92,7 +93,7 @@
 
 // answer returns the code with which a Lookup answers.
 func answer(l *lookup.Lookup, database string) code.Code {
-	c, _ := l.Check(context.Background(), database)
+	c, _ := l.Check(context.Background(), database, "")
 	return c
 }
 
@@ -169,3 +170,25 @@
 		is.Equal(answer(l, "added"), code.Done)
 	})
 }
+
+// A key that was added since must not be refused with an old plan, one that was dropped must be.
+func TestKeyIsUnknownOnlyWithAPresentPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost()
+		h.learn("orders", 7, "front-1")
+		h.plan = h.plan.WithCustomers(cust.New("bakery", "old"))
+		l := h.lookup()
+		check := func(key string) code.Code {
+			c, reason := l.Check(context.Background(), "orders", key)
+			is.True(reason != key)
+			return c
+		}
+		is.Equal(check("old"), code.Done)
+		is.Equal(check("new"), code.UnknownKey)
+		time.Sleep(maxAge + time.Millisecond)
+		h.failure = errors.New("the store is away")
+		is.Equal(check("new"), code.NotRunOldPlan)
+		is.Equal(check("old"), code.Done)
+	})
+}
--- a/process/rset/address_test.go
+++ b/process/rset/address_test.go
@@ -24,7 +24,7 @@
 // the machine accepts connections, but opening one finds the wrong target.
 type reusedAddress struct{ opened atomic.Int64 }
 
-func (r *reusedAddress) Open(context.Context, target.Target) (*conn.Conn, error) {
+func (r *reusedAddress) Open(context.Context, target.Target, string) (*conn.Conn, error) {
 	r.opened.Add(1)
 	return nil, errors.Wrap(code.NotRunWrongTarget, "i-other")
 }
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -279,7 +279,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), openProbeTimeout)
 	defer stop()
-	cn, err := rs.dialer.Open(ctx, t)
+	cn, err := rs.dialer.Open(ctx, t, "")
 	if err == nil {
 		cn.Close()
 		rs.noteOpen(t.ID, nil)
--- a/process/rset/leader.go
+++ b/process/rset/leader.go
@@ -218,7 +218,7 @@
 // ReportUnregistered runs a command at a target that is not registered, on a connection
 // of its own, and returns the target's report.
 func (rs *ReplicaSet) ReportUnregistered(ctx context.Context, t target.Target, s stmt.Stmt) (report.Report, error) {
-	cn, err := rs.dialer.Open(ctx, t)
+	cn, err := rs.dialer.Open(ctx, t, "")
 	if err != nil {
 		return report.Report{}, err
 	}
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -47,9 +47,9 @@
 
 // dialer opens connections to targets.
 type dialer interface {
-	// Open opens a connection to a target. It returns conns.ErrTargetFull when
-	// the target accepts no more connections.
-	Open(ctx context.Context, t target.Target) (*conn.Conn, error)
+	// Open opens a connection to a target for a customer, or for any caller if customer
+	// is empty. It returns conns.ErrTargetFull when the target accepts no more connections.
+	Open(ctx context.Context, t target.Target, customer string) (*conn.Conn, error)
 	// Reach returns nil if the target's machine accepts connections, and an
 	// error otherwise.
 	Reach(ctx context.Context, t target.Target) error
@@ -305,8 +305,8 @@
 	if !ok {
 		ts = &targetState{cancels: map[uint64]func(){}}
 		opened := t
-		ts.pool = conns.New(rs.maxConns, rs.now, func(ctx context.Context) (*conn.Conn, error) {
-			cn, err := rs.dialer.Open(ctx, opened)
+		ts.pool = conns.New(rs.maxConns, rs.now, func(ctx context.Context, customer string) (*conn.Conn, error) {
+			cn, err := rs.dialer.Open(ctx, opened, customer)
 			rs.noteOpen(opened.ID, err)
 			return cn, err
 		})
--- a/process/rset/take.go
+++ b/process/rset/take.go
@@ -41,6 +41,9 @@
 		return nil, nil, err
 	}
 	t, direct, lenders, first := ts.target, ts.direct, ts.lenders, ts.firstLender
+	if b.Caller.Customer != "" {
+		first = rs.assignment.CustomerIndex(t, b.Caller.Customer, len(lenders))
+	}
 	rs.mu.Unlock()
 	if !direct {
 		replies, cn, err := rs.doBorrowed(ctx, t, b, lenders, first)
--- a/request/code/code.go
+++ b/request/code/code.go
@@ -85,6 +85,8 @@
 	// TooManyCallers refuses a connection that would exceed the limit of connections
 	// to a host or target.
 	TooManyCallers Code = 307
+	// UnknownKey refuses a caller or a request whose key belongs to no customer.
+	UnknownKey Code = 308
 )
 
 // description describes one code.
@@ -144,6 +146,7 @@
 	UnknownDatabase:   {"UnknownDatabase", stateInvalidCatalogName, "no such database group", "check the name"},
 	NotSupported:      {"NotSupported", stateNotSupported, "this feature cannot be pooled", "see docs/OPERATIONS.md"},
 	SlowCaller:        {"SlowCaller", stateTooManyConnections, "the caller does not read its answer", "read answers as they come"},
+	UnknownKey:        {"UnknownKey", stateInvalidAuthorization, "the key belongs to no customer", "check the key"},
 	TooManyCallers:    {"TooManyCallers", stateTooManyConnections, "over the host's limit of callers", "connect later or elsewhere"},
 }
 
--- a/standin/qgroup/view.go
+++ b/standin/qgroup/view.go
@@ -19,7 +19,7 @@
 // From returns the group as seen from one host. The host can't reach the members
 // that SetPartitioned separates from it.
 func (g *Group) From(host int) interface {
-	Open(ctx context.Context, t target.Target) (*conn.Conn, error)
+	Open(ctx context.Context, t target.Target, customer string) (*conn.Conn, error)
 	Connect(ctx context.Context, t target.Target) (*connection, error)
 	Reach(ctx context.Context, t target.Target) error
 } {
@@ -39,12 +39,12 @@
 }
 
 // Open opens a connection to a member.
-func (v *view) Open(ctx context.Context, t target.Target) (*conn.Conn, error) {
+func (v *view) Open(ctx context.Context, t target.Target, customer string) (*conn.Conn, error) {
 	c, err := v.Connect(ctx, t)
 	if err != nil {
 		return nil, err
 	}
-	return conn.New(t.ID, c), nil
+	return conn.New(t.ID, c, conn.WithCustomer(customer)), nil
 }
 
 // Connect opens a connection to a member, without session values or prepared
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiotray/pistachiotray/version/cust"
 	"github.com/pistachiotray/pistachiotray/version/route"
 )
 
@@ -23,6 +24,10 @@
 	// maxConnections holds, by the name of the group, the limit on the connections to
 	// each target of the group.
 	maxConnections map[string]int
+	// customers holds the customers by name, and keys the names of their customers by
+	// key. Both are nil if the plan knows no customers, so that every caller is served.
+	customers map[string]cust.Customer
+	keys      map[string]string
 }
 
 // New returns an empty plan with a version number.
@@ -56,6 +61,26 @@
 	return p
 }
 
+// WithCustomers returns the plan with customers, which may be none. From then on callers need the key
+// of a customer, except on public routes. If several customers have the same name or
+// the same key, the first one counts.
+func (p Plan) WithCustomers(customers ...cust.Customer) Plan {
+	p.customers = make(map[string]cust.Customer, len(customers))
+	p.keys = make(map[string]string, len(customers))
+	for _, c := range customers {
+		if _, ok := p.customers[c.Name]; ok {
+			continue
+		}
+		p.customers[c.Name] = c
+		c.EachKey(func(key string) {
+			if _, ok := p.keys[key]; !ok {
+				p.keys[key] = c.Name
+			}
+		})
+	}
+	return p
+}
+
 // WithTransactionIdle returns the plan with another idle limit for
 // transactions.
 func (p Plan) WithTransactionIdle(d time.Duration) Plan {
@@ -69,6 +94,33 @@
 	return r, ok
 }
 
+// HasCustomers reports whether callers are told apart by the keys of customers.
+func (p Plan) HasCustomers() bool {
+	return p.customers != nil
+}
+
+// Customers returns the customers in no particular order.
+func (p Plan) Customers() []cust.Customer {
+	return slices.Collect(maps.Values(p.customers))
+}
+
+// CustomerNamed returns the customer with a name and reports whether there is one.
+func (p Plan) CustomerNamed(name string) (cust.Customer, bool) {
+	c, ok := p.customers[name]
+	return c, ok
+}
+
+// Identify returns the customer for which a caller with a key works on a route. The
+// customer is zero if the plan knows no customers or the route is public. Identify
+// returns false if the key is needed and belongs to no customer.
+func (p Plan) Identify(rt route.Route, key string) (cust.Customer, bool) {
+	if !p.HasCustomers() || rt.Public {
+		return cust.Customer{}, true
+	}
+	name, ok := p.keys[key]
+	return p.customers[name], ok
+}
+
 // MaxConnections returns the limit on the connections to each target of a group, from
 // all hosts together. It returns 0 for an unknown group.
 func (p Plan) MaxConnections(group string) int {
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -34,6 +34,8 @@
 	LatencyObjective time.Duration
 	// Priority orders waiting statements; the lowest number is served first.
 	Priority int
+	// Public means that callers need no key of a customer.
+	Public bool
 }
 
 // New returns a route from a database to a group.
@@ -55,6 +57,12 @@
 	return r
 }
 
+// WithPublic returns the route with Public set to public.
+func (r Route) WithPublic(public bool) Route {
+	r.Public = public
+	return r
+}
+
 // WithPriority returns the route with another priority.
 func (r Route) WithPriority(priority int) Route {
 	r.Priority = priority
