--- a/process/rset/problem.go
+++ b/process/rset/problem.go
@@ -23,6 +23,10 @@
 	// replaced: registrations take that long to arrive, and a search takes
 	// several rounds.
 	unknownAfter = 1200 * time.Millisecond
+	// farHostPatience is how much longer a host waits that connects to no target of the
+	// group. The hosts that do are enough to replace a leader, and each host that tries
+	// asks the store repeatedly.
+	farHostPatience = 1500 * time.Millisecond
 	// A leader counts as stalled once minStalledWrites writes have gone
 	// unanswered and stalledAfter has passed since the first of them was
 	// reported.
@@ -49,13 +53,13 @@
 	switch {
 	case !ok && len(rs.states) > 0:
 		rs.startSearch()
-		return LeaderUnknown, rs.leaderlessSince != 0 && now-rs.leaderlessSince >= unknownAfter, true
+		return LeaderUnknown, rs.leaderlessSince != 0 && now-rs.leaderlessSince >= unknownAfter+rs.patience(), true
 	case !ok:
 		return "", false, false
 	case ts.target.Leaving:
 		return LeaderLeaving, true, true
 	case ts.failingSince != 0:
-		return LeaderSilent, rs.isDown(ts), true
+		return LeaderSilent, rs.isDown(ts) && now-ts.failingSince >= rs.patience(), true
 	case rs.stalledSince != 0:
 		return LeaderStalled, rs.stalledWrites >= minStalledWrites && now-rs.stalledSince >= stalledAfter, true
 	case rs.lagHandoverDue(now):
@@ -64,6 +68,17 @@
 	return "", false, false
 }
 
+// patience returns how much longer than others this host waits before it replaces a leader;
+// the caller holds the lock.
+func (rs *ReplicaSet) patience() time.Duration {
+	for _, ts := range rs.states {
+		if ts.direct {
+			return 0
+		}
+	}
+	return farHostPatience
+}
+
 // LeaderOverdue reports whether it is pointless to let callers wait for a
 // leader: no leader has answered for longer than overdueAfter, or the leader
 // answers but its drain time has passed.
