Open connections of public routes in the host's name only

The pool gives a caller without a customer any connection, which is meant for statements of the proxy itself. Callers of public routes are now told apart like a customer's, and the dialer tells targets the host's name for them.

--- a/version/cust/customer.go
+++ b/version/cust/customer.go
@@ -4,6 +4,10 @@
 
 import "slices"
 
+// Public is the name that stands for the callers of public routes among customers. Targets are
+// told the host's name instead. No customer has this name, since it is not one word.
+const Public = "public routes"
+
 // Customer is a party whose callers share a limit. A Customer is immutable.
 type Customer struct {
 	// Name identifies the customer. Targets are told the name.
@@ -41,6 +45,15 @@
 	return c.Rate > 0
 }
 
+// NameAtTarget returns the name that a host tells a target for a connection of a customer: the
+// host's own name for public routes, and where callers are not told apart.
+func NameAtTarget(customer, host string) string {
+	if customer == "" || customer == Public {
+		return host
+	}
+	return customer
+}
+
 // EachKey calls f with each key of the customer.
 func (c Customer) EachKey(f func(key string)) {
 	for _, k := range c.keys {
--- a/version/cust/customer_test.go
+++ b/version/cust/customer_test.go
@@ -12,3 +12,8 @@
 	fmt.Println(unlimited.Limited(), limited.Limited(), limited.Rate, limited.Burst)
 	// Output: false true 10 20
 }
+
+func ExampleNameAtTarget() {
+	fmt.Println(cust.NameAtTarget("bakery", "host-1"), cust.NameAtTarget("", "host-1"), cust.NameAtTarget(cust.Public, "host-1"))
+	// Output: bakery host-1 host-1
+}
--- a/version/plan/customers_test.go
+++ b/version/plan/customers_test.go
@@ -26,7 +26,8 @@
 		"second customer of a name":      {p, private, "k4", "", false},
 		"no key":                         {p, private, "", "", false},
 		"name is no key":                 {p, private, "bakery", "", false},
-		"public route":                   {p, public, "k3", "", true},
+		"public route":                   {p, public, "k3", cust.Public, true},
+		"public route without customers": {plan.New(1), public, "k3", "", true},
 		"deployment without customers":   {plan.New(1), private, "anything", "", true},
 		"all customers were taken away":  {p.WithCustomers(), private, "k1", "", false},
 		"key of a plan that it replaced": {p.WithCustomers(cust.New("bakery", "k2")), private, "k1", "", false},
@@ -39,3 +40,13 @@
 		})
 	}
 }
+
+// A connection must not be closed as that of a customer that is gone while its route is public.
+func TestPublicRoutesHaveNoLimit(t *testing.T) {
+	is := is.New(t)
+	c, ok := plan.New(1).WithCustomers(cust.New("bakery", "k1")).CustomerNamed(cust.Public)
+	is.True(ok)
+	is.True(!c.Limited())
+	_, ok = plan.New(1).CustomerNamed(cust.Public)
+	is.True(!ok)
+}
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -104,18 +104,25 @@
 	return slices.Collect(maps.Values(p.customers))
 }
 
-// CustomerNamed returns the customer with a name and reports whether there is one.
+// CustomerNamed returns the customer with a name and reports whether there is one. If the plan
+// knows customers, cust.Public names one without a limit.
 func (p Plan) CustomerNamed(name string) (cust.Customer, bool) {
+	if name == cust.Public && p.HasCustomers() {
+		return cust.New(name), true
+	}
 	c, ok := p.customers[name]
 	return c, ok
 }
 
 // Identify returns the customer for which a caller with a key works on a route. The
-// customer is zero if the plan knows no customers or the route is public. Identify
-// returns false if the key is needed and belongs to no customer.
+// customer is zero if the plan knows no customers, and has the name cust.Public if the
+// route is public. Identify returns false if the key is needed and belongs to no customer.
 func (p Plan) Identify(rt route.Route, key string) (cust.Customer, bool) {
-	if !p.HasCustomers() || rt.Public {
+	switch {
+	case !p.HasCustomers():
 		return cust.Customer{}, true
+	case rt.Public:
+		return cust.New(cust.Public), true
 	}
 	name, ok := p.keys[key]
 	return p.customers[name], ok
