--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -86,9 +86,12 @@
 	if tx.conn != nil {
 		return reply.Reply{}, true
 	}
-	if customer, ok := r.catalog.Plan().Identify(tx.route, r.caller.Key()); !ok || customer.Name != r.caller.Customer {
+	customer, ok := r.catalog.Plan().Identify(tx.route, r.caller.Key())
+	if !ok {
 		return reply.Refuse(code.UnknownKey, "the key is not in force"), false
 	}
+	// The key may have moved to another customer since BEGIN.
+	r.caller = r.caller.WithCustomer(customer.Name)
 	var last reply.Reply
 	ts := targetSearch{group: tx.group, tried: map[string]bool{}}
 	for {
