Soak: customers with keys that come, go and move

TestSoak and TestSoakConfiguration give half of their seeds customers. Stand-ins for targets record the name of each connection and the names under which each statement arrived. New checks: statements arrive only under the customer that holds the session's key; no key that no version held is served; at hosts in touch a key that was taken away runs nothing after ConfigApplyMs, also in open sessions, and an added one is not refused; no host logs a key.

--- a/standin/platd/member.go
+++ b/standin/platd/member.go
@@ -128,12 +128,12 @@
 		if err != nil {
 			return
 		}
-		go serveMember(ctx, c, g, t)
+		go s.serveMember(ctx, c, g, t)
 	}
 }
 
 // serveMember serves one connection to a member until either side closes it.
-func serveMember(ctx context.Context, c net.Conn, g *qgroup.Group, t target.Target) {
+func (s *Server) serveMember(ctx context.Context, c net.Conn, g *qgroup.Group, t target.Target) {
 	defer func() { _ = c.Close() }()
 	lineScanner := bufio.NewScanner(c)
 	if !lineScanner.Scan() {
@@ -144,6 +144,8 @@
 		_, _ = c.Write(lines.AppendError(nil, code.NotRunWrongTarget, t.ID))
 		return
 	}
+	name := fields[2]
+	s.recordConnection(name)
 	conn, err := g.From(0).Connect(ctx, t)
 	switch {
 	case errors.Is(err, conns.ErrTargetFull):
@@ -166,7 +168,7 @@
 		return
 	}
 	for lineScanner.Scan() {
-		answer, ok := answerLine(ctx, conn, lineScanner.Text())
+		answer, ok := s.answerLine(ctx, conn, name, lineScanner.Text())
 		if !ok {
 			return
 		}
@@ -176,17 +178,19 @@
 	}
 }
 
-// answerLine runs the statement in one line and returns the encoded answer. It
-// returns false if the connection must be closed without an answer.
-func answerLine(ctx context.Context, conn connection, line string) ([]byte, bool) {
+// answerLine runs the statement in one line, which arrived on a connection with the given
+// name, and returns the encoded answer. It returns false if the connection must be closed
+// without an answer.
+func (s *Server) answerLine(ctx context.Context, conn connection, name, line string) ([]byte, bool) {
 	rest, ok := strings.CutPrefix(line, "QUERY ")
 	id, text, _ := strings.Cut(rest, " ")
 	if !ok {
 		return nil, false
 	}
-	s := query.Parse(id, text)
-	if s.Kind == stmt.Pause || s.Kind == stmt.Resume || s.Kind == stmt.Status || s.Kind == stmt.Demote {
-		r, err := conn.Report(ctx, s)
+	s.recordStatement(id, name)
+	st := query.Parse(id, text)
+	if st.Kind == stmt.Pause || st.Kind == stmt.Resume || st.Kind == stmt.Status || st.Kind == stmt.Demote {
+		r, err := conn.Report(ctx, st)
 		if err != nil {
 			return nil, false
 		}
@@ -197,7 +201,7 @@
 		row := fmt.Sprintf("%s %d %d.%d %d 0 0 0", role, r.Term, r.Received.Term, r.Received.Position, r.Held)
 		return lines.AppendReply(nil, reply.Reply{Rows: []string{row}, Signature: reply.NoSignature, Status: reply.Idle, Mark: r.Received}), true
 	}
-	replies, err := conn.Run(ctx, []stmt.Stmt{s})
+	replies, err := conn.Run(ctx, []stmt.Stmt{st})
 	if err != nil {
 		return nil, false
 	}
--- a/standin/platd/server.go
+++ b/standin/platd/server.go
@@ -30,7 +30,7 @@
 
 // Server simulates a platform with one table store and some database groups.
 type Server struct {
-	// mu guards the fields up to groups.
+	// mu guards the fields up to groups, and connections and statementNames.
 	mu        sync.Mutex
 	startTime time.Time
 	// rows holds the present rows by table and key.
@@ -58,7 +58,11 @@
 	promotion promotion
 	// addresses holds the registered addresses of the members by target ID.
 	addresses map[string]string
-	listeners []net.Listener
+	// connections counts the connections to members by the name in START, and
+	// statementNames holds the names under which each statement arrived by its ID.
+	connections    map[string]int
+	statementNames map[string][]string
+	listeners      []net.Listener
 	// proxyFor returns the address to register for the address on which a member
 	// listens.
 	proxyFor func(address string) string
@@ -72,7 +76,7 @@
 	return &Server{
 		startTime: time.Now(), rows: map[[2]string]row{}, era: 1, changed: make(chan struct{}),
 		groups: map[string]*qgroup.Group{}, registered: map[string]registration{}, addresses: map[string]string{}, proxyFor: func(address string) string { return address },
-		closed: make(chan struct{}),
+		connections: map[string]int{}, statementNames: map[string][]string{}, closed: make(chan struct{}),
 	}
 }
 
--- a/standin/soak/config_test.go
+++ b/standin/soak/config_test.go
@@ -88,9 +88,18 @@
 	for i := range r.large {
 		add(fmt.Sprintf("standing-%d-%x", i, rand.N(1<<32)))
 	}
-	r.platform.Put("op", "config", map[string]any{
-		"Version": version, "Routes": routes, "Services": []any{map[string]any{"Name": "g", "MaxConnections": 64}}, "Limits": map[string]any{"TransactionIdleMs": 2000},
-	})
+	config := map[string]any{
+		"Version": version, "Services": []any{map[string]any{"Name": "g", "MaxConnections": 64}}, "Limits": map[string]any{"TransactionIdleMs": 2000},
+	}
+	if r.customers {
+		add(standingRoute)
+		config["Tenants"] = tenants(version)
+	}
+	config["Routes"] = routes
+	r.mu.Lock()
+	r.version = version
+	r.mu.Unlock()
+	r.platform.Put("op", "config", config)
 	r.acked = append(r.acked, time.Now())
 }
 
@@ -119,15 +128,24 @@
 	return r.starts[h.name]
 }
 
+// askRoute starts a session of a route with a key that all versions hold.
+func (r *configRun) askRoute(h *host, version int) string {
+	key := "u"
+	if r.customers {
+		key = newKey("steady", version)
+	}
+	return r.ask(h, fmt.Sprint("extra-", version), key)
+}
+
 // ask starts a session at a host and returns the answer, empty if there was none.
-func (r *configRun) ask(h *host, database string) string {
+func (r *configRun) ask(h *host, database, key string) string {
 	conn, err := net.DialTimeout("tcp", h.front, probeTimeout)
 	if err != nil {
 		return ""
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(probeTimeout))
-	if _, err := fmt.Fprintf(conn, "START %s u\r\n", database); err != nil {
+	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", database, key); err != nil {
 		return ""
 	}
 	answer, err := bufio.NewReader(conn).ReadString('\n')
@@ -152,7 +170,7 @@
 			seen, start = 0, s
 		}
 		_, newest := r.required(time.Now())
-		if answer := r.ask(h, fmt.Sprint("extra-", newest)); strings.HasPrefix(answer, "READY") && newest > seen {
+		if answer := r.askRoute(h, newest); strings.HasPrefix(answer, "READY") && newest > seen {
 			seen, seenAt = newest, time.Now()
 		}
 		sent := time.Now()
@@ -160,7 +178,7 @@
 		r.check(h, sent, version, newest)
 		sent = time.Now()
 		if seen > newest-keptRoutes && seen > 0 && sent.Sub(seenAt) > downgradeSlack {
-			if answer := r.ask(h, fmt.Sprint("extra-", seen)); isUnknown(answer) && r.starting(h) == start && !r.removed(seen) {
+			if answer := r.askRoute(h, seen); isUnknown(answer) && r.starting(h) == start && !r.removed(seen) {
 				r.addViolation("CONFIG: %s answered %q for the route of version %d, which it had served %v before", h.name, answer, seen, sent.Sub(seenAt))
 			}
 		}
@@ -174,13 +192,13 @@
 		return
 	}
 	if version > newest-keptRoutes {
-		answer := r.ask(h, fmt.Sprint("extra-", version))
+		answer := r.askRoute(h, version)
 		if answer != "" && !strings.HasPrefix(answer, "READY") && r.inTouch(h, sent) && !r.removed(version) {
 			r.violate(h, sent, version, answer)
 		}
 	}
 	if gone := version - keptRoutes; gone > 0 {
-		if answer := r.ask(h, fmt.Sprint("extra-", gone)); strings.HasPrefix(answer, "READY") && r.inTouch(h, sent) {
+		if answer := r.askRoute(h, gone); strings.HasPrefix(answer, "READY") && r.inTouch(h, sent) {
 			r.violate(h, sent, version, answer)
 		}
 	}
@@ -340,9 +358,10 @@
 }
 
 // newConfigRun starts the hosts of a run.
-func newConfigRun(t *testing.T, program string, seed uint64, zones []int, length time.Duration) *configRun {
+func newConfigRun(t *testing.T, program string, seed uint64, zones []int, length time.Duration, customers bool) *configRun {
 	t.Helper()
 	r := &configRun{zones: zones, disturbed: map[string]time.Time{}, starts: map[string]int{}, answers: map[string]int{}}
+	r.customers, r.operations = customers, map[string]operation{}
 	if seed%3 == 0 {
 		r.large = largeConfiguration
 	}
@@ -372,6 +391,9 @@
 	var done sync.WaitGroup
 	for _, h := range r.hosts {
 		done.Go(func() { r.probe(h) })
+		if r.customers {
+			done.Go(func() { r.probeKeys(h) })
+		}
 	}
 	changes := rand.New(rand.NewPCG(r.random.Uint64(), 2))
 	done.Go(func() {
@@ -388,6 +410,7 @@
 		_ = h.process.Wait()
 		h.storeProxy.Close()
 	}
+	r.checkNames()
 }
 
 // spread returns how long after its acknowledgement each change came into force on the hosts,
@@ -420,8 +443,8 @@
 	if len(all) == 0 {
 		r.t.Fatal("no change came into force")
 	}
-	r.t.Logf("seed %d: %d versions, in force after %v in the median, %v at the 99th percentile, %v at most; answers %v",
-		seed, len(r.acked), all[len(all)/2], all[len(all)*99/100], all[len(all)-1], r.answers)
+	r.t.Logf("seed %d: %d versions, in force after %v in the median, %v at the 99th percentile, %v at most; answers %v, %d statements refused for their key",
+		seed, len(r.acked), all[len(all)/2], all[len(all)*99/100], all[len(all)-1], r.answers, r.refusedKeys)
 	for _, v := range r.violations {
 		r.t.Error(v)
 	}
@@ -437,7 +460,8 @@
 
 // TestSoakConfiguration changes the configuration while hosts of a deployment in six zones are
 // disturbed. PISTACHIOTRAY_SOAK_CONFIG sets the number of seeds and makes the runs longer and
-// as large as strih-pool-grown, and PISTACHIOTRAY_SOAK_FROM sets the first one.
+// as large as strih-pool-grown, and PISTACHIOTRAY_SOAK_FROM sets the first one. The configurations
+// of seeds with odd numbers have customers, so that the run of one seed has them.
 func TestSoakConfiguration(t *testing.T) {
 	t.Parallel()
 	n, from, zones, length := 1, 1, shortZones, 25*time.Second
@@ -449,7 +473,7 @@
 		seed := uint64(from + i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			r := newConfigRun(t, program, seed, zones, length)
+			r := newConfigRun(t, program, seed, zones, length, seed%2 == 1)
 			r.play(r.injectFaults)
 			r.report(seed)
 		})
@@ -462,7 +486,7 @@
 	t.Parallel()
 	const seed, length = 1, 28 * time.Second
 	zones := []int{2, 12, 2}
-	r := newConfigRun(t, buildProgram(t), seed, zones, length)
+	r := newConfigRun(t, buildProgram(t), seed, zones, length, false)
 	r.play(func() {
 		time.Sleep(5 * time.Second)
 		ofZone := slices.DeleteFunc(slices.Clone(r.infos), func(h gossip.HostInfo) bool { return h.Zone != "zone-1" })
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -78,6 +78,12 @@
 	// version is the version of the newest configuration, which has the route
 	// "extra-VERSION".
 	version int
+	// customers means that the configurations have customers. operations holds what is known
+	// of each statement by its ID; it is nil in runs that don't check names. refusedKeys
+	// counts the statements that were refused in open sessions because of their key.
+	customers   bool
+	operations  map[string]operation
+	refusedKeys int
 	// violations holds the violations found. The tests of standin/qgroup describe
 	// the verdicts with which they begin.
 	violations []string
@@ -254,13 +260,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.platform.Put("op", "config", map[string]any{
-		"Version": s.version, "Routes": []any{route("orders", "primary"), route("log", "read_your_writes"), route(fmt.Sprint("extra-", s.version), "primary")},
-		"Services": []any{map[string]any{"Name": "g", "MaxConnections": 32}}, "Limits": map[string]any{"TransactionIdleMs": 2000},
-	})
+	routes := []any{route("orders", "primary"), route("log", "read_your_writes"), route(fmt.Sprint("extra-", s.version), "primary")}
+	config := map[string]any{
+		"Version": s.version, "Services": []any{map[string]any{"Name": "g", "MaxConnections": 32}}, "Limits": map[string]any{"TransactionIdleMs": 2000},
+	}
+	if s.customers {
+		public := route(publicRoute, "read_your_writes")
+		public["Public"] = true
+		routes, config["Tenants"] = append(routes, public), tenants(s.version)
+	}
+	config["Routes"] = routes
+	s.platform.Put("op", "config", config)
 }
 
-// checkConfiguration checks that every host serves the route of the newest
+// checkConfiguration checks that every host serves the route and the keys of the newest
 // configuration.
 func (s *soakRun) checkConfiguration() {
 	for i, h := range s.hosts {
@@ -270,7 +283,12 @@
 			continue
 		}
 		c := &session{run: s, conn: conn, reader: bufio.NewReader(conn)}
-		if got, _ := c.exchange(fmt.Sprintf("START extra-%d u", s.version)); got != "READY I -" {
+		key := "u"
+		if s.customers {
+			key = newKey("steady", 0)
+			s.checkKeys(h)
+		}
+		if got, _ := c.exchange(fmt.Sprintf("START extra-%d %s", s.version, key)); got != "READY I -" {
 			s.addViolation("CONFIG: host %d answered %q for the newest route", i, got)
 		}
 		c.close()
@@ -294,26 +312,41 @@
 	// newestOwn is the highest sequence number that was acknowledged on the present
 	// connection, or 0.
 	newestOwn int
-	// conn is the present connection, or nil.
-	conn   net.Conn
-	reader *bufio.Reader
+	// conn is the present connection, or nil. host is the name of its host, and key the key
+	// that started the session.
+	conn      net.Conn
+	reader    *bufio.Reader
+	host, key string
+	// refused means that a statement was refused because of the key.
+	refused bool
 }
 
 // connect opens a connection to a random host. The session uses this connection
 // until it breaks.
 func (c *session) connect() bool {
 	h := c.run.hosts[c.random.IntN(len(c.run.hosts))]
+	key := "u"
+	if c.database != publicRoute {
+		key = c.run.chooseKey(c.random)
+	}
+	got := c.connectTo(h, key)
+	c.run.checkAnswer(operation{h.name, key, 1, c.run.newest()}, got)
+	return got == "READY I -"
+}
+
+// connectTo opens a connection to a host with a key, and returns the answer to START, empty
+// if there was none. The session has no connection unless the answer is READY.
+func (c *session) connectTo(h *host, key string) string {
 	conn, err := net.DialTimeout("tcp", h.front, time.Second)
 	if err != nil {
-		return false
+		return ""
 	}
-	c.conn, c.reader, c.newestOwn = conn, bufio.NewReader(conn), 0
-	got, ok := c.exchange("START " + c.database + " u")
+	c.conn, c.reader, c.newestOwn, c.host, c.key, c.refused = conn, bufio.NewReader(conn), 0, h.name, key, false
+	got, ok := c.exchange("START " + c.database + " " + key)
 	if !ok || got != "READY I -" {
 		c.close()
-		return false
 	}
-	return true
+	return got
 }
 
 func (c *session) close() {
@@ -353,6 +386,13 @@
 	c.statements++
 	id := c.statementID()
 	got, ok := c.exchange("QUERY " + id + " " + text)
+	if c.run.operations != nil {
+		o := operation{host: c.host, key: c.key, from: 1}
+		c.run.record(id, o, ok)
+		o.to = c.run.newest()
+		c.run.checkAnswer(o, got)
+		c.refused = c.refused || strings.HasPrefix(got, "ERROR UNAUTH")
+	}
 	verb, _, _ := strings.Cut(text, " ")
 	if ok && (verb == "READ" || verb == "WRITE" || verb == "COMMIT") && strings.Contains(got, "COMPLETE ") && !strings.Contains(got, " "+id+"|") {
 		c.run.addViolation("MIXED: %s was answered %q", id, got)
@@ -370,6 +410,9 @@
 	defer c.close()
 	for c.run.ctx.Err() == nil {
 		time.Sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
+		if c.refused || c.run.customers && c.random.IntN(actionsPerKey) == 0 {
+			c.close()
+		}
 		if c.conn == nil && !c.connect() {
 			continue
 		}
@@ -513,6 +556,7 @@
 	s := &soakRun{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), program: program, ctx: ctx,
 		platform: platd.New(), group: qgroup.New("g", 3), newestAcked: map[string]int{}, ackedIDs: map[string]bool{},
+		customers: seed%2 == 0, operations: map[string]operation{},
 	}
 	if err := s.platform.Serve(serving, "g", s.group, platd.WithProxy(func(member string) string {
 		p, err := faulty.New(member)
@@ -541,8 +585,14 @@
 		if i%2 == 1 {
 			c.database = "log"
 		}
+		if s.customers && i == sessionCount-2 {
+			c.database = publicRoute
+		}
 		done.Go(c.play)
 	}
+	if s.customers {
+		done.Go(func() { s.changeKeys(rand.New(rand.NewPCG(seed, 2))) })
+	}
 	s.injectFaults()
 	done.Wait()
 	time.Sleep(settleTime)
@@ -558,6 +608,7 @@
 		p.Close()
 	}
 	s.platform.Close()
+	s.checkNames()
 	s.report(seed)
 }
 
@@ -587,17 +638,14 @@
 	117: "two restarts of one process overlapped in the test itself; one process was left behind and the run did not end",
 }
 
-// TestSoak runs a few seeds. PISTACHIOTRAY_SOAK sets another number of seeds, and
+// TestSoak runs a few seeds. The configurations of those with even numbers have customers. PISTACHIOTRAY_SOAK sets another number of seeds, and
 // PISTACHIOTRAY_SOAK_FROM the first one, as in
 // PISTACHIOTRAY_SOAK=50 PISTACHIOTRAY_SOAK_FROM=100 go test ./standin/soak -timeout 30m.
 func TestSoak(t *testing.T) {
 	const defaultSeeds, length = 2, 10 * time.Second
 	n, from := defaultSeeds, 1
 	byHand(&n, &from, "PISTACHIOTRAY_SOAK")
-	program := filepath.Join(t.TempDir(), "pistachiotray")
-	if output, err := exec.Command("go", "build", "-o", program, "../../cmd/pistachiotray").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, output)
-	}
+	program := buildProgram(t)
 	seeds := []uint64{}
 	for seed := range regressionSeeds {
 		seeds = append(seeds, seed)
