--- a/version/plan/customers_test.go
+++ b/version/plan/customers_test.go
@@ -25,6 +25,7 @@
 		"key of two customers":           {p, private, "k1", "bakery", true},
 		"second customer of a name":      {p, private, "k4", "", false},
 		"no key":                         {p, private, "", "", false},
+		"empty key of a customer":        {p.WithCustomers(cust.New("bakery", "")), private, "", "", false},
 		"name is no key":                 {p, private, "bakery", "", false},
 		"public route":                   {p, public, "k3", cust.Public, true},
 		"public route without customers": {plan.New(1), public, "k3", "", true},
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -63,7 +63,7 @@
 
 // WithCustomers returns the plan with customers, which may be none. From then on callers need the key
 // of a customer, except on public routes. If several customers have the same name or
-// the same key, the first one counts.
+// the same key, the first one counts. An empty key is no key.
 func (p Plan) WithCustomers(customers ...cust.Customer) Plan {
 	p.customers = make(map[string]cust.Customer, len(customers))
 	p.keys = make(map[string]string, len(customers))
@@ -73,7 +73,7 @@
 		}
 		p.customers[c.Name] = c
 		c.EachKey(func(key string) {
-			if _, ok := p.keys[key]; !ok {
+			if _, ok := p.keys[key]; !ok && key != "" {
 				p.keys[key] = c.Name
 			}
 		})
