Customers in counters, log lines and docs

Refusals of a key in open sessions carry the plan's version and age, as those at START do. The command story prints how the configuration had reached the host for both, and leaves out lines of other customers.

--- a/cmd/pistachiotray/story.go
+++ b/cmd/pistachiotray/story.go
@@ -11,7 +11,7 @@
 	return &cobra.Command{
 		Use:     "story ID|CALLER|DATABASE",
 		Short:   "Print the log lines about one request or target",
-		Long:    "Story reads log lines of any number of hosts from standard input. For a request, it prints\nthose that show how it ended, and what its hosts logged shortly before. For an acknowledged\ncommit, it adds what the host knew of the group, and each later replacement of its leader.\nFor a target, it prints the replacements in which the target was ordered to lead. For a caller\nor a database, it prints refusals, and how the configuration had reached the host before.",
+		Long:    "Story reads log lines of any number of hosts from standard input. For a request, it prints\nthose that show how it ended, and what its hosts logged shortly before. For an acknowledged\ncommit, it adds what the host knew of the group, and each later replacement of its leader.\nFor a target, it prints the replacements in which the target was ordered to lead. For a caller\nor a database, it prints refusals, and how the configuration had reached the host before, as it\ndoes for a request whose key belongs to no customer. Lines name the customer of a request.",
 		Example: "  cat host-*.log | pistachiotray story 7aab2b61007120b5",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, arguments []string) error {
--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -32,8 +32,9 @@
 
 // requestLog logs the outcomes of requests.
 type requestLog interface {
-	// Record logs the outcome of a statement. It never blocks.
-	Record(caller, database, id, outcome string, took time.Duration, fields ...zap.Field)
+	// Record logs and counts the outcome of a statement. customer is empty if callers
+	// are not told apart. It never blocks.
+	Record(caller, customer, database, id, outcome string, took time.Duration, fields ...zap.Field)
 }
 
 // Runner runs the statements of one session, one at a time.
@@ -46,6 +47,8 @@
 	requestLog requestLog
 	now        func() time.Duration
 	caller     caller.Caller
+	// planFields returns on what plan a refusal rests.
+	planFields func() []zap.Field
 	// tx is the open transaction, nil if there is none.
 	tx *transaction
 	// idleTimer ends the open transaction once it has been idle for too long.
@@ -72,8 +75,19 @@
 
 // New returns the runner of a new session. now returns the time since the
 // machine started, suspended time included.
-func New(c caller.Caller, ct catalog, log requestLog, now func() time.Duration) *Runner {
-	return &Runner{catalog: ct, requestLog: log, now: now, caller: c}
+func New(c caller.Caller, ct catalog, log requestLog, now func() time.Duration, options ...func(*Runner)) *Runner {
+	r := &Runner{catalog: ct, requestLog: log, now: now, caller: c}
+	r.planFields = func() []zap.Field { return []zap.Field{zap.Uint64("Plan", ct.Plan().Version)} }
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// WithPlanFields returns an option that sets the log fields of a refused key, which tell the
+// plan in force and how old it is.
+func WithPlanFields(f func() []zap.Field) func(*Runner) {
+	return func(r *Runner) { r.planFields = f }
 }
 
 // Run runs one statement and returns its reply. The context must end when the caller
@@ -92,7 +106,7 @@
 	}
 	answer.Status = r.caller.Status
 	if s.Kind == stmt.Read || s.Kind == stmt.Write || s.Kind == stmt.Execute || s.Kind == stmt.Commit || !answer.OK() {
-		r.requestLog.Record(r.caller.ID, r.caller.Database, s.ID, answer.Code.Name(), r.now()-s.Arrived, r.logFields...)
+		r.requestLog.Record(r.caller.ID, r.caller.Customer, r.caller.Database, s.ID, answer.Code.Name(), r.now()-s.Arrived, r.logFields...)
 	}
 	return answer
 }
@@ -167,11 +181,9 @@
 	}
 	customer, ok := p.Identify(rt, r.caller.Key())
 	if !ok {
-		return rt, nil, reply.Refuse(code.UnknownKey, "the key is not in force")
-	}
-	if r.caller = r.caller.WithCustomer(customer.Name); customer.Name != "" {
-		r.addLogFields(zap.String("Customer", customer.Name))
+		return rt, nil, r.refuseKey()
 	}
+	r.caller = r.caller.WithCustomer(customer.Name)
 	r.addLogFields(zap.String("Group", rt.Group))
 	group, ok := r.catalog.ReplicaSet(rt.Group)
 	if !ok {
@@ -180,6 +192,13 @@
 	return rt, group, reply.Reply{}
 }
 
+// refuseKey returns the refusal of a statement whose key belongs to no customer, and logs on
+// what plan that rests. The customer that is logged is the one that held the key before.
+func (r *Runner) refuseKey() reply.Reply {
+	r.addLogFields(r.planFields()...)
+	return reply.Refuse(code.UnknownKey, "the key is not in force")
+}
+
 // withTimeout bounds a statement by the route's timeout, counted from the
 // statement's arrival.
 func (r *Runner) withTimeout(ctx context.Context, s stmt.Stmt, rt route.Route) (context.Context, context.CancelFunc) {
@@ -204,7 +223,7 @@
 	if r.tx != tx {
 		return
 	}
-	r.requestLog.Record(r.caller.ID, r.caller.Database, "", "TransactionIdle", r.now()-tx.began)
+	r.requestLog.Record(r.caller.ID, r.caller.Customer, r.caller.Database, "", "TransactionIdle", r.now()-tx.began)
 	r.endTransaction(reply.Failed)
 }
 
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -88,7 +88,7 @@
 	}
 	customer, ok := r.catalog.Plan().Identify(tx.route, r.caller.Key())
 	if !ok {
-		return reply.Refuse(code.UnknownKey, "the key is not in force"), false
+		return r.refuseKey(), false
 	}
 	// The key may have moved to another customer since BEGIN.
 	r.caller = r.caller.WithCustomer(customer.Name)
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -30,13 +30,14 @@
 // code code.Done.
 const doneOutcome = "Done"
 
-// Meter counts statements by outcome and keeps a histogram of their durations
+// Meter counts statements by outcome, also for each customer, and keeps a histogram of their durations
 // for each database. It logs statements within its rate limits.
 type Meter struct {
 	log            *zap.Logger
 	mu             sync.Mutex
 	outcomes       map[string]int64
 	times          map[string]*hdrhistogram.Histogram
+	customers      tally
 	successLimiter *rate.Limiter
 	failureLimiter *rate.Limiter
 	// suppressed counts the statements that were not logged since the last log
@@ -47,17 +48,21 @@
 // New returns a Meter without counts.
 func New(log *zap.Logger) *Meter {
 	return &Meter{
-		log: log, outcomes: map[string]int64{}, times: map[string]*hdrhistogram.Histogram{},
+		log: log, outcomes: map[string]int64{}, times: map[string]*hdrhistogram.Histogram{}, customers: tally{},
 		successLimiter: rate.NewLimiter(successLogRate, successLogRate), failureLimiter: rate.NewLimiter(failureLogRate, failureLogRate),
 	}
 }
 
-// Record counts a finished statement, and logs it if the rate limits allow.
-func (m *Meter) Record(caller, database, id, outcome string, took time.Duration, fields ...zap.Field) {
-	suppressed, ok := m.count(database, outcome, took)
+// Record counts a finished statement, and logs it if the rate limits allow. customer is empty if
+// callers are not told apart.
+func (m *Meter) Record(caller, customer, database, id, outcome string, took time.Duration, fields ...zap.Field) {
+	suppressed, ok := m.count(customer, database, outcome, took)
 	if !ok {
 		return
 	}
+	if customer != "" {
+		fields = append(fields, zap.String("Customer", customer))
+	}
 	m.log.Info("statement", append([]zap.Field{
 		zap.String("ID", id), zap.String("Caller", caller), zap.String("Database", database),
 		zap.String("Outcome", outcome), zap.Duration("Took", took), zap.Int64("Suppressed", suppressed),
@@ -67,10 +72,11 @@
 // count counts a statement and reports whether to log it. If so, it also
 // returns the number of statements that were not logged since the last log
 // line.
-func (m *Meter) count(database, outcome string, took time.Duration) (int64, bool) {
+func (m *Meter) count(customer, database, outcome string, took time.Duration) (int64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.outcomes[outcome]++
+	m.customers.add(customer, outcome)
 	h, ok := m.times[database]
 	if !ok {
 		h = hdrhistogram.New(1, maxTime.Microseconds(), significantDigits)
@@ -93,7 +99,8 @@
 
 // Metrics returns the number of statements for each outcome and, for each
 // database, the number of statements and the quantiles of their durations in
-// milliseconds.
+// milliseconds. If callers are told apart, it also returns the number of statements for each
+// outcome of the customers with most statements, and of all others together.
 func (m *Meter) Metrics() any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -111,7 +118,8 @@
 		outcomes[name] = n
 	}
 	return struct {
-		Outcomes map[string]int64
-		TimesMs  map[string]quantiles
-	}{outcomes, times}
+		Outcomes  map[string]int64
+		TimesMs   map[string]quantiles
+		Customers map[string]map[string]int64 `json:",omitempty"`
+	}{outcomes, times, m.customers.largest(shownCustomers)}
 }
--- a/process/reqlog/requestlog.go
+++ b/process/reqlog/requestlog.go
@@ -104,7 +104,7 @@
 // these hosts from shortly before that may be related to it. For a commit that was
 // acknowledged, it adds what the host knew of the group then, and the replacements of
 // the group's leader since. For a target, it writes the replacements in which the target
-// was ordered to lead. For a refusal, it adds how the configuration had reached the host.
+// was ordered to lead. For a refusal, also of a key in an open session, it adds how the configuration had reached the host.
 // Members of a group follow on lines of their own. If lines were
 // unreadable, a last line states their number.
 func (rl *RequestLog) Write(w io.Writer) error {
@@ -130,13 +130,13 @@
 
 // relatesTo reports whether l may be related to a request, given the line that
 // reports the request's end: the same host logged l shortly before, and l does
-// not name another group or caller.
+// not name another group, caller or customer.
 func (l line) relatesTo(request line) bool {
 	age := request.at.Sub(l.at)
 	if l.host != request.host || age < 0 || age > relatedWithin {
 		return false
 	}
-	for _, name := range []string{"Group", "Caller"} {
+	for _, name := range []string{"Group", "Caller", "Customer"} {
 		if value, ok := l.fields[name]; ok && request.fields[name] != nil && value != request.fields[name] {
 			return false
 		}
--- a/process/reqlog/requestlog_test.go
+++ b/process/reqlog/requestlog_test.go
@@ -114,3 +114,24 @@
 	// 14:19:08.000 a copy of a table is late Age=3600 Silent=3400 Table="op" Upstream="b"
 	// 14:19:11.000 a caller refused Age=6600 Caller="a-7" Outcome="UnknownDatabase" Plan=4 Position=31 Reason="orders" Silent=6400 Upstream="b"
 }
+
+// keys holds the log lines of a session whose key was taken away.
+const keys = `{"Time":"2026-05-25T14:19:10Z","Host":"a","Message":"plan adopted","From":6,"To":7}
+{"Time":"2026-05-25T14:19:20Z","Host":"a","Message":"invalid customer left out","Plan":8,"Index":3,"Customer":"bakery"}
+{"Time":"2026-05-25T14:19:20Z","Host":"a","Message":"plan adopted","From":7,"To":8}
+{"Time":"2026-05-25T14:19:29Z","Host":"a","Message":"limit reached","Customer":"cafe"}
+{"Time":"2026-05-25T14:19:30Z","Host":"a","Message":"statement","ID":"q1","Caller":"a-1","Customer":"bakery","Outcome":"UnknownKey","Plan":8,"Age":12}
+{"Time":"2026-05-25T14:19:31Z","Host":"a","Message":"plan adopted","From":8,"To":9}
+`
+
+func ExampleRequestLog_Write_customer() {
+	rl, err := reqlog.New(strings.NewReader(keys), "q1")
+	if err != nil {
+		panic(err)
+	}
+	_ = rl.Write(os.Stdout)
+	// Output:
+	// 14:19:20.000 a invalid customer left out Customer="bakery" Index=3 Plan=8
+	// 14:19:20.000 a plan adopted From=7 To=8
+	// 14:19:30.000 a statement Age=12 Caller="a-1" Customer="bakery" ID="q1" Outcome="UnknownKey" Plan=8
+}
