Enforce customers' limits over all hosts

The limits of customers were not enforced. Each host now admits operations from token buckets whose rates and tokens it claims from one coordinating host, every 500 ms and when operations wait. Where the plan has no limited customer, no message is sent.

--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -7,6 +7,8 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/batch"
 	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/process/award"
+	"github.com/pistachiotray/pistachiotray/process/claim"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
@@ -37,6 +39,8 @@
 	// Confirm asks whether the other host confirms to Host that Target leads Group, and knows
 	// of no replacement of it. The answer has a Fault if it does not.
 	Confirm
+	// Quota claims the asking host's shares of the customers' limits.
+	Quota
 )
 
 // Parcel is a request or an answer. It is encoded by encoding/gob, which writes
@@ -92,6 +96,9 @@
 	News   []delta.Delta
 	Packed []byte
 	HeldMs int64
+	// Claim is the claim in a request with the verb Quota, and Award the answer to it.
+	Claim *claim.Claim
+	Award *award.Award
 	// Fault is the reason why the request failed, or empty.
 	Fault string
 }
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -17,6 +17,8 @@
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
+	"github.com/pistachiotray/pistachiotray/process/award"
+	"github.com/pistachiotray/pistachiotray/process/claim"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
@@ -44,11 +46,19 @@
 	Next(ctx context.Context, known map[string]stamp.Stamp) []delta.Delta
 }
 
+// quota divides the customers' limits among the hosts.
+type quota interface {
+	// Award answers a host's claim to its shares of the limits.
+	Award(c claim.Claim) award.Award
+}
+
 // Relay serves the hosts that borrow connections or follow the platform's tables.
 type Relay struct {
 	log    *zap.Logger
 	groups groups
 	news   news
+	// quota is nil if this host divides no limits.
+	quota quota
 	// lent counts the connections in use by other hosts.
 	lent     atomic.Int64
 	stopping atomic.Bool
@@ -57,8 +67,18 @@
 
 // New returns a relay that lends the connections of the groups and passes on the
 // changes of the platform's tables.
-func New(log *zap.Logger, g groups, n news) *Relay {
-	return &Relay{log: log, groups: g, news: n}
+func New(log *zap.Logger, g groups, n news, options ...func(*Relay)) *Relay {
+	r := &Relay{log: log, groups: g, news: n}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// WithQuota returns an option that makes the relay answer claims to shares of the customers'
+// limits.
+func WithQuota(q quota) func(*Relay) {
+	return func(r *Relay) { r.quota = q }
 }
 
 // Serve accepts connections of other hosts until the listener is closed.
@@ -141,6 +161,9 @@
 		return b.relay.acknowledged(p)
 	case p.Verb == parcel.Confirm:
 		return b.relay.confirm(p)
+	case p.Verb == parcel.Quota && p.Claim != nil && b.relay.quota != nil:
+		answer := b.relay.quota.Award(*p.Claim)
+		return parcel.Parcel{Award: &answer}
 	case p.Verb == parcel.Report && b.conn == nil && len(p.Stages) == 1 && len(p.Stages[0]) == 1:
 		return b.report(ctx, p)
 	}
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -18,6 +18,8 @@
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
+	"github.com/pistachiotray/pistachiotray/process/award"
+	"github.com/pistachiotray/pistachiotray/process/claim"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
@@ -134,6 +136,21 @@
 	return refusal(answer)
 }
 
+// Quota claims this host's shares of the customers' limits from the other host.
+func (r *Remote) Quota(ctx context.Context, c claim.Claim) (award.Award, error) {
+	answer, err := r.ask(ctx, parcel.Parcel{Verb: parcel.Quota, Claim: &c, TimeMs: timeLeft(ctx).Milliseconds()})
+	if err != nil {
+		return award.Award{}, errors.Wrap(err, "Remote.Quota")
+	}
+	if err := refusal(answer); err != nil {
+		return award.Award{}, errors.Wrap(err, "Remote.Quota")
+	}
+	if answer.Award == nil {
+		return award.Award{}, errors.New("Remote.Quota: the answer holds no award")
+	}
+	return *answer.Award, nil
+}
+
 // steadyConn is a connection whose deadline for reads moves with each read, by extend unless
 // that is 0.
 type steadyConn struct {
--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
+	"github.com/pistachiotray/pistachiotray/version/cust"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 	"github.com/pistachiotray/pistachiotray/version/route"
 )
@@ -36,6 +38,12 @@
 	Record(caller, database, id, outcome string, took time.Duration, fields ...zap.Field)
 }
 
+// admission decides whether an operation of a customer with a limit may run.
+type admission interface {
+	// Admit decides about one operation. If it may not run, Admit returns when to try again.
+	Admit(ctx context.Context, c cust.Customer) (ok bool, after time.Duration)
+}
+
 // Runner runs the statements of one session, one at a time.
 type Runner struct {
 	// mu guards the session against the timer that ends idle transactions, which
@@ -46,6 +54,10 @@
 	requestLog requestLog
 	now        func() time.Duration
 	caller     caller.Caller
+	// admission is nil if no customer is limited.
+	admission admission
+	// customer is the customer for which the session works.
+	customer cust.Customer
 	// tx is the open transaction, nil if there is none.
 	tx *transaction
 	// idleTimer ends the open transaction once it has been idle for too long.
@@ -72,8 +84,17 @@
 
 // New returns the runner of a new session. now returns the time since the
 // machine started, suspended time included.
-func New(c caller.Caller, ct catalog, log requestLog, now func() time.Duration) *Runner {
-	return &Runner{catalog: ct, requestLog: log, now: now, caller: c}
+func New(c caller.Caller, ct catalog, log requestLog, now func() time.Duration, options ...func(*Runner)) *Runner {
+	r := &Runner{catalog: ct, requestLog: log, now: now, caller: c}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// WithAdmission returns an option that sets who decides whether an operation may run.
+func WithAdmission(a admission) func(*Runner) {
+	return func(r *Runner) { r.admission = a }
 }
 
 // Run runs one statement and returns its reply. The context must end when the caller
@@ -115,7 +136,7 @@
 	case stmt.Deallocate:
 		r.caller = r.caller.WithoutPrepared(s.Name)
 	case stmt.Begin, stmt.BeginRead:
-		return r.begin(s)
+		return r.begin(ctx, s)
 	case stmt.Rollback:
 		r.endTransaction(reply.Idle)
 	case stmt.Commit:
@@ -146,6 +167,9 @@
 	}
 	ctx, stop := r.withTimeout(ctx, s, rt)
 	defer stop()
+	if refused, ok := r.admit(ctx); !ok {
+		return refused
+	}
 	switch {
 	case s.WritesData():
 		return r.write(ctx, group, rt, s)
@@ -169,6 +193,7 @@
 	if !ok {
 		return rt, nil, reply.Refuse(code.UnknownKey, "the key is not in force")
 	}
+	r.customer = customer
 	if r.caller = r.caller.WithCustomer(customer.Name); customer.Name != "" {
 		r.addLogFields(zap.String("Customer", customer.Name))
 	}
@@ -180,6 +205,19 @@
 	return rt, group, reply.Reply{}
 }
 
+// admit asks whether an operation of the session's customer may run now. If not, it returns
+// false and the refusal of the operation.
+func (r *Runner) admit(ctx context.Context) (reply.Reply, bool) {
+	if r.admission == nil || !r.customer.Limited() {
+		return reply.Reply{}, true
+	}
+	ok, after := r.admission.Admit(ctx, r.customer)
+	if ok {
+		return reply.Reply{}, true
+	}
+	return reply.Refuse(code.NotRunLimit, "over the limit of the customer, retry in "+strconv.FormatInt(max(after.Milliseconds(), 1), 10)+" ms"), false
+}
+
 // withTimeout bounds a statement by the route's timeout, counted from the
 // statement's arrival.
 func (r *Runner) withTimeout(ctx context.Context, s stmt.Stmt, rt route.Route) (context.Context, context.CancelFunc) {
--- a/connection/runner/tx.go
+++ b/connection/runner/tx.go
@@ -18,7 +18,7 @@
 
 // begin opens a transaction in the session. The transaction is begun at a target
 // only when its first statement arrives. It then keeps its connection until it ends.
-func (r *Runner) begin(s stmt.Stmt) reply.Reply {
+func (r *Runner) begin(ctx context.Context, s stmt.Stmt) reply.Reply {
 	if r.caller.Status != reply.Idle {
 		return reply.Refuse(code.BadMessage, "a transaction is open")
 	}
@@ -26,6 +26,9 @@
 	if group == nil {
 		return refusal
 	}
+	if refused, ok := r.admit(ctx); !ok {
+		return refused
+	}
 	r.tx = &transaction{group: group, route: rt, readOnly: s.Kind == stmt.BeginRead, began: s.Arrived, idleLimit: r.catalog.Plan().TransactionIdle}
 	r.caller = r.caller.WithStatus(reply.Open)
 	return reply.Done(reply.Open)
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -13,6 +13,8 @@
 	"github.com/pistachiotray/pistachiotray/connection/batch"
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/connection/remote"
+	"github.com/pistachiotray/pistachiotray/process/award"
+	"github.com/pistachiotray/pistachiotray/process/claim"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/skips"
@@ -132,6 +134,18 @@
 	})
 }
 
+// Quota claims this host's shares of the customers' limits from a host. The host is asked even
+// if it could not be reached lately.
+func (br *Borrower) Quota(ctx context.Context, c claim.Claim, h gossip.HostInfo) (award.Award, error) {
+	var answer award.Award
+	err := br.tryHost(ctx, h, func(r *remote.Remote) (bool, error) {
+		var err error
+		answer, err = r.Quota(ctx, c)
+		return false, err
+	})
+	return answer, err
+}
+
 // lenderWait returns how long a lending host may wait for a connection: at most
 // limit, and short enough for its answer to arrive before the context ends.
 func lenderWait(ctx context.Context, limit time.Duration) time.Duration {
--- /dev/null
+++ b/process/quota/coordinator.go
@@ -0,0 +1,254 @@
+// Package quota decides which part of each customer's limit every host may use. It is the
+// coordinator's side of the limits over all hosts; docs/design/quota.md describes it.
+package quota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiotray/pistachiotray/process/award"
+	"github.com/pistachiotray/pistachiotray/process/claim"
+	"github.com/pistachiotray/pistachiotray/version/cust"
+)
+
+const (
+	// interval is the time between two claims of a host where there are up to
+	// intervalHosts hosts. All times grow in proportion with more hosts, so that the
+	// coordinator gets the same number of claims.
+	interval      = 500 * time.Millisecond
+	intervalHosts = 100
+	// lifetime is how long a share is valid: four claims may get lost before a host is
+	// without shares.
+	lifetime = 2 * time.Second
+	// followTime is for how long a host counts as a follower after the award that it
+	// acknowledged last. One claim may get lost, and arrive late by a little.
+	followTime = 1300 * time.Millisecond
+	// knownMemory is the time within which the number of known hosts does not fall, since
+	// hosts that restart together are not known for a while.
+	knownMemory = 10 * time.Second
+)
+
+// limits looks up the customers of the plan in force.
+type limits interface {
+	// CustomerNamed returns the customer with a name and reports whether there is one.
+	CustomerNamed(name string) (cust.Customer, bool)
+}
+
+// Coordinator answers the claims of hosts with their shares of the customers' limits. Its
+// times are those of the caller's clock. It is not safe for concurrent use.
+type Coordinator struct {
+	era                    uint64
+	window, overage, slack float64
+	first                  string
+	known                  []knownCount
+	followers              map[string]*follower
+	accounts               map[string]*account
+	lastAt                 time.Duration
+	integratedAt           time.Duration
+	cleanShare, extraShare float64
+	cleanTotal, extraTotal float64
+	hosts                  int
+	whole                  bool
+}
+
+// knownCount is a number of known hosts and the last time at which it was seen.
+type knownCount struct {
+	hosts int
+	at    time.Duration
+}
+
+// follower is the state of one host that sent a claim.
+type follower struct {
+	start  uint64
+	number uint64
+	echo   time.Duration
+	// until is the end of the time for which the host has promised to follow only this
+	// coordinator. Before cleanAt another coordinator may count the host as well, and
+	// before extraAt several others.
+	until, cleanAt, extraAt time.Duration
+	entries                 map[string]*entry
+}
+
+// New returns a coordinator without followers. era identifies the process, and differs
+// from that of every other coordinator. The bounds are those of a window of five seconds,
+// with a tenth of overage and a slack of 20, unless an option sets others.
+func New(era uint64, options ...func(*Coordinator)) *Coordinator {
+	const (
+		window  = 5
+		overage = 0.1
+		slack   = 20
+	)
+	c := &Coordinator{era: era, window: window, overage: overage, slack: slack, followers: map[string]*follower{}, accounts: map[string]*account{}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// WithBound returns an option that sets what may run in a window: the limit times
+// 1 + overage, and slack operations.
+func WithBound(window time.Duration, overage, slack float64) func(*Coordinator) {
+	return func(c *Coordinator) {
+		c.window, c.overage, c.slack = window.Seconds(), overage, slack
+	}
+}
+
+// Order returns a host's place in the order in which hosts become the coordinator; the
+// lowest comes first.
+func Order(host string) uint64 {
+	return xxhash.Sum64String("quota/" + host)
+}
+
+// SetHosts sets the names of the live hosts. Before the first call no limit is handed out.
+func (c *Coordinator) SetHosts(now time.Duration, live []string) {
+	c.first = ""
+	for _, h := range live {
+		if c.first == "" || Order(h) < Order(c.first) {
+			c.first = h
+		}
+	}
+	c.noteKnown(now, len(live))
+}
+
+// noteKnown notes a number of known hosts, of which the largest counts for knownMemory.
+func (c *Coordinator) noteKnown(now time.Duration, hosts int) {
+	kept := c.known[:0]
+	c.hosts = hosts
+	for _, k := range c.known {
+		if k.hosts > hosts && now-k.at < knownMemory {
+			kept = append(kept, k)
+			c.hosts = max(c.hosts, k.hosts)
+		}
+	}
+	c.known = append(kept, knownCount{hosts, now})
+}
+
+// times returns the interval between two claims, the lifetime of shares and the time for
+// which a host counts as a follower.
+func (c *Coordinator) times() (every, valid, follows time.Duration) {
+	scale := func(d time.Duration) time.Duration {
+		return max(d, d*time.Duration(c.hosts)/intervalHosts)
+	}
+	return scale(interval), scale(lifetime), scale(followTime)
+}
+
+// Award answers a claim. Limits are those of the plan in force.
+func (c *Coordinator) Award(now time.Duration, cl claim.Claim, plan limits) award.Award {
+	c.noteKnown(now, cl.Known)
+	every, valid, follows := c.times()
+	c.lastAt = max(now, c.lastAt+1)
+	answer := award.New(c.era, c.lastAt, c.first).WithTimes(every, valid, follows+valid)
+	c.integrate(now)
+	f, ok := c.follow(now, cl, follows)
+	if !ok {
+		return answer
+	}
+	c.share(now)
+	c.forget(now, plan)
+	return answer.WithShares(!c.whole, c.divide(now, now+valid, f, cl, plan)...)
+}
+
+// follow takes note of a confirmed claim. It reports false for a claim that is not
+// confirmed or older than another one.
+func (c *Coordinator) follow(now time.Duration, cl claim.Claim, follows time.Duration) (*follower, bool) {
+	if cl.Era != c.era || cl.Echo <= 0 || cl.Echo > c.lastAt {
+		return nil, false
+	}
+	f, known := c.followers[cl.Host]
+	if !known {
+		f = &follower{entries: map[string]*entry{}}
+		c.followers[cl.Host] = f
+	}
+	if cl.Echo < f.echo || cl.Echo == f.echo && (cl.Start != f.start || cl.Number <= f.number) {
+		return nil, false
+	}
+	fresh := f.start != cl.Start
+	if fresh {
+		for _, e := range f.entries {
+			e.returned = -1
+		}
+	}
+	wasClean := !fresh && f.cleanAt <= now && now <= f.until
+	f.start, f.number, f.echo, f.until = cl.Start, cl.Number, cl.Echo, cl.Echo+follows
+	if !wasClean {
+		f.cleanAt = now + time.Duration(cl.CleanMs)*time.Millisecond
+	}
+	f.extraAt = now + time.Duration(cl.ExtraMs)*time.Millisecond
+	return f, true
+}
+
+// integrate adds up the shares of the limit over the time since the last call. Each host
+// counts only until its promise ends, however late the call comes.
+func (c *Coordinator) integrate(now time.Duration) {
+	since := c.integratedAt
+	c.integratedAt = max(now, since)
+	if c.hosts == 0 {
+		return
+	}
+	for _, f := range c.followers {
+		end := min(now, f.until)
+		clean := max(end-max(since, f.cleanAt), 0)
+		extra := max(min(end, f.cleanAt)-max(since, f.extraAt), 0)
+		c.cleanTotal += clean.Seconds() / float64(c.hosts)
+		c.extraTotal += extra.Seconds() / float64(c.hosts)
+	}
+}
+
+// share determines the shares of the limit that this coordinator may hand out now. Once
+// every known host follows it, no other coordinator can hand out anything, so that the
+// accounts of the hosts with others no longer matter.
+func (c *Coordinator) share(now time.Duration) {
+	following, clean, extra := 0, 0, 0
+	for _, f := range c.followers {
+		switch {
+		case f.until < now:
+			continue
+		case f.cleanAt <= now:
+			clean++
+		case f.extraAt <= now:
+			extra++
+		}
+		following++
+	}
+	c.whole = following >= c.hosts && c.hosts > 0
+	if c.whole {
+		for _, f := range c.followers {
+			if f.until >= now {
+				f.cleanAt, f.extraAt = min(f.cleanAt, now), min(f.extraAt, now)
+			}
+		}
+		clean, extra = following, 0
+	}
+	c.cleanShare, c.extraShare = 0, 0
+	if c.hosts > 0 {
+		c.cleanShare = min(float64(clean)/float64(c.hosts), 1)
+		c.extraShare = min(float64(extra)/float64(c.hosts), 1-c.cleanShare)
+	}
+}
+
+// forget drops what is kept of hosts that have been silent for long, and of customers that
+// are no longer in the plan.
+func (c *Coordinator) forget(now time.Duration, plan limits) {
+	for name, f := range c.followers {
+		if now-f.until < knownMemory {
+			continue
+		}
+		for customer := range f.entries {
+			if a, ok := c.accounts[customer]; ok {
+				a.remove(name)
+			}
+		}
+		delete(c.followers, name)
+	}
+	for name, a := range c.accounts {
+		if _, ok := plan.CustomerNamed(name); !ok && now-a.at > knownMemory {
+			delete(c.accounts, name)
+		}
+	}
+}
+
+// Share returns which part of the limits this coordinator may hand out, from 0 to 1.
+func (c *Coordinator) Share() float64 {
+	return c.cleanShare
+}
