--- a/process/bucket/buckets.go
+++ b/process/bucket/buckets.go
@@ -19,7 +19,7 @@
 	firstInterval = 500 * time.Millisecond
 	// firstAccount is for how long an earlier process of this host may still count at a
 	// coordinator, before a coordinator told another time.
-	firstAccount = 3300 * time.Millisecond
+	firstAccount = 2900 * time.Millisecond
 	// maxFailures is the number of failed claims in a row after which another coordinator
 	// is asked. One failure may be due to a connection that broke.
 	maxFailures = 2
@@ -43,6 +43,7 @@
 	failures int
 	era      uint64
 	echo     time.Duration
+	echoAt   time.Duration
 	interval time.Duration
 	account  time.Duration
 	// accounts holds the time until which each coordinator may count this host, by era,
@@ -121,7 +122,7 @@
 	}
 	clean, extra := bs.foreign(now)
 	bs.accounts[bs.era] = now + bs.account
-	return to, c.WithEcho(bs.era, bs.echo).WithAccounts(clean, extra).WithShares(bs.shares(now)...), true
+	return to, c.WithEcho(bs.era, bs.echo, now-bs.echoAt).WithAccounts(clean, extra).WithShares(bs.shares(now)...), true
 }
 
 // foreign returns for how long another coordinator may still count this host, and for how
@@ -174,7 +175,7 @@
 	if to != bs.current || a.Era != bs.era {
 		bs.move(now, to, a.Era)
 	}
-	bs.failures, bs.echo = 0, a.At
+	bs.failures, bs.echo, bs.echoAt = 0, a.At, now
 	bs.interval = time.Duration(a.IntervalMs) * time.Millisecond
 	bs.account = time.Duration(a.AccountMs) * time.Millisecond
 	if !a.Confirmed {
--- a/process/claim/claim.go
+++ b/process/claim/claim.go
@@ -20,6 +20,9 @@
 	// coordinator. A claim without them only asks for the Era.
 	Era  uint64
 	Echo time.Duration
+	// HeldMs is how long ago the host accepted that award when it sent the claim, in
+	// milliseconds.
+	HeldMs int64
 	// Known is how many hosts the host knows.
 	Known int
 	// CleanMs is for how long any other coordinator may still count this host as its
@@ -36,9 +39,9 @@
 	return Claim{Host: host, Start: start, Number: number}
 }
 
-// WithEcho returns the claim with the last accepted award.
-func (c Claim) WithEcho(era uint64, echo time.Duration) Claim {
-	c.Era, c.Echo = era, echo
+// WithEcho returns the claim with the last accepted award, which was accepted a time ago.
+func (c Claim) WithEcho(era uint64, echo, held time.Duration) Claim {
+	c.Era, c.Echo, c.HeldMs = era, echo, held.Milliseconds()
 	return c
 }
 
--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -36,9 +36,11 @@
 	// extraStock is for how many seconds the extra part may be saved up.
 	extraStock = 1
 	// gapPart is the part of overage and slack that is handed out while it is not known
-	// what is held on a host's account elsewhere, and stockPart the part that is added to
-	// the burst. The rest allows for operations that are admitted and run a little later.
-	gapPart   = 0.4
+	// what is held on a host's account elsewhere, and by a majority in place of silent
+	// hosts. Both can happen at once, the first for less than half of the hosts. stockPart
+	// is the part that is added to the burst. The rest, at least 5%, allows for operations
+	// that are admitted and run a little later.
+	gapPart   = 0.35
 	stockPart = 0.35
 )
 
@@ -90,6 +92,7 @@
 	at                  time.Duration
 	cleanTotal          float64
 	extraTotal          float64
+	majorTotal          float64
 	entries             map[string]*entry
 	rates, most, demand float64
 	// levels and gained give the most tokens that all hosts can have: levels, plus rates
@@ -159,16 +162,29 @@
 
 // budget returns the budget for a customer.
 func (c *Coordinator) budget(limit cust.Customer) budget {
-	spare := (limit.Rate*c.window+limit.Burst)*c.overage + c.slack
-	stock := max(limit.Burst+spare*stockPart, 1)
-	extra := c.extraRate(limit)
-	return budget{limit.Rate*c.cleanShare + extra*c.extraShare, stock*c.cleanShare + extra*extraStock*c.extraShare}
+	stock := max(limit.Burst+c.spare(limit)*stockPart, 1)
+	extra := c.extraRate(limit) * c.extraShare
+	if c.majority {
+		extra = c.majorRate(limit)
+	}
+	return budget{limit.Rate*c.cleanShare + extra, stock*c.cleanShare + min(extra*extraStock, stock*(1-c.cleanShare))}
+}
+
+// spare returns by how much a customer's limit may be exceeded in a window.
+func (c *Coordinator) spare(limit cust.Customer) float64 {
+	return (limit.Rate*c.window+limit.Burst)*c.overage + c.slack
 }
 
 // extraRate returns how many tokens per second may be handed out on the account of hosts
 // that another coordinator may count as well.
 func (c *Coordinator) extraRate(limit cust.Customer) float64 {
-	return ((limit.Rate*c.window+limit.Burst)*c.overage + c.slack) * gapPart / c.window
+	return c.spare(limit) * gapPart / c.window
+}
+
+// majorRate returns how many tokens per second a coordinator with a majority may hand out in
+// place of the shares of silent hosts.
+func (c *Coordinator) majorRate(limit cust.Customer) float64 {
+	return min(c.extraRate(limit), limit.Rate*(1-c.cleanShare))
 }
 
 // account returns a customer's account, with the tokens gained up to now. An account that
@@ -181,8 +197,8 @@
 	}
 	// The rates of holdings that have expired since the last call count for the whole time,
 	// which errs on the safe side.
-	a.tokens += limit.Rate*(c.cleanTotal-a.cleanTotal) + c.extraRate(limit)*(c.extraTotal-a.extraTotal) - a.rates*(now-a.at).Seconds()
-	a.at, a.cleanTotal, a.extraTotal = now, c.cleanTotal, c.extraTotal
+	a.tokens += limit.Rate*(c.cleanTotal-a.cleanTotal) + c.extraRate(limit)*(c.extraTotal-a.extraTotal) + c.majorRate(limit)*(c.majorTotal-a.majorTotal) - a.rates*(now-a.at).Seconds()
+	a.at, a.cleanTotal, a.extraTotal, a.majorTotal = now, c.cleanTotal, c.extraTotal, c.majorTotal
 	if now >= a.sweepAt {
 		a.sweep(now)
 	}
--- a/process/quota/coordinator.go
+++ b/process/quota/coordinator.go
@@ -21,9 +21,10 @@
 	// lifetime is how long a share is valid: four claims may get lost before a host is
 	// without shares.
 	lifetime = 2 * time.Second
-	// followTime is for how long a host counts as a follower after the award that it
-	// acknowledged last. One claim may get lost, and arrive late by a little.
-	followTime = 1300 * time.Millisecond
+	// followTime is for how long a host counts as a follower after it sent a claim. One
+	// claim may get lost and be sent again. While a lost coordinator may still count its
+	// followers, no other one has the limits, so this time is short.
+	followTime = 900 * time.Millisecond
 	// knownMemory is the time within which the number of known hosts does not fall, since
 	// hosts that restart together are not known for a while.
 	knownMemory = 10 * time.Second
@@ -46,10 +47,19 @@
 	accounts               map[string]*account
 	lastAt                 time.Duration
 	integratedAt           time.Duration
+	// cleanShare is the share of the known hosts that only this coordinator counts, and
+	// extraShare the share of those that one other coordinator may count.
 	cleanShare, extraShare float64
+	// cleanTotal and extraTotal are the shares added up over the time, in seconds.
 	cleanTotal, extraTotal float64
-	hosts                  int
-	whole                  bool
+	// majority means that most of the known hosts follow only this coordinator, so that no
+	// other one has a majority. majorTotal adds up the time, in seconds.
+	majority   bool
+	majorTotal float64
+	// hosts is the largest number of known hosts within knownMemory, and whole means that
+	// all of them follow this coordinator.
+	hosts int
+	whole bool
 }
 
 // knownCount is a number of known hosts and the last time at which it was seen.
@@ -170,7 +180,11 @@
 		}
 	}
 	wasClean := !fresh && f.cleanAt <= now && now <= f.until
-	f.start, f.number, f.echo, f.until = cl.Start, cl.Number, cl.Echo, cl.Echo+follows
+	f.start, f.number, f.echo = cl.Start, cl.Number, cl.Echo
+	// The host sent the claim no earlier than this after it got the award, so that its
+	// promise lasts longer, however late the claim arrives.
+	sent := min(cl.Echo+max(time.Duration(cl.HeldMs)*time.Millisecond, 0), now)
+	f.until = sent + follows
 	if !wasClean {
 		f.cleanAt = now + time.Duration(cl.CleanMs)*time.Millisecond
 	}
@@ -186,11 +200,19 @@
 	if c.hosts == 0 {
 		return
 	}
+	whole, clean, extra := 0, time.Duration(0), time.Duration(0)
 	for _, f := range c.followers {
 		end := min(now, f.until)
-		clean := max(end-max(since, f.cleanAt), 0)
-		extra := max(min(end, f.cleanAt)-max(since, f.extraAt), 0)
-		c.cleanTotal += clean.Seconds() / float64(c.hosts)
+		clean += max(end-max(since, f.cleanAt), 0)
+		extra += max(min(end, f.cleanAt)-max(since, f.extraAt), 0)
+		if f.cleanAt <= since && f.until >= now {
+			whole++
+		}
+	}
+	c.cleanTotal += clean.Seconds() / float64(c.hosts)
+	if 2*whole > c.hosts {
+		c.majorTotal += (c.integratedAt - since).Seconds()
+	} else {
 		c.extraTotal += extra.Seconds() / float64(c.hosts)
 	}
 }
@@ -225,6 +247,7 @@
 		c.cleanShare = min(float64(clean)/float64(c.hosts), 1)
 		c.extraShare = min(float64(extra)/float64(c.hosts), 1-c.cleanShare)
 	}
+	c.majority = 2*clean > c.hosts
 }
 
 // forget drops what is kept of hosts that have been silent for long, and of customers that
--- a/process/quota/simulation_test.go
+++ b/process/quota/simulation_test.go
@@ -25,6 +25,10 @@
 	claimGap     = 100 * time.Millisecond
 	claimTimeout = 300 * time.Millisecond
 	admitWait    = 250 * time.Millisecond
+
+	// lateClaims is the part of the claims lost in a partition that arrive late, after
+	// the host that sent them has given them up.
+	lateClaims = 0.3
 )
 
 // event is a function that runs at a time of the simulation. Events of equal times run in
@@ -59,13 +63,12 @@
 	frozenUntil time.Duration
 	buckets     *bucket.Buckets
 	coordinator *quota.Coordinator
-	// listed is the set of live hosts that the host knows.
-	listed  []string
-	busy    bool
-	asked   bool
-	turns   int
-	lastAsk time.Duration
-	waiting []*operation
+	plan        plan.Plan
+	busy        bool
+	asked       bool
+	turns       int
+	lastAsk     time.Duration
+	waiting     []*operation
 }
 
 // operation is one operation that waits for a share.
@@ -83,7 +86,6 @@
 	hosts  []*simHost
 	index  map[string]*simHost
 	side   []int
-	plan   plan.Plan
 	// wholeLimit makes every coordinator hand out the whole limit to every host.
 	wholeLimit bool
 	ran        map[string][]time.Duration
@@ -95,10 +97,10 @@
 func newFleet(n int, seed uint64, customers ...cust.Customer) *fleet {
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 7)), index: map[string]*simHost{}, side: make([]int, n),
-		plan: plan.New(1).WithCustomers(customers...), ran: map[string][]time.Duration{}, refused: map[string]int{}, offered: map[string]int{},
+		ran: map[string][]time.Duration{}, refused: map[string]int{}, offered: map[string]int{},
 	}
 	for i := range n {
-		h := &simHost{name: fmt.Sprintf("host-%03d", i), offset: time.Duration(f.random.Int64N(int64(time.Hour)))}
+		h := &simHost{name: fmt.Sprintf("host-%03d", i), plan: plan.New(1).WithCustomers(customers...), offset: time.Duration(f.random.Int64N(int64(time.Hour)))}
 		f.hosts = append(f.hosts, h)
 		f.index[h.name] = h
 	}
@@ -154,7 +156,6 @@
 	if f.wakeLater(h, func() { f.list(h, life, live) }) {
 		return
 	}
-	h.listed = live
 	h.buckets.SetHosts(live)
 	h.coordinator.SetHosts(f.now+h.offset, live)
 }
@@ -272,10 +273,6 @@
 			f.after(f.latency(), receive)
 		})
 	})
-	if !f.reaches(h, target) {
-		// The answer is lost in any case; the claim may arrive once the network recovers.
-		return
-	}
 }
 
 func (f *fleet) latency() time.Duration {
@@ -284,16 +281,22 @@
 
 // deliver hands a claim to a coordinator, which gets it late if it is frozen.
 func (f *fleet) deliver(h *simHost, life int, c claim.Claim, answer func(award.Award)) {
-	if h.life != life || !h.up || !f.reaches(h, f.index[c.Host]) {
+	if h.life != life || !h.up {
+		return
+	}
+	if !f.reaches(h, f.index[c.Host]) {
+		if f.random.Float64() < lateClaims {
+			f.after(f.uniform(4*time.Second), func() { f.deliver(h, life, c, answer) })
+		}
 		return
 	}
 	if f.wakeLater(h, func() { f.deliver(h, life, c, answer) }) {
 		return
 	}
-	a := h.coordinator.Award(f.now+h.offset, c, f.plan)
+	a := h.coordinator.Award(f.now+h.offset, c, h.plan)
 	if f.wholeLimit {
 		for i, s := range a.Shares {
-			limit, _ := f.plan.CustomerNamed(s.Customer)
+			limit, _ := h.plan.CustomerNamed(s.Customer)
 			a.Shares[i] = s.WithBucket(limit.Rate, limit.Burst, limit.Burst)
 		}
 	}
