Keep the rates of hosts over the loss of a coordinator

With a tenth of the hosts lost, the coordinator among them, customers with nine times their limit were served 0.77 to 0.80 of it over 30 s, as no coordinator could hand out anything for the next seconds. What the hosts had is now continued.

--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -20,9 +20,14 @@
 	scarceStock = 0.1
 	// fullDemand is the demand over the limit from which all of the limit is divided.
 	fullDemand = 0.5
+	// spareStock is the stock per host from which every host gets a token of its own while
+	// the customer is limited.
+	spareStock = 1.25
 	// reserve is the part of the stock that only hosts get which have operations waiting,
 	// unless one host has all the demand.
 	reserve = 0.25
+	// steadyRate is the part of a rate below which a change is not worth it.
+	steadyRate = 0.15
 	// hysteresis is how far a bucket may exceed its target before it loses tokens.
 	hysteresis = 1.25
 	// drawFactor is how much of its part of the free tokens a host gets with one claim of a
@@ -63,6 +68,9 @@
 	demand            float64
 	// returned is what the host told of lost tokens, negative if it has not told yet.
 	returned float64
+	// inherited is what the host had from another coordinator when it sent its first
+	// claim, until that coordinator no longer counts the host.
+	inherited holding
 	// due is the host's claim on whole tokens that has added up while its part is less
 	// than one token.
 	due float64
@@ -93,6 +101,7 @@
 	cleanTotal          float64
 	extraTotal          float64
 	majorTotal          float64
+	followTotal         float64
 	entries             map[string]*entry
 	rates, most, demand float64
 	// levels and gained give the most tokens that all hosts can have: levels, plus rates
@@ -100,6 +109,18 @@
 	levels, gained float64
 	// sweepAt is the earliest time at which a holding expires.
 	sweepAt time.Duration
+	// inherited is the sum of what the hosts inherited, until the first part of it ends.
+	inherited holding
+}
+
+// inherit adds up what the hosts inherited.
+func (a *account) inherit(now time.Duration) {
+	a.inherited = holding{until: now + knownMemory}
+	for _, e := range a.entries {
+		if i := e.inherited; i.until > now {
+			a.inherited = holding{a.inherited.rate + i.rate, a.inherited.burst + i.burst, min(a.inherited.until, i.until)}
+		}
+	}
 }
 
 // recount replaces what an entry counts in the sums. level is the most tokens that the host
@@ -160,14 +181,20 @@
 	rate, stock float64
 }
 
-// budget returns the budget for a customer.
-func (c *Coordinator) budget(limit cust.Customer) budget {
+// budget returns the budget for a customer. What hosts inherited may be continued at once, up
+// to the share of all followers: another coordinator counts it until it expires, and when it
+// does, no longer counts these hosts.
+func (c *Coordinator) budget(limit cust.Customer, inherited holding) budget {
 	stock := max(limit.Burst+c.spare(limit)*stockPart, 1)
 	extra := c.extraRate(limit) * c.extraShare
 	if c.majority {
 		extra = c.majorRate(limit)
 	}
-	return budget{limit.Rate*c.cleanShare + extra, stock*c.cleanShare + min(extra*extraStock, stock*(1-c.cleanShare))}
+	follow := c.cleanShare + c.extraShare
+	return budget{
+		max(limit.Rate*c.cleanShare+extra, min(limit.Rate*c.cleanShare+inherited.rate, limit.Rate*follow)),
+		max(stock*c.cleanShare+min(extra*extraStock, stock*(1-c.cleanShare)), min(stock*c.cleanShare+inherited.burst, stock*follow)),
+	}
 }
 
 // spare returns by how much a customer's limit may be exceeded in a window.
@@ -187,23 +214,33 @@
 	return min(c.extraRate(limit), limit.Rate*(1-c.cleanShare))
 }
 
-// account returns a customer's account, with the tokens gained up to now. An account that
-// is new has what was gained since this coordinator has had a share of the limits.
-func (c *Coordinator) account(now time.Duration, limit cust.Customer, b budget) *account {
+// account returns a customer's account with the tokens gained up to now, and the budget. An
+// account that is new has what was gained since this coordinator has had a share of the limits.
+func (c *Coordinator) account(now time.Duration, limit cust.Customer) (*account, budget) {
 	a, ok := c.accounts[limit.Name]
 	if !ok {
 		a = &account{entries: map[string]*entry{}, at: now, sweepAt: now + knownMemory}
 		c.accounts[limit.Name] = a
 	}
+	passed := (now - a.at).Seconds()
+	gained := limit.Rate * (c.cleanTotal - a.cleanTotal)
+	continued := 0.0
+	if now < a.inherited.until {
+		continued = min(gained+a.inherited.rate*passed, limit.Rate*(c.followTotal-a.followTotal))
+	} else {
+		a.inherit(now)
+	}
+	gained += c.extraRate(limit)*(c.extraTotal-a.extraTotal) + c.majorRate(limit)*(c.majorTotal-a.majorTotal)
 	// The rates of holdings that have expired since the last call count for the whole time,
 	// which errs on the safe side.
-	a.tokens += limit.Rate*(c.cleanTotal-a.cleanTotal) + c.extraRate(limit)*(c.extraTotal-a.extraTotal) + c.majorRate(limit)*(c.majorTotal-a.majorTotal) - a.rates*(now-a.at).Seconds()
-	a.at, a.cleanTotal, a.extraTotal, a.majorTotal = now, c.cleanTotal, c.extraTotal, c.majorTotal
+	a.tokens += max(gained, continued) - a.rates*passed
+	a.at, a.cleanTotal, a.extraTotal, a.majorTotal, a.followTotal = now, c.cleanTotal, c.extraTotal, c.majorTotal, c.followTotal
 	if now >= a.sweepAt {
 		a.sweep(now)
 	}
+	b := c.budget(limit, a.inherited)
 	a.tokens = min(a.tokens, max(b.stock-a.held(now), 0))
-	return a
+	return a, b
 }
 
 // divide returns the host's shares for a claim. Customers that the claim doesn't name are
@@ -215,14 +252,19 @@
 		if !ok || !limit.Limited() {
 			continue
 		}
-		b := c.budget(limit)
-		a := c.account(now, limit, b)
+		a, b := c.account(now, limit)
 		e, ok := a.entries[cl.Host]
 		if !ok {
 			e = &entry{returned: -1}
 			a.entries[cl.Host], f.entries[s.Customer] = e, e
 		}
 		a.tell(e, now, cl.Number, s)
+		if f.inherits {
+			left := time.Duration(s.LeftMs) * time.Millisecond
+			e.inherited = holding{s.Rate, min(s.Burst, s.Tokens+s.Rate*left.Seconds()), f.cleanAt}
+			a.inherit(now)
+			b = c.budget(limit, a.inherited)
+		}
 		a.tokens = min(a.tokens, max(b.stock-a.held(now), 0))
 		shares = append(shares, a.grant(e, now, until, b, s))
 	}
@@ -264,6 +306,16 @@
 	// Half of the stock stays free for hosts that need tokens at once, unless one host has
 	// all the demand. Where there are more hosts than tokens, more than half does.
 	target := b.stock * weight * (1 + weight) / 2 * min(b.stock/float64(len(a.entries)), 1)
+	if hosts := float64(len(a.entries)); limited && b.stock >= spareStock*hosts {
+		// Every host can have a token and a rate, which outlasts the loss of the coordinator.
+		target = 1 + target*(1-hosts/b.stock)
+	}
+	var kept holding
+	if e.inherited.until > now && e.inherited.burst >= 1 && limited {
+		// The host goes on as before, since the budget is what the hosts had.
+		kept = e.inherited
+		target = max(target, kept.burst)
+	}
 	free := max(a.tokens, 0)
 	if !limited && !s.Urgent {
 		free = max(a.tokens-reserve*(1-weight)*b.stock, 0)
@@ -277,7 +329,12 @@
 	if target >= 1 {
 		// The rates use less of a lower demand, so that more is free where it varies.
 		use := min(a.demand/max(b.rate, minDemand), 1)
-		rate = min(rateShare*min(a.demand, b.rate)*use*weight, b.rate-(a.rates-e.rate))
+		rate = rateShare * min(a.demand, b.rate) * use * weight
+		if math.Abs(rate-s.Rate) < steadyRate*s.Rate {
+			// Both the old and the new rate count until the host confirms the new one.
+			rate = s.Rate
+		}
+		rate = min(max(rate, kept.rate), b.rate-(a.rates-e.rate))
 		burst = max(target, min(s.Tokens, target*hysteresis))
 	}
 	room := b.stock - (a.most - e.most)
--- a/process/quota/coordinator.go
+++ b/process/quota/coordinator.go
@@ -50,8 +50,9 @@
 	// cleanShare is the share of the known hosts that only this coordinator counts, and
 	// extraShare the share of those that one other coordinator may count.
 	cleanShare, extraShare float64
-	// cleanTotal and extraTotal are the shares added up over the time, in seconds.
-	cleanTotal, extraTotal float64
+	// cleanTotal, extraTotal and followTotal are cleanShare, extraShare and the sum of both
+	// added up over the time, in seconds.
+	cleanTotal, extraTotal, followTotal float64
 	// majority means that most of the known hosts follow only this coordinator, so that no
 	// other one has a majority. majorTotal adds up the time, in seconds.
 	majority   bool
@@ -77,7 +78,10 @@
 	// coordinator. Before cleanAt another coordinator may count the host as well, and
 	// before extraAt several others.
 	until, cleanAt, extraAt time.Duration
-	entries                 map[string]*entry
+	// inherits means that the claim in hand is the host's first, so that it tells what the
+	// host has from another coordinator.
+	inherits bool
+	entries  map[string]*entry
 }
 
 // New returns a coordinator without followers. era identifies the process, and differs
@@ -189,6 +193,7 @@
 		f.cleanAt = now + time.Duration(cl.CleanMs)*time.Millisecond
 	}
 	f.extraAt = now + time.Duration(cl.ExtraMs)*time.Millisecond
+	f.inherits = !known && f.cleanAt > now && f.extraAt <= now
 	return f, true
 }
 
@@ -200,16 +205,18 @@
 	if c.hosts == 0 {
 		return
 	}
-	whole, clean, extra := 0, time.Duration(0), time.Duration(0)
+	whole, clean, extra, follow := 0, time.Duration(0), time.Duration(0), time.Duration(0)
 	for _, f := range c.followers {
 		end := min(now, f.until)
 		clean += max(end-max(since, f.cleanAt), 0)
 		extra += max(min(end, f.cleanAt)-max(since, f.extraAt), 0)
+		follow += max(end-max(since, f.extraAt), 0)
 		if f.cleanAt <= since && f.until >= now {
 			whole++
 		}
 	}
 	c.cleanTotal += clean.Seconds() / float64(c.hosts)
+	c.followTotal += follow.Seconds() / float64(c.hosts)
 	if 2*whole > c.hosts {
 		c.majorTotal += (c.integratedAt - since).Seconds()
 	} else {
