--- a/process/quota/coordinator.go
+++ b/process/quota/coordinator.go
@@ -42,6 +42,7 @@
 	era                    uint64
 	window, overage, slack float64
 	first                  string
+	listed                 int
 	known                  []knownCount
 	followers              map[string]*follower
 	accounts               map[string]*account
@@ -122,7 +123,10 @@
 			c.first = h
 		}
 	}
-	c.noteKnown(now, len(live))
+	// The number before counts from now on, however long ago it was noted.
+	c.noteKnown(now, c.listed)
+	c.listed = len(live)
+	c.noteKnown(now, c.listed)
 }
 
 // noteKnown notes a number of known hosts, of which the largest counts for knownMemory.
