--- a/process/quota/calm_test.go
+++ b/process/quota/calm_test.go
@@ -1,12 +1,15 @@
 package quota_test
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/pistachiotray/pistachiotray/process/quota"
 	"github.com/pistachiotray/pistachiotray/version/cust"
 )
 
@@ -82,3 +85,49 @@
 	}
 	t.Logf("%d claims in %v", f.claims, end)
 }
+
+// Below their limits customers must not be refused while hosts restart one after another as
+// planned, and their sessions move to other hosts.
+func TestRollingRestartIsCalm(t *testing.T) {
+	is := is.NewRelaxed(t)
+	customers := []cust.Customer{
+		cust.New("large").WithLimit(600, 600), cust.New("medium").WithLimit(100, 100), cust.New("single").WithLimit(50, 50),
+	}
+	f := newFleet(80, 3, customers...)
+	f.runUntil(5 * time.Second)
+	end := 65 * time.Second
+	leaving := map[*simHost]bool{}
+	for _, c := range customers {
+		pick := f.anywhere(map[string]int{"large": 80, "medium": 80, "single": 2}[c.Name])
+		f.demand(c.Name, end, wave(0.6*c.Rate), func() *simHost {
+			h := pick()
+			for leaving[h] || !h.up {
+				h = f.hosts[(slices.Index(f.hosts, h)+1)%80]
+			}
+			return h
+		})
+	}
+	// The coordinator is the third, and the one that follows it the fifth.
+	order := slices.Clone(f.hosts)
+	slices.SortFunc(order, func(a, b *simHost) int { return cmp.Compare(quota.Order(a.name), quota.Order(b.name)) })
+	order = append(slices.Clone(f.hosts[:2]), order[0], f.hosts[2], order[1], f.hosts[3], f.hosts[4], f.hosts[5])
+	for i, h := range order {
+		f.after(time.Duration(i)*7*time.Second, func() {
+			f.announce(h.name)
+			leaving[h] = true
+			f.after(4*time.Second, func() { f.restart([]*simHost{h}, time.Second) })
+			f.after(5500*time.Millisecond, func() {
+				leaving[h] = false
+				f.announce()
+			})
+		})
+	}
+	f.runUntil(end)
+	refused, offered := 0, 0
+	for _, c := range customers {
+		t.Logf("%s: %d of %d refused, excess %.0f", c.Name, f.refused[c.Name], f.offered[c.Name], f.excess(c, 0))
+		is.True(f.excess(c, 0) <= 0)
+		refused, offered = refused+f.refused[c.Name], offered+f.offered[c.Name]
+	}
+	is.True(float64(refused) < 0.005*float64(offered))
+}
--- a/process/quota/coordinator.go
+++ b/process/quota/coordinator.go
@@ -182,7 +182,8 @@
 		return nil, false
 	}
 	fresh := f.start != cl.Start
-	if fresh {
+	if fresh || now > f.until {
+		// The host may have told another coordinator in between.
 		for _, e := range f.entries {
 			e.returned = -1
 		}
