--- a/process/quota/failure_test.go
+++ b/process/quota/failure_test.go
@@ -186,3 +186,29 @@
 	a.claim(0, 0, 0)
 	is.Equal(a.claim(time.Millisecond, 0, 0).Tokens, 0.0)
 }
+
+// While another coordinator may count a host, this one must not hand out its share, unless
+// every known host follows it.
+func TestPromiseToAnotherCoordinator(t *testing.T) {
+	is := is.New(t)
+	c := quota.New(1)
+	c.SetHosts(0, []string{"a", "b", "c"})
+	a, b := &follower{name: "a", coordinator: c}, &follower{name: "b", coordinator: c}
+	for at := time.Duration(0); at <= 2*time.Second; at += 500 * time.Millisecond {
+		left := max(time.Second-at, 0)
+		a.claim(at, 3, left)
+		b.claim(at, 3, 0)
+		switch {
+		case at == 0: // only the era was told
+			is.Equal(c.Share(), 0.0)
+		case at < time.Second:
+			is.Equal(c.Share(), 1.0/3)
+		default:
+			is.Equal(c.Share(), 2.0/3)
+		}
+	}
+	late := &follower{name: "c", coordinator: c}
+	late.claim(2*time.Second, 3, 2*time.Second)
+	late.claim(2*time.Second, 3, 2*time.Second)
+	is.Equal(c.Share(), 1.0)
+}
