Open fewer connections for customers

Lenders used their own connections for all customers, which pushed out those of the customers that other lenders serve; calls had a further connection opened while the customer's own came back soon; and the connection closed to make room was the one idle for longest.

Each customer now has one lender for a target, also on hosts that lend themselves, and at most two are asked after refusals. Customers come first at half of the lenders. Lenders share the target's connections by customers, a larger share applies after 3.5 s, and connections of removed customers are closed. A call waits for a connection in use if that costs less than opening one, and the connection to close is the one expected to be missed least.

--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -141,24 +141,31 @@
 
 // ordered returns the live hosts of some zones, ordered by rendezvous hashing.
 func (as Assignment) ordered(zones []string, t target.Target) []gossip.HostInfo {
+	var all []gossip.HostInfo
+	for _, zone := range zones {
+		all = append(all, as.live[zone]...)
+	}
+	return orderByWeight(all, func(h gossip.HostInfo) uint64 { return hashWeight(h, t) })
+}
+
+// orderByWeight returns hosts in the order of their weights. It computes each weight once.
+func orderByWeight(hosts []gossip.HostInfo, weight func(gossip.HostInfo) uint64) []gossip.HostInfo {
 	type weighted struct {
 		host   gossip.HostInfo
 		weight uint64
 	}
-	var all []weighted
-	for _, zone := range zones {
-		for _, h := range as.live[zone] {
-			all = append(all, weighted{h, hashWeight(h, t)})
-		}
+	all := make([]weighted, len(hosts))
+	for i, h := range hosts {
+		all[i] = weighted{h, weight(h)}
 	}
 	slices.SortFunc(all, func(a, b weighted) int {
 		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.host.Host, b.host.Host))
 	})
-	hosts := make([]gossip.HostInfo, len(all))
+	ordered := make([]gossip.HostInfo, len(all))
 	for i, w := range all {
-		hosts[i] = w.host
+		ordered[i] = w.host
 	}
-	return hosts
+	return ordered
 }
 
 // LiveCount returns the number of live hosts, this one included.
@@ -216,11 +223,41 @@
 	return int(xxhash.Sum64String(t.ID+"/"+as.self) % uint64(max(n, 1)))
 }
 
-// CustomerIndex returns the index of the host that is asked first for a customer's
-// connections among n lenders of a target. It is the same at all hosts, so that each
-// customer has its connections at few lenders.
-func (as Assignment) CustomerIndex(t target.Target, customer string, n int) int {
-	return int(xxhash.Sum64String(t.ID+"/customer/"+customer) % uint64(max(n, 1)))
+// CustomerLenders returns the lenders of a target, given nearest first, in the order in which
+// they are asked for a customer's connections: the first half by rendezvous hashing, and then
+// the others. It is the same at all hosts, and the loss of a lender moves few customers.
+// Connections of a customer serve only that customer. The fewer lenders divide them among
+// each other, the more customers keep theirs.
+func (as Assignment) CustomerLenders(t target.Target, customer string, lenders []gossip.HostInfo) []gossip.HostInfo {
+	weight := func(h gossip.HostInfo) uint64 { return customerWeight(h, t, customer) }
+	n := mainLenders(len(lenders))
+	return append(orderByWeight(lenders[:n], weight), orderByWeight(lenders[n:], weight)...)
+}
+
+// mainLenders returns how many of a target's lenders come first for any customer.
+func mainLenders(lenders int) int {
+	return min(max(lenders/2, minLenders), lenders)
+}
+
+// CustomerShare returns this host's share of the connections that a target accepts, by the
+// number of customers that it comes first for. A lender that comes first for none has
+// one, for the other lenders' customers and its own statements. The shares of all lenders are
+// together at most the given number of connections.
+func (as Assignment) CustomerShare(t target.Target, customers []string, lenders []gossip.HostInfo, connections int) int {
+	first := 0
+	for _, c := range customers {
+		if ordered := as.CustomerLenders(t, c, lenders); len(ordered) > 0 && ordered[0].Host == as.self {
+			first++
+		}
+	}
+	shared := connections - (len(lenders) - mainLenders(len(lenders)))
+	return max(shared*first/max(len(customers), 1), 1)
+}
+
+// customerWeight returns the weight of a host for a customer's connections to a target in
+// rendezvous hashing.
+func customerWeight(h gossip.HostInfo, t target.Target, customer string) uint64 {
+	return xxhash.Sum64String(h.Host + "/" + t.ID + "/customer/" + customer)
 }
 
 // LatencyPenalty returns a function that returns by how much longer a statement takes to
--- a/process/assign/assignment_test.go
+++ b/process/assign/assignment_test.go
@@ -76,3 +76,52 @@
 		is.Equal(newAssignment(h.Host, 40).Rank(tg), i)
 	}
 }
+
+// All hosts must ask the same lender for a customer's connections, and the loss of a lender
+// must move few customers, whose connections are all opened anew.
+func TestCustomersStayWithTheirLenders(t *testing.T) {
+	is := is.New(t)
+	const hosts, connections, customers = 80, 66, 82
+	tg := target.New("t", "g", "", "a1")
+	as := newAssignment("h0", hosts)
+	lenders, _ := as.Lenders(tg, connections)
+	fewer, _ := as.WithoutHost(lenders[0].Host).Lenders(tg, connections)
+	moved, own := 0, 0
+	for i := range customers {
+		name := fmt.Sprintf("customer-%d", i)
+		first := as.CustomerLenders(tg, name, lenders)
+		is.Equal(newAssignment("h7", hosts).CustomerLenders(tg, name, lenders), first)
+		is.Equal(len(first), len(lenders))
+		if first[0].Host == lenders[0].Host {
+			own++
+		}
+		if as.CustomerLenders(tg, name, fewer)[0].Host != first[0].Host {
+			moved++
+		}
+	}
+	is.True(own > 0)
+	is.True(moved <= customers/2) // those of the lost lender, and those of the one that takes its place
+}
+
+// The shares of all lenders must not exceed what the target accepts.
+func TestCustomerSharesFitTheTarget(t *testing.T) {
+	is := is.New(t)
+	var customers []string
+	for i := range 82 {
+		customers = append(customers, fmt.Sprintf("customer-%d", i))
+	}
+	for i := range 40 {
+		tg := target.New(fmt.Sprintf("t%d", i), "g", "", "a1")
+		for _, connections := range []int{16, 66, 70} {
+			lenders, _ := newAssignment("h0", 80).Lenders(tg, connections)
+			sum := 0
+			for _, h := range lenders {
+				share := newAssignment(h.Host, 80).CustomerShare(tg, customers, lenders, connections)
+				is.True(share >= 1)
+				sum += share
+			}
+			is.True(sum <= connections)
+			is.True(sum >= connections*3/4)
+		}
+	}
+}
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -28,6 +28,9 @@
 	// maxLenderWait bounds the time for which one lending host may wait for a
 	// connection to the target.
 	maxLenderWait = 2 * time.Second
+	// customerRefusals is after how many refusals no further host is asked for a
+	// connection of a customer. Each host that gave one would have to open it first.
+	customerRefusals = 2
 	// answerMargin is the part of the time left that is reserved for the
 	// lending host's answer: a round trip between regions and a little more.
 	answerMargin = 80 * time.Millisecond
@@ -78,7 +81,11 @@
 	// b.Wait bounds the total time for which the hosts wait for a connection.
 	// Time lost on a host that does not answer does not count towards it.
 	waited := time.Duration(0)
-	err := br.tryEach(ctx, hosts, first, func(r *remote.Remote) (bool, error) {
+	refusals := len(hosts)
+	if b.Caller.Customer != "" {
+		refusals = customerRefusals
+	}
+	err := br.tryEach(ctx, hosts, first, refusals, func(r *remote.Remote) (bool, error) {
 		if waited >= b.Wait {
 			return false, errors.Wrap(remote.ErrRefused, "no time left")
 		}
@@ -102,7 +109,7 @@
 // the target's report.
 func (br *Borrower) Report(ctx context.Context, t target.Target, s stmt.Stmt, hosts []gossip.HostInfo, first int) (report.Report, error) {
 	var result report.Report
-	err := br.tryEach(ctx, hosts, first, func(r *remote.Remote) (bool, error) {
+	err := br.tryEach(ctx, hosts, first, len(hosts), func(r *remote.Remote) (bool, error) {
 		var err error
 		result, err = r.Report(ctx, t, s)
 		return false, err
@@ -144,11 +151,11 @@
 }
 
 // tryEach calls ask with a connection to one host after another, starting at
-// index first, until a call succeeds. The function ask also returns whether the
+// index first, until a call succeeds or a number of hosts have refused. The function ask also returns whether the
 // connection stays in use. The request must be safe to repeat, since the next
 // host is asked after an answer was lost. If no host succeeds, the error of the
 // first lost answer has precedence over refusals.
-func (br *Borrower) tryEach(ctx context.Context, hosts []gossip.HostInfo, first int, ask func(*remote.Remote) (bool, error)) error {
+func (br *Borrower) tryEach(ctx context.Context, hosts []gossip.HostInfo, first, refusals int, ask func(*remote.Remote) (bool, error)) error {
 	err := ErrNoLender
 	var lost error
 	for i := range hosts {
@@ -164,7 +171,10 @@
 		if lost == nil && !notSent(failed) {
 			lost = failed
 		}
-		if ctx.Err() != nil {
+		if errors.Is(failed, remote.ErrRefused) {
+			refusals--
+		}
+		if ctx.Err() != nil || refusals == 0 {
 			break
 		}
 	}
--- a/process/conns/customer_test.go
+++ b/process/conns/customer_test.go
@@ -91,3 +91,114 @@
 		is.Equal(cn.Customer, "bakery")
 	})
 }
+
+// quotaPool returns a pool for three customers with a quota, which applies already.
+func quotaPool(o *openings, quota int) *conns.Pool {
+	p := conns.New(32, clock(), o.open)
+	p.SetCustomers(map[string]int{"bakery": 1, "cafe": 1, "dairy": 1}, quota)
+	time.Sleep(5 * time.Second)
+	return p
+}
+
+// useAtOnce makes a number of calls use connections of customers at the same time.
+func useAtOnce(t *testing.T, p *conns.Pool, n int, customers ...string) (mostOpen int) {
+	t.Helper()
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() {
+			cn, err := p.Take(t.Context(), callerOf(customers[i%len(customers)]), 0)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			p.Put(cn)
+		})
+	}
+	done := make(chan struct{})
+	go func() { all.Wait(); close(done) }()
+	for {
+		select {
+		case <-done:
+			return mostOpen
+		case <-time.After(time.Millisecond):
+			open, _, _ := p.Counts()
+			mostOpen = max(mostOpen, open)
+		}
+	}
+}
+
+// The lenders of a target together must not open more connections than it accepts.
+func TestQuotaIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := &openings{count: map[string]int{}}
+		p := quotaPool(o, 4)
+		is.Equal(useAtOnce(t, p, 40, "bakery", "cafe", "dairy"), 4)
+		p.SetCustomers(map[string]int{"bakery": 1, "cafe": 1, "dairy": 1}, 2)
+		open, _, _ := p.Counts()
+		is.Equal(open, 2) // those beyond a lower quota are closed at once
+		is.Equal(useAtOnce(t, p, 40, "bakery", "cafe", "dairy"), 2)
+	})
+}
+
+// A target counts the connections of a lost lender for 3 s more, so that the lender that
+// takes over must not open all of its own before.
+func TestLargerQuotaAppliesLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := &openings{count: map[string]int{}}
+		p := quotaPool(o, 1)
+		p.SetCustomers(map[string]int{"bakery": 1, "cafe": 1, "dairy": 1}, 16)
+		time.Sleep(2800 * time.Millisecond)
+		is.True(useAtOnce(t, p, 4, "bakery") <= 4)
+		time.Sleep(time.Second)
+		is.True(useAtOnce(t, p, 48, "bakery", "cafe", "dairy") > 8)
+	})
+}
+
+// A customer that was removed from the plan must not keep connections open.
+func TestConnectionsOfRemovedCustomersAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := &openings{count: map[string]int{}}
+		p := quotaPool(o, 4)
+		useAtOnce(t, p, 1, "bakery")
+		cn, err := p.Take(t.Context(), callerOf("cafe"), 0)
+		is.NoErr(err)
+		p.SetCustomers(map[string]int{"dairy": 1}, 4)
+		open, idle, _ := p.Counts()
+		is.Equal([]int{open, idle}, []int{1, 0}) // a transaction may finish
+		p.Put(cn)
+		open, _, _ = p.Counts()
+		is.Equal(open, 0)
+	})
+}
+
+// A call must wait for a connection of its customer that soon comes back instead of having
+// another one opened, but not for one that is kept for long.
+func TestWaitsForAConnectionInUse(t *testing.T) {
+	for _, c := range []struct{ use, want int }{{20, 1}, {400, 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			o := &openings{count: map[string]int{}}
+			p := conns.New(32, clock(), func(ctx context.Context, customer string) (*conn.Conn, error) {
+				time.Sleep(12 * time.Millisecond)
+				return o.open(ctx, customer)
+			})
+			p.SetCustomers(map[string]int{"bakery": 1}, 8)
+			use := func() {
+				cn, err := p.Take(t.Context(), callerOf("bakery"), 0, conns.Kept(c.use > 100))
+				is.NoErr(err)
+				time.Sleep(time.Duration(c.use) * time.Millisecond)
+				p.Put(cn)
+			}
+			use()
+			var all sync.WaitGroup
+			all.Go(use)
+			all.Go(use)
+			all.Wait()
+			is.Equal(o.count["bakery"], c.want)
+		})
+	}
+}
--- /dev/null
+++ b/process/conns/customers.go
@@ -0,0 +1,249 @@
+package conns
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/process/usage"
+)
+
+const (
+	// customerIdle is how long a connection may be idle if connections belong to
+	// customers. A small customer uses its own only now and then, and opening another
+	// costs the target more than an idle one.
+	customerIdle = 5 * time.Minute
+	// openPrice is how many times the duration of opening a connection a call waits for
+	// one in use instead: the call would wait while one is opened, a slot of the target
+	// would be occupied meanwhile, and the connection that makes room has to be opened
+	// again.
+	openPrice = 3
+	// patience is the same for a connection that would be used less often than the one
+	// that makes room.
+	patience = 10
+	// openWeight is the weight of a new measurement in the average duration of opening.
+	openWeight = 0.1
+	// quotaPause is the pause before a larger quota applies: a target counts the
+	// connections of a lost host for 3 s more, and hosts learn of changes at
+	// different times.
+	quotaPause = 3500 * time.Millisecond
+	// earlyQuotaDivisor is the part of a larger quota that applies at once, so that a new
+	// lender serves some calls. The other lenders, of which a target has four that come
+	// first for customers, leave about as much if the connections of one are counted
+	// twice.
+	earlyQuotaDivisor = 4
+)
+
+// customers is what a Pool knows of the customers to which connections belong.
+type customers struct {
+	usage *usage.Usage
+	// weights holds the weight of each customer by name, nil if callers are not told
+	// apart.
+	weights map[string]int
+	// quota is the maximum number of open connections from quotaFrom on, and
+	// earlierQuota until then.
+	quota        int
+	earlierQuota int
+	quotaFrom    time.Duration
+	// meanOpen is the average duration of opening a connection.
+	meanOpen time.Duration
+}
+
+// known reports whether callers are told apart by customers.
+func (cs *customers) known() bool {
+	return cs.weights != nil
+}
+
+// hasCustomers reports whether callers are told apart by customers, or connections are idle
+// that belong to one; the caller holds the lock.
+func (p *Pool) hasCustomers() bool {
+	return p.customers.known() || slices.ContainsFunc(p.idle, func(cn *conn.Conn) bool { return cn.Customer != "" })
+}
+
+// noteOpened updates the average duration of opening a connection.
+func (cs *customers) noteOpened(took time.Duration) {
+	if cs.meanOpen == 0 {
+		cs.meanOpen = took
+	}
+	cs.meanOpen += time.Duration(openWeight * float64(took-cs.meanOpen))
+}
+
+// quotaAt returns the quota that applies at a time.
+func (cs *customers) quotaAt(now time.Duration) int {
+	if now < cs.quotaFrom {
+		return cs.earlierQuota
+	}
+	return cs.quota
+}
+
+// SetCustomers sets the maximum number of open connections and the weights of the customers
+// to which connections belong; the weights must not be changed afterwards. Connections of
+// other customers, and those beyond a quota that was lowered, are closed once they are idle.
+// A larger quota applies after quotaPause. Weights that are nil mean that callers are not
+// told apart, which is so unless SetCustomers is called.
+func (p *Pool) SetCustomers(weights map[string]int, quota int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	cs := &p.customers
+	switch {
+	case !cs.known():
+		// After a restart of all hosts, targets count the earlier connections too.
+		cs.earlierQuota, cs.quotaFrom = (quota+1)/2, now+quotaPause
+	case quota > cs.quota:
+		cs.earlierQuota, cs.quotaFrom = max(cs.quotaAt(now), (quota+earlyQuotaDivisor-1)/earlyQuotaDivisor), now+quotaPause
+	default:
+		cs.earlierQuota = min(cs.earlierQuota, quota)
+	}
+	cs.weights, cs.quota = weights, quota
+	if !cs.known() {
+		return
+	}
+	p.closeBroken()
+	p.idle = slices.DeleteFunc(p.idle, func(cn *conn.Conn) bool {
+		if p.belongsToKnown(cn) {
+			return false
+		}
+		p.openCount--
+		cn.Close()
+		return true
+	})
+	for p.openCount > p.maxOpen() && p.closeLeastUsed(func(*conn.Conn) bool { return true }) {
+		continue
+	}
+	p.grow()
+}
+
+// belongsToKnown reports whether a connection belongs to a customer that still exists, or
+// to none; the caller holds the lock.
+func (p *Pool) belongsToKnown(cn *conn.Conn) bool {
+	_, ok := p.customers.weights[cn.Customer]
+	return ok || cn.Customer == "" || !p.customers.known()
+}
+
+// surplus reports whether a connection that is put back must be closed, because its customer
+// does not exist any more or the quota was lowered; the caller holds the lock.
+func (p *Pool) surplus(cn *conn.Conn) bool {
+	return !p.belongsToKnown(cn) || p.customers.known() && p.openCount > p.maxOpen()
+}
+
+// maxOpen returns the maximum number of open connections; the caller holds the lock.
+func (p *Pool) maxOpen() int {
+	if p.customers.known() {
+		return min(p.limit, p.customers.quotaAt(p.now()))
+	}
+	return p.limit
+}
+
+// room returns up to how many connections are opened at once and without closing others;
+// the caller holds the lock.
+func (p *Pool) room() int {
+	if p.customers.known() {
+		return p.maxOpen()
+	}
+	return p.share
+}
+
+// openOf returns how many connections of a customer are open; the caller holds the lock.
+func (p *Pool) openOf(customer string) int {
+	n := p.inUseOf(customer)
+	for _, cn := range p.idle {
+		if cn.Customer == customer {
+			n++
+		}
+	}
+	return n
+}
+
+// inUseOf returns how many connections of a customer are in use; the caller holds the lock.
+func (p *Pool) inUseOf(customer string) int {
+	n := 0
+	for cn := range p.inUse {
+		if cn.Customer == customer {
+			n++
+		}
+	}
+	return n
+}
+
+// worthOpening reports whether another connection should be opened for the nth waiting call
+// of a customer. If a connection of the customer that is in use is expected back sooner than
+// opening another is worth, the call waits for it; the caller holds the lock.
+func (p *Pool) worthOpening(customer string, n int) bool {
+	inUse := p.inUseOf(customer)
+	if inUse+p.opening[customer] == 0 || p.customers.meanOpen == 0 {
+		return true
+	}
+	wait := p.expectedReturn(customer, inUse) * time.Duration(2*n-1) / time.Duration(2*(inUse+p.opening[customer]))
+	if wait < openPrice*p.customers.meanOpen {
+		return false
+	}
+	if wait >= patience*p.customers.meanOpen || p.openCount+p.openingCount < p.room() {
+		return true
+	}
+	i := p.leastUsed(func(cn *conn.Conn) bool { return cn.Customer != customer })
+	further := inUse + p.opening[customer] + 1
+	return i < 0 || p.value(customer, further) > p.value(p.idle[i].Customer, p.openOf(p.idle[i].Customer))
+}
+
+// expectedReturn returns the mean duration of the present uses of a customer's connections,
+// by kind of work; the caller holds the lock.
+func (p *Pool) expectedReturn(customer string, inUse int) time.Duration {
+	if inUse == 0 {
+		return p.customers.usage.Expected(customer, false)
+	}
+	var sum time.Duration
+	for cn, u := range p.inUse {
+		if cn.Customer == customer {
+			sum += p.customers.usage.Expected(customer, u.keeps)
+		}
+	}
+	return sum / time.Duration(inUse)
+}
+
+// value returns how many connections per second a customer would have to open without its nth
+// connection, counted from 1: without the first one, each use opens one; without a further
+// one, the uses do that for which the wait would be long. The caller holds the lock.
+func (p *Pool) value(customer string, n int) float64 {
+	busy := n - 1
+	if mean := p.customers.usage.Expected(customer, false); n > 1 && mean > 0 {
+		// With n-1 connections, the kth waiting call waits for (k-1/2)/(n-1) uses.
+		busy += int(float64(openPrice*p.customers.meanOpen)/float64(mean)*float64(n-1) + 0.5)
+	}
+	return p.customers.usage.Rate(customer, busy, p.now())
+}
+
+// leastUsed returns the index of the idle connection that is expected to be used least, of
+// those that may be closed, or -1 if there is none. Of several, it is the one that has been
+// idle for longest; the caller holds the lock.
+func (p *Pool) leastUsed(mayClose func(*conn.Conn) bool) int {
+	best, least := -1, 0.0
+	for i, cn := range p.idle {
+		if !mayClose(cn) {
+			continue
+		}
+		if v := p.value(cn.Customer, p.openOf(cn.Customer)); best < 0 || v < least {
+			best, least = i, v
+		}
+	}
+	return best
+}
+
+// closeLeastUsed closes the connection that leastUsed returns. It returns false if there is
+// none; the caller holds the lock.
+func (p *Pool) closeLeastUsed(mayClose func(*conn.Conn) bool) bool {
+	i := p.leastUsed(mayClose)
+	if i < 0 {
+		return false
+	}
+	p.openCount--
+	p.idle[i].Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return true
+}
+
+// closeIdleOfOthers closes the idle connection of another customer that is expected to be
+// used least. It returns false if there is none; the caller holds the lock.
+func (p *Pool) closeIdleOfOthers(customer string) bool {
+	return customer != "" && p.closeLeastUsed(func(cn *conn.Conn) bool { return cn.Customer != customer })
+}
--- a/process/conns/grow.go
+++ b/process/conns/grow.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/pistachiotray/pistachiotray/connection/conn"
 )
 
 // grow starts to open connections for waiting calls. Up to this host's share,
@@ -28,11 +25,14 @@
 		if !ok {
 			return
 		}
-		replaced := p.openCount+p.openingCount >= p.share && p.closeIdleOfOthers(customer)
-		if p.openCount+p.openingCount >= p.limit {
+		replaced := p.openCount+p.openingCount >= p.room() && p.closeIdleOfOthers(customer)
+		if p.openCount+p.openingCount >= p.maxOpen() {
+			if now < p.customers.quotaFrom {
+				p.growLater(p.customers.quotaFrom - now)
+			}
 			return
 		}
-		if !replaced && p.openCount+p.openingCount >= p.share {
+		if !replaced && p.openCount+p.openingCount >= p.room() {
 			if now < p.nextGrowth || p.openingCount > 0 {
 				p.growLater(max(p.nextGrowth-now, growPause/2))
 				return
@@ -45,38 +45,20 @@
 	}
 }
 
-// nextCustomer returns the customer of the first waiting call for which no connection is
-// being opened, and false if there is none; the caller holds the lock.
+// nextCustomer returns the customer of the first waiting call for which another connection
+// should be opened, and false if there is none; the caller holds the lock.
 func (p *Pool) nextCustomer() (string, bool) {
 	waiting := map[string]int{}
 	for _, w := range p.waiting {
 		customer := w.caller.Customer
-		if waiting[customer]++; waiting[customer] > p.opening[customer] {
+		waiting[customer]++
+		if waiting[customer] > p.opening[customer] && (customer == "" || p.worthOpening(customer, waiting[customer])) {
 			return customer, true
 		}
 	}
 	return "", false
 }
 
-// closeIdleOfOthers closes the connection that has been idle for longest among those of
-// other customers. It returns false if there is none; the caller holds the lock.
-func (p *Pool) closeIdleOfOthers(customer string) bool {
-	i := slices.IndexFunc(p.idle, func(cn *conn.Conn) bool { return cn.Customer != customer })
-	if customer == "" || i < 0 {
-		return false
-	}
-	p.openCount--
-	p.idle[i].Close()
-	p.idle = slices.Delete(p.idle, i, i+1)
-	return true
-}
-
-// hasCustomers reports whether connections are idle that belong to a customer; the
-// caller holds the lock.
-func (p *Pool) hasCustomers() bool {
-	return slices.ContainsFunc(p.idle, func(cn *conn.Conn) bool { return cn.Customer != "" })
-}
-
 // growthPause returns the pause after a connection that is opened beyond the share;
 // the caller holds the lock.
 func (p *Pool) growthPause() time.Duration {
@@ -102,13 +84,13 @@
 }
 
 // openOne opens a connection for a customer and passes it to the first waiting call that it
-// serves. If the
-// target is full, no other connection is opened for fullPause, and the waiting
+// serves. If the target is full, no other connection is opened for fullPause, and the waiting
 // calls fail only if this host has no open connection to the target. After any
 // other error, all waiting calls fail.
 func (p *Pool) openOne(customer string) {
 	ctx, stop := context.WithTimeout(context.Background(), openTimeout)
 	defer stop()
+	began := p.now()
 	cn, err := p.open(ctx, customer)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -125,6 +107,7 @@
 		}
 		p.opened = true
 		p.openCount++
+		p.customers.noteOpened(p.now() - began)
 		if p.openCount >= p.share && p.warmSince == 0 {
 			p.warmSince = p.now()
 		}
--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/process/usage"
 )
 
 const (
@@ -46,9 +47,6 @@
 	// minIdle is how many idle connections Trim keeps regardless of how long
 	// they were idle.
 	minIdle = 1
-	// customerIdle is how long a connection may be idle if connections belong to
-	// customers, each of which uses its own more rarely.
-	customerIdle = 30 * time.Second
 )
 
 // ErrTargetFull is returned when the target accepts no more connections.
@@ -70,7 +68,16 @@
 type waiter struct {
 	caller   caller.Caller
 	priority int
-	granted  chan grant
+	// keeps is set if the call keeps the connection for more than one batch.
+	keeps   bool
+	granted chan grant
+}
+
+// use is the use of a connection by a call: when it began, and whether the call keeps the
+// connection for more than one batch.
+type use struct {
+	since time.Duration
+	keeps bool
 }
 
 // grant is what a waiting call of Take receives: a connection or an error.
@@ -112,19 +119,21 @@
 	nextGrowth time.Duration
 	// idle is the list of idle connections, the most recently used one last.
 	idle []*conn.Conn
-	// inUse maps each connection in use to the time when it was handed out.
-	inUse map[*conn.Conn]time.Duration
+	// inUse maps each connection in use to its use.
+	inUse map[*conn.Conn]use
 	// meanUse is the moving average of how long a call uses a connection.
 	meanUse time.Duration
 	// waiting is the list of waiting calls, the next one to be served first.
 	waiting []*waiter
 	closed  bool
+	// customers is what is known of the customers to which connections belong.
+	customers customers
 }
 
 // New returns an empty pool of up to limit connections. The clock now must
 // never return 0, which the pool's fields use for "not set".
 func New(limit int, now func() time.Duration, open func(ctx context.Context, customer string) (*conn.Conn, error)) *Pool {
-	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]time.Duration{}, opening: map[string]int{}}
+	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]use{}, opening: map[string]int{}, customers: customers{usage: usage.New()}}
 }
 
 // SetLimit sets the maximum number of open connections. Connections that are
@@ -145,18 +154,30 @@
 	p.crowd = max(crowd, p.share)
 }
 
+// Kept returns an option of Take for a call that keeps the connection for more than one
+// batch.
+func Kept(keeps bool) func(*waiter) {
+	return func(w *waiter) { w.keeps = keeps }
+}
+
 // Take returns a connection of the caller's customer, preferably one that already
-// carries the caller's session values. A caller without a customer takes any connection. Of the waiting calls, the one with the lowest priority number
-// is served first. Take returns the context's error if the context ends first,
-// ErrBusy if no connection is expected to be free in time, ErrClosed if the
-// pool is closed, and the error of a failed attempt to open a connection.
-func (p *Pool) Take(ctx context.Context, c caller.Caller, priority int) (*conn.Conn, error) {
+// carries the caller's session values. A caller without a customer takes any connection.
+// Of the waiting calls, the one with the lowest priority number is served first. Take
+// returns the context's error if the context ends first, ErrBusy if no connection is
+// expected to be free in time, ErrClosed if the pool is closed, and the error of a failed
+// attempt to open a connection.
+func (p *Pool) Take(ctx context.Context, c caller.Caller, priority int, options ...func(*waiter)) (*conn.Conn, error) {
+	w := &waiter{caller: c, priority: priority, granted: make(chan grant, 1)}
+	for _, o := range options {
+		o(w)
+	}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if cn := p.takeIdle(c); cn != nil {
+	p.customers.usage.Started(c.Customer, p.now())
+	if cn := p.takeIdle(w); cn != nil {
 		p.mu.Unlock()
 		return cn, nil
 	}
@@ -164,7 +185,6 @@
 		p.mu.Unlock()
 		return nil, ErrBusy
 	}
-	w := &waiter{caller: c, priority: priority, granted: make(chan grant, 1)}
 	p.enqueue(w)
 	p.grow()
 	p.mu.Unlock()
@@ -229,8 +249,9 @@
 // takeIdle takes the idle connection whose session values differ least from the
 // caller's, preferring the one used last. It returns nil if none of the caller's
 // customer is idle; the caller holds the lock.
-func (p *Pool) takeIdle(c caller.Caller) *conn.Conn {
+func (p *Pool) takeIdle(w *waiter) *conn.Conn {
 	p.closeBroken()
+	c := w.caller
 	best, distance := -1, 0
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if !serves(p.idle[i], c) {
@@ -248,7 +269,7 @@
 	}
 	cn := p.idle[best]
 	p.idle = slices.Delete(p.idle, best, best+1)
-	p.inUse[cn] = p.now()
+	p.inUse[cn] = use{p.now(), w.keeps}
 	return cn
 }
 
@@ -279,8 +300,10 @@
 // recordUse updates the average time of use when a call ends its use of a
 // connection; the caller holds the lock.
 func (p *Pool) recordUse(cn *conn.Conn) {
-	if since, ok := p.inUse[cn]; ok {
-		p.meanUse += time.Duration(useWeight * float64(p.now()-since-p.meanUse))
+	if u, ok := p.inUse[cn]; ok {
+		took := p.now() - u.since
+		p.meanUse += time.Duration(useWeight * float64(took-p.meanUse))
+		p.customers.usage.Ended(cn.Customer, u.keeps, took, p.now())
 	}
 }
 
@@ -299,7 +322,7 @@
 	}
 	w := p.waiting[i]
 	p.waiting = slices.Delete(p.waiting, i, i+1)
-	p.inUse[cn] = p.now()
+	p.inUse[cn] = use{p.now(), w.keeps}
 	w.granted <- grant{conn: cn}
 }
 
@@ -313,8 +336,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.surplus(cn) {
 		p.discard(cn)
+		p.grow()
 		return
 	}
 	p.handOver(cn)
@@ -343,60 +367,6 @@
 	cn.Close()
 }
 
-// Trim closes connections that have been idle for longer than d, but keeps at
-// least one idle connection. If more than this host's share are open when Trim
-// is called, spareIdle replaces d for the whole call.
-func (p *Pool) Trim(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeBroken()
-	if p.hasCustomers() {
-		d = max(d, customerIdle)
-	}
-	for len(p.idle) > minIdle {
-		if p.openCount > p.share {
-			d = spareIdle
-		}
-		if p.idle[0].LastUsed >= p.now()-d {
-			return
-		}
-		p.openCount--
-		p.idle[0].Close()
-		p.idle = slices.Delete(p.idle, 0, 1)
-	}
-}
-
-// Abort closes every connection and makes the waiting calls return err.
-// Statements running on a connection end without an answer, and the connection
-// is counted until it is put back or dropped. The pool stays usable.
-func (p *Pool) Abort(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, cn := range p.idle {
-		p.openCount--
-		cn.Close()
-	}
-	p.idle = nil
-	for cn := range p.inUse {
-		cn.Close()
-	}
-	p.failWaiting(err)
-}
-
-// Close closes the pool: idle connections at once, and those in use when they
-// are put back or dropped. Waiting calls return ErrClosed.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for _, cn := range p.idle {
-		p.openCount--
-		cn.Close()
-	}
-	p.idle = nil
-	p.failWaiting(ErrClosed)
-}
-
 // WarmingUp reports whether this host's share of connections is still being
 // opened, or was first complete less than warmTime ago. While it returns true,
 // waiting statements don't show that the target lacks capacity.
--- /dev/null
+++ b/process/rset/customer.go
@@ -0,0 +1,91 @@
+package rset
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pistachiotray/pistachiotray/connection/batch"
+	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/connection/remote"
+	"github.com/pistachiotray/pistachiotray/process/conns"
+	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/target"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+)
+
+const (
+	// customerLenders is how many lenders are asked for a customer's connections if they
+	// refuse, so that a busy customer does not open connections at all of them.
+	customerLenders = 2
+	// fallbackQuota is the quota of a host that is no lender of a target. It uses its own
+	// connections only while it reaches no lender.
+	fallbackQuota = 1
+)
+
+// SetCustomers sets the weights of the customers to which connections belong, nil if callers
+// are not told apart. The map must not be changed afterwards.
+func (rs *ReplicaSet) SetCustomers(weights map[string]int) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.customers == nil && weights == nil {
+		return
+	}
+	rs.customers = weights
+	for _, ts := range rs.states {
+		rs.updateQuota(ts)
+	}
+}
+
+// updateQuota sets how many connections to a target this host may open if connections belong
+// to customers; the caller holds the lock.
+func (rs *ReplicaSet) updateQuota(ts *targetState) {
+	if rs.customers == nil || rs.borrower == nil {
+		ts.pool.SetCustomers(rs.customers, rs.maxConns)
+		return
+	}
+	quota := fallbackQuota
+	switch {
+	case ts.lenders == nil:
+		quota = max(rs.maxConns/max(rs.assignment.LiveCount(), 1), 1)
+	case ts.direct:
+		names := slices.Sorted(maps.Keys(rs.customers))
+		quota = rs.assignment.CustomerShare(ts.target, names, ts.lenders, rs.maxConns)
+	}
+	ts.pool.SetCustomers(rs.customers, quota)
+}
+
+// doForCustomer runs a batch on a connection of the batch's customer at one of the lenders,
+// which are given in the customer's order. After customerLenders refusals it returns the last
+// one. If this host is a lender, it uses its own connections in its turn; otherwise it does so
+// only if it reaches no lender.
+func (rs *ReplicaSet) doForCustomer(ctx context.Context, t target.Target, own *conns.Pool, b batch.Batch, lenders []gossip.HostInfo, self string) ([]reply.Reply, *conn.Conn, error) {
+	turn := slices.IndexFunc(lenders, func(h gossip.HostInfo) bool { return h.Host == self })
+	before := lenders
+	if turn >= 0 {
+		before = lenders[:turn]
+	}
+	if len(before) > 0 {
+		began := rs.now()
+		replies, cn, err := rs.doBorrowed(ctx, t, b, before, 0)
+		refused := errors.Is(err, remote.ErrRefused)
+		if err == nil || ctx.Err() != nil || errors.Is(err, ErrAnswerLost) || refused && len(before) >= customerLenders {
+			return replies, cn, err
+		}
+		if refused {
+			// b.Wait bounds the total time for which hosts wait for a connection.
+			if b = b.WithWait(b.Wait - (rs.now() - began)); b.Wait <= 0 {
+				return nil, nil, err
+			}
+		}
+	}
+	began := rs.now()
+	replies, cn, err := rs.doOwn(ctx, t.ID, own, b)
+	full := errors.Is(err, conns.ErrBusy) || errors.Is(err, conns.ErrTargetFull)
+	if b = b.WithWait(b.Wait - (rs.now() - began)); turn != 0 || !full || len(lenders) < customerLenders || b.Wait <= 0 || ctx.Err() != nil {
+		return replies, cn, err
+	}
+	return rs.doBorrowed(ctx, t, b, lenders[1:customerLenders], 0)
+}
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -27,10 +27,6 @@
 // WithDrainTime is not used.
 const defaultDrainTime = 5 * time.Second
 
-// minCrowd is the least number of connections to a target that a host opens without
-// long pauses.
-const minCrowd = 2
-
 // ErrNotSent is returned when the context ended before a statement was sent to
 // any target or host.
 var ErrNotSent = errors.New("not sent")
@@ -119,6 +115,9 @@
 	// host always connects directly.
 	borrower   *borrow.Borrower
 	assignment assign.Assignment
+	// customers holds the weights of the customers to which connections belong, by name,
+	// nil if callers are not told apart.
+	customers map[string]int
 	// lastCancelID is the last key used in targetState.cancels.
 	lastCancelID uint64
 	// drainTime is how long a leaving leader still gets work, from when it may have begun to
@@ -211,39 +210,6 @@
 	return func(rs *ReplicaSet) { rs.borrower = b }
 }
 
-// SetAssignment sets the assignment that decides which hosts connect to which
-// target.
-func (rs *ReplicaSet) SetAssignment(a assign.Assignment) {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	before := rs.connectingHosts("")
-	rs.assignment = a
-	for _, ts := range rs.states {
-		rs.updateLenders(ts)
-	}
-	rs.noteFormerHosts(before)
-}
-
-// updateLenders updates whether this host connects to the target directly or
-// through other hosts, and how many connections are its share; the caller holds
-// the lock.
-func (rs *ReplicaSet) updateLenders(ts *targetState) {
-	if rs.borrower == nil {
-		ts.direct = true
-		return
-	}
-	ts.lenders, ts.direct = rs.assignment.Lenders(ts.target, rs.maxConns)
-	ts.firstLender = rs.assignment.FirstIndex(ts.target, len(ts.lenders))
-	if ts.lenders != nil {
-		ts.pool.SetShare(rs.maxConns/max(len(ts.lenders), 1), rs.maxConns)
-		return
-	}
-	// If all hosts lose power, the target counts their connections for some seconds
-	// more. Half of its connections are left for the restarted hosts.
-	hosts := max(rs.assignment.LiveCount(), 1)
-	ts.pool.SetShare(rs.maxConns/2/hosts, max(3*rs.maxConns/2/hosts, minCrowd))
-}
-
 // WithFirstStart returns an option that sets whether the whole system starts for the first
 // time. Otherwise the first leader that a host learns of may be being replaced.
 func WithFirstStart(first bool) func(*ReplicaSet) {
--- a/process/rset/take.go
+++ b/process/rset/take.go
@@ -41,8 +41,11 @@
 		return nil, nil, err
 	}
 	t, direct, lenders, first := ts.target, ts.direct, ts.lenders, ts.firstLender
-	if b.Caller.Customer != "" {
-		first = rs.assignment.CustomerIndex(t, b.Caller.Customer, len(lenders))
+	if b.Caller.Customer != "" && lenders != nil {
+		lenders = rs.assignment.CustomerLenders(t, b.Caller.Customer, lenders)
+		self := rs.assignment.Self()
+		rs.mu.Unlock()
+		return rs.doForCustomer(ctx, t, ts.pool, b, lenders, self)
 	}
 	rs.mu.Unlock()
 	if !direct {
@@ -105,7 +108,7 @@
 		}
 	}
 	waiting, stop := context.WithTimeout(ctx, b.Wait)
-	cn, err := p.Take(waiting, b.Caller, b.Priority)
+	cn, err := p.Take(waiting, b.Caller, b.Priority, conns.Kept(b.Keep))
 	stop()
 	if err != nil {
 		return nil, nil, err
--- a/process/topo/topology.go
+++ b/process/topo/topology.go
@@ -104,6 +104,7 @@
 // refresh creates the groups that are new in the plan, and updates all groups
 // of the plan from the roster; the caller holds the lock.
 func (t *Topology) refresh() {
+	weights := t.plan.CustomerWeights()
 	for _, name := range t.plan.Groups() {
 		rs, ok := t.groups[name]
 		if !ok {
@@ -112,6 +113,7 @@
 			t.groups[name] = rs
 			t.startGroup(rs)
 		}
+		rs.SetCustomers(weights)
 		leader, _ := t.roster.Leader(name)
 		rs.Update(t.roster.Group(name), leader, t.plan.MaxConnections(name))
 	}
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -104,6 +104,20 @@
 	return slices.Collect(maps.Values(p.customers))
 }
 
+// CustomerWeights returns the weight of each customer by name in the shares of a busy target,
+// or nil if the plan knows no customers. All weigh the same, since a customer's limit is no
+// measure of its usual load.
+func (p Plan) CustomerWeights() map[string]int {
+	if !p.HasCustomers() {
+		return nil
+	}
+	weights := make(map[string]int, len(p.customers))
+	for name := range p.customers {
+		weights[name] = 1
+	}
+	return weights
+}
+
 // CustomerNamed returns the customer with a name and reports whether there is one.
 func (p Plan) CustomerNamed(name string) (cust.Customer, bool) {
 	c, ok := p.customers[name]
