--- a/process/queue/lane.go
+++ b/process/queue/lane.go
@@ -28,18 +28,6 @@
 	laneIndex     int
 }
 
-// serviceShare is the state of one service in stride scheduling.
-type serviceShare struct {
-	weight int
-	// pass is the slot time that the service has used, in nanoseconds, divided by
-	// its weight. The service with the lowest pass comes first.
-	pass float64
-	// waiting counts the service's waiting calls, and expectedWork sums their
-	// expected service times.
-	waiting      int
-	expectedWork time.Duration
-}
-
 // deadlineHeap is a heap of all items by deadline.
 type deadlineHeap []*item
 
--- a/process/queue/member.go
+++ b/process/queue/member.go
@@ -115,9 +115,7 @@
 	if answered {
 		q.times.Add(sl.label, took)
 	}
-	if sh, ok := q.services[sl.service]; ok {
-		sh.pass += float64(took-sl.charged) / float64(sh.weight)
-	}
+	q.services.Correct(sl.service, took, sl.charged)
 }
 
 // DetectLongRuns reclassifies each running short call as long once it has run for
@@ -177,9 +175,7 @@
 // charge increases the pass of an item's service by the expected service time
 // divided by the service's weight.
 func (q *Queue) charge(t *item) {
-	sh := q.shareOf(t)
-	q.pass = max(q.pass, sh.pass)
-	sh.pass += float64(t.expected) / float64(sh.weight)
+	q.services.Charge(q.serviceOf(t), t.expected)
 }
 
 // updateLongBudget updates a member's budget of long work, which is slot time. The
--- a/process/queue/pick.go
+++ b/process/queue/pick.go
@@ -102,8 +102,8 @@
 	if b == nil {
 		return a
 	}
-	pa := q.shareOf(a).pass
-	pb := q.shareOf(b).pass
+	pa := q.services.Pass(q.serviceOf(a))
+	pb := q.services.Pass(q.serviceOf(b))
 	if pa != pb && a.call.Class.Service != b.call.Class.Service {
 		if pa < pb {
 			return a
@@ -132,12 +132,11 @@
 		return 0
 	}
 	allServices := (ahead + residual) / time.Duration(slots)
-	service, ok := q.services[t.call.Class.Service]
+	work, weight, weights, ok := q.services.Work(t.call.Class.Service)
 	if !ok {
 		return allServices
 	}
-	weights := q.activeWeightSum(service)
-	ownShare := (service.expectedWork + residual) * time.Duration(weights) / time.Duration(slots*service.weight)
+	ownShare := (work + residual) * time.Duration(weights) / time.Duration(slots*weight)
 	return min(allServices, ownShare)
 }
 
@@ -199,15 +198,3 @@
 	}
 	return float64(common) / float64(all)
 }
-
-// activeWeightSum returns the sum of the weight of own and of the weights of all
-// other services that have waiting calls.
-func (q *Queue) activeWeightSum(own *serviceShare) int {
-	sum := own.weight
-	for _, s := range q.services {
-		if s != own && s.waiting > 0 {
-			sum += s.weight
-		}
-	}
-	return sum
-}
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"time"
 
+	"github.com/pistachiotray/pistachiotray/process/stride"
 	"github.com/pistachiotray/pistachiotray/process/timing"
 	"github.com/pistachiotray/pistachiotray/request/call"
 )
@@ -43,10 +44,8 @@
 	// items are the waiting calls, by call id.
 	items      map[string]*item
 	byDeadline deadlineHeap
-	// services are the services that have queued calls so far, by name.
-	services map[string]*serviceShare
-	// pass is the highest serviceShare.pass at which a service was granted a slot.
-	pass     float64
+	// services are the shares of the services that have queued calls so far, by name.
+	services *stride.Shares
 	sequence uint64
 	// agingTime is the maximum time for which a long item waits behind short
 	// items.
@@ -77,7 +76,7 @@
 	q := &Queue{
 		times:            timing.New(defaultLongAfter),
 		items:            map[string]*item{},
-		services:         map[string]*serviceShare{},
+		services:         stride.New(),
 		agingTime:        defaultAging,
 		capacity:         defaultCapacity,
 		longDutyCycle:    defaultLongDutyCycle,
@@ -201,15 +200,9 @@
 	}
 }
 
-// insert queues an item. A service without waiting calls is moved up to the current
-// pass, so that it gets no credit for the time in which it was idle.
+// insert queues an item.
 func (q *Queue) insert(t *item) {
-	s := q.shareOf(t)
-	if s.waiting == 0 {
-		s.pass = max(s.pass, q.pass)
-	}
-	s.waiting++
-	s.expectedWork += t.expected
+	q.services.Enter(q.serviceOf(t), t.expected)
 	q.items[t.call.ID] = t
 	heap.Push(&q.byDeadline, t)
 	q.laneOf(t.mask).push(t)
@@ -228,9 +221,7 @@
 
 // removeItem removes an item from the queue.
 func (q *Queue) removeItem(t *item) {
-	s := q.shareOf(t)
-	s.waiting--
-	s.expectedWork -= t.expected
+	q.services.Leave(q.serviceOf(t), t.expected)
 	delete(q.items, t.call.ID)
 	heap.Remove(&q.byDeadline, t.deadlineIndex)
 	q.lanes[t.mask].remove(t)
@@ -299,15 +290,10 @@
 	return q.lanes[mask]
 }
 
-// shareOf returns the share of an item's service, which it adds if needed, and sets
-// its weight to the weight in the item's class, at least 1.
-func (q *Queue) shareOf(t *item) *serviceShare {
+// serviceOf returns the name of an item's service. It sets the weight of the service to the
+// weight in the item's class, at least 1.
+func (q *Queue) serviceOf(t *item) string {
 	name := t.call.Class.Service
-	s, ok := q.services[name]
-	if !ok {
-		s = &serviceShare{weight: max(t.call.Class.Weight, 1)}
-		q.services[name] = s
-	}
-	s.weight = max(t.call.Class.Weight, 1)
-	return s
+	q.services.Weigh(name, t.call.Class.Weight)
+	return name
 }
