Order the calls that wait for a customer's connection

Calls of customers are served by priority, by their customers' shares, and by when they have to begin. Calls that can't be served in time any more are refused while they wait. A connection that is put back is closed for another customer that has none or fewer than its share. Calls without a customer are served and predicted as before.

--- a/process/conns/customers.go
+++ b/process/conns/customers.go
@@ -23,6 +23,9 @@
 	patience = 10
 	// openWeight is the weight of a new measurement in the average duration of opening.
 	openWeight = 0.1
+	// lateCheckPause is the pause between two checks whether the waiting calls can still
+	// be served in time.
+	lateCheckPause = 5 * time.Millisecond
 	// quotaPause is the pause before a larger quota applies: a target counts the
 	// connections of a lost host for 3 s more, and hosts learn of changes at
 	// different times.
@@ -47,6 +50,10 @@
 	quotaFrom    time.Duration
 	// meanOpen is the average duration of opening a connection.
 	meanOpen time.Duration
+	// lastSwitch is when a connection was last closed although calls of its customer
+	// waited, and lateCheck when the waiting calls were last checked.
+	lastSwitch time.Duration
+	lateCheck  time.Duration
 }
 
 // known reports whether callers are told apart by customers.
@@ -96,6 +103,7 @@
 		cs.earlierQuota = min(cs.earlierQuota, quota)
 	}
 	cs.weights, cs.quota = weights, quota
+	p.waiting.SetWeights(weights)
 	if !cs.known() {
 		return
 	}
--- a/process/conns/grow.go
+++ b/process/conns/grow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,7 +13,7 @@
 // none of these calls, and then opens one per growPause, and beyond the number crowd one
 // per crowdedGrowPause. It never exceeds the limit; the caller holds the lock.
 func (p *Pool) grow() {
-	if p.closed || len(p.waiting) == 0 {
+	if p.closed || p.waiting.Len() == 0 {
 		return
 	}
 	now := p.now()
@@ -49,7 +50,7 @@
 // should be opened, and false if there is none; the caller holds the lock.
 func (p *Pool) nextCustomer() (string, bool) {
 	waiting := map[string]int{}
-	for _, w := range p.waiting {
+	for _, w := range p.waiting.Order(p.now()) {
 		customer := w.caller.Customer
 		waiting[customer]++
 		if waiting[customer] > p.opening[customer] && (customer == "" || p.worthOpening(customer, waiting[customer])) {
@@ -126,8 +127,13 @@
 
 // failWaiting makes all waiting calls return err; the caller holds the lock.
 func (p *Pool) failWaiting(err error) {
-	for _, w := range p.waiting {
+	p.fail(slices.Clone(p.waiting.Order(p.now())), err)
+}
+
+// fail makes some waiting calls return err; the caller holds the lock.
+func (p *Pool) fail(calls []*waiter, err error) {
+	for _, w := range calls {
+		p.waiting.Remove(w)
 		w.granted <- grant{err: err}
 	}
-	p.waiting = nil
 }
--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/process/turns"
 	"github.com/pistachiotray/pistachiotray/process/usage"
 )
 
@@ -64,20 +65,14 @@
 // customer is empty.
 type opener func(ctx context.Context, customer string) (*conn.Conn, error)
 
-// waiter is a call of Take that waits for a connection.
-type waiter struct {
-	caller   caller.Caller
-	priority int
-	// keeps is set if the call keeps the connection for more than one batch.
-	keeps   bool
-	granted chan grant
-}
-
-// use is the use of a connection by a call: when it began, and whether the call keeps the
-// connection for more than one batch.
+// use is the use of a connection by a call: the call's customer, when the use began, and
+// whether the call keeps the connection for more than one batch.
 type use struct {
-	since time.Duration
-	keeps bool
+	customer string
+	since    time.Duration
+	keeps    bool
+	// expected is the expected duration.
+	expected time.Duration
 }
 
 // grant is what a waiting call of Take receives: a connection or an error.
@@ -123,8 +118,8 @@
 	inUse map[*conn.Conn]use
 	// meanUse is the moving average of how long a call uses a connection.
 	meanUse time.Duration
-	// waiting is the list of waiting calls, the next one to be served first.
-	waiting []*waiter
+	// waiting are the waiting calls.
+	waiting *turns.Turns[*waiter]
 	closed  bool
 	// customers is what is known of the customers to which connections belong.
 	customers customers
@@ -133,7 +128,7 @@
 // New returns an empty pool of up to limit connections. The clock now must
 // never return 0, which the pool's fields use for "not set".
 func New(limit int, now func() time.Duration, open func(ctx context.Context, customer string) (*conn.Conn, error)) *Pool {
-	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]use{}, opening: map[string]int{}, customers: customers{usage: usage.New()}}
+	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]use{}, opening: map[string]int{}, customers: customers{usage: usage.New()}, waiting: turns.New[*waiter]()}
 }
 
 // SetLimit sets the maximum number of open connections. Connections that are
@@ -154,12 +149,6 @@
 	p.crowd = max(crowd, p.share)
 }
 
-// Kept returns an option of Take for a call that keeps the connection for more than one
-// batch.
-func Kept(keeps bool) func(*waiter) {
-	return func(w *waiter) { w.keeps = keeps }
-}
-
 // Take returns a connection of the caller's customer, preferably one that already
 // carries the caller's session values. A caller without a customer takes any connection.
 // Of the waiting calls, the one with the lowest priority number is served first. Take
@@ -167,25 +156,22 @@
 // expected to be free in time, ErrClosed if the pool is closed, and the error of a failed
 // attempt to open a connection.
 func (p *Pool) Take(ctx context.Context, c caller.Caller, priority int, options ...func(*waiter)) (*conn.Conn, error) {
-	w := &waiter{caller: c, priority: priority, granted: make(chan grant, 1)}
-	for _, o := range options {
-		o(w)
-	}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
+	w := p.newWaiter(ctx, c, priority, options...)
 	p.customers.usage.Started(c.Customer, p.now())
 	if cn := p.takeIdle(w); cn != nil {
 		p.mu.Unlock()
 		return cn, nil
 	}
-	if !p.freeInTime(ctx, priority) {
+	if !p.freeInTime(ctx, w) {
 		p.mu.Unlock()
 		return nil, ErrBusy
 	}
-	p.enqueue(w)
+	p.waiting.Add(w)
 	p.grow()
 	p.mu.Unlock()
 	select {
@@ -196,18 +182,21 @@
 	}
 }
 
-// freeInTime reports whether a connection is expected to be free before the
-// context ends, after all waiting calls of the same or a more urgent priority
-// have used one. It returns true if no connection is open or the context has no
+// freeInTime reports whether a connection is expected to be free before the context ends. For
+// a call without a customer that is after all waiting calls of the same or a more urgent
+// priority have used one. It returns true if no connection is open or the context has no
 // deadline; the caller holds the lock.
-func (p *Pool) freeInTime(ctx context.Context, priority int) bool {
+func (p *Pool) freeInTime(ctx context.Context, w *waiter) bool {
 	deadline, ok := ctx.Deadline()
 	if !ok || p.openCount == 0 {
 		return true
 	}
+	if w.Customer() != "" {
+		return p.waiting.InTime(p.now(), w, p.connectionsOf(w.Customer()), p.openCount)
+	}
 	ahead := 1
-	for _, w := range p.waiting {
-		if w.priority <= priority {
+	for _, other := range p.waiting.Order(p.now()) {
+		if other.priority <= w.priority {
 			ahead++
 		}
 	}
@@ -218,12 +207,9 @@
 // connection was granted meanwhile, it is put back.
 func (p *Pool) abandon(w *waiter, err error) error {
 	p.mu.Lock()
-	i := slices.Index(p.waiting, w)
-	if i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-	}
+	waited := p.waiting.Remove(w)
 	p.mu.Unlock()
-	if i < 0 {
+	if !waited {
 		if g := <-w.granted; g.conn != nil {
 			p.Put(g.conn)
 		}
@@ -231,16 +217,6 @@
 	return err
 }
 
-// enqueue inserts a waiter behind those of the same or a more urgent priority;
-// the caller holds the lock.
-func (p *Pool) enqueue(w *waiter) {
-	i := len(p.waiting)
-	for i > 0 && p.waiting[i-1].priority > w.priority {
-		i--
-	}
-	p.waiting = slices.Insert(p.waiting, i, w)
-}
-
 // serves reports whether a connection may run the statements of a caller.
 func serves(cn *conn.Conn, c caller.Caller) bool {
 	return c.Customer == "" || c.Customer == cn.Customer
@@ -269,11 +245,11 @@
 	}
 	cn := p.idle[best]
 	p.idle = slices.Delete(p.idle, best, best+1)
-	p.inUse[cn] = use{p.now(), w.keeps}
+	p.startUse(cn, w)
 	return cn
 }
 
-// dropBroken closes the idle connections that are broken, and removes them from
+// closeBroken closes the idle connections that are broken, and removes them from
 // the pool; the caller holds the lock.
 func (p *Pool) closeBroken() {
 	p.idle = slices.DeleteFunc(p.idle, func(cn *conn.Conn) bool {
@@ -297,32 +273,47 @@
 	return p.lost
 }
 
-// recordUse updates the average time of use when a call ends its use of a
-// connection; the caller holds the lock.
+// startUse records that a call begins to use a connection; the caller holds the lock.
+func (p *Pool) startUse(cn *conn.Conn, w *waiter) {
+	p.inUse[cn] = use{w.Customer(), p.now(), w.keeps, w.expected}
+	p.waiting.Started(w.Customer(), w.expected)
+}
+
+// recordUse updates the average times of use when a call ends its use of a connection; the
+// caller holds the lock.
 func (p *Pool) recordUse(cn *conn.Conn) {
 	if u, ok := p.inUse[cn]; ok {
 		took := p.now() - u.since
 		p.meanUse += time.Duration(useWeight * float64(took-p.meanUse))
-		p.customers.usage.Ended(cn.Customer, u.keeps, took, p.now())
+		p.customers.usage.Ended(u.customer, u.keeps, took, p.now())
+		p.waiting.Ended(u.customer, took, u.expected)
 	}
 }
 
-// handOver passes a connection that is new or was put back to the first waiting
-// call that it serves. If there is none, it becomes idle, and makes room for another
-// customer's connection if that customer's calls wait; the caller holds the lock.
+// handOver passes a connection that is new or was put back to the first waiting call that it
+// serves, unless it has to make room for another customer's connection. If there is no such
+// call, the connection becomes idle, and makes room if other customers' calls wait; the caller
+// holds the lock.
 func (p *Pool) handOver(cn *conn.Conn) {
 	p.recordUse(cn)
-	i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return serves(cn, w.caller) })
-	if i < 0 {
+	p.refuseLate()
+	now := p.now()
+	w, ok := p.waiting.Next(now, func(w *waiter) bool { return serves(cn, w.caller) })
+	if !ok {
 		delete(p.inUse, cn)
-		cn.LastUsed = p.now()
+		cn.LastUsed = now
 		p.idle = append(p.idle, cn)
 		p.grow()
 		return
 	}
-	w := p.waiting[i]
-	p.waiting = slices.Delete(p.waiting, i, i+1)
-	p.inUse[cn] = use{p.now(), w.keeps}
+	if p.mustMakeRoom(cn, w) {
+		p.customers.lastSwitch = now
+		p.closeUsed(cn)
+		p.grow()
+		return
+	}
+	p.waiting.Remove(w)
+	p.startUse(cn, w)
 	w.granted <- grant{conn: cn}
 }
 
@@ -381,5 +372,5 @@
 func (p *Pool) Counts() (open, idle, waiting int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.openCount, len(p.idle), len(p.waiting)
+	return p.openCount, len(p.idle), p.waiting.Len()
 }
--- a/process/stride/shares.go
+++ b/process/stride/shares.go
@@ -89,6 +89,11 @@
 	return s.of(name).pass
 }
 
+// Weight returns the weight of a party.
+func (s *Shares) Weight(name string) int {
+	return s.of(name).weight
+}
+
 // Work returns the expected time of a party's waiting calls, its weight, and the sum of its
 // weight and the weights of all other parties that have waiting calls. It returns false if the
 // party is not known.
