--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -11,6 +11,8 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/process/turns"
+	"github.com/pistachiotray/pistachiotray/process/usage"
 )
 
 const (
@@ -46,9 +48,6 @@
 	// minIdle is how many idle connections Trim keeps regardless of how long
 	// they were idle.
 	minIdle = 1
-	// customerIdle is how long a connection may be idle if connections belong to
-	// customers, each of which uses its own more rarely.
-	customerIdle = 30 * time.Second
 )
 
 // ErrTargetFull is returned when the target accepts no more connections.
@@ -66,11 +65,14 @@
 // customer is empty.
 type opener func(ctx context.Context, customer string) (*conn.Conn, error)
 
-// waiter is a call of Take that waits for a connection.
-type waiter struct {
-	caller   caller.Caller
-	priority int
-	granted  chan grant
+// use is the use of a connection by a call: the call's customer, when the use began, and
+// whether the call keeps the connection for more than one batch.
+type use struct {
+	customer string
+	since    time.Duration
+	keeps    bool
+	// expected is the expected duration.
+	expected time.Duration
 }
 
 // grant is what a waiting call of Take receives: a connection or an error.
@@ -112,19 +114,21 @@
 	nextGrowth time.Duration
 	// idle is the list of idle connections, the most recently used one last.
 	idle []*conn.Conn
-	// inUse maps each connection in use to the time when it was handed out.
-	inUse map[*conn.Conn]time.Duration
+	// inUse maps each connection in use to its use.
+	inUse map[*conn.Conn]use
 	// meanUse is the moving average of how long a call uses a connection.
 	meanUse time.Duration
-	// waiting is the list of waiting calls, the next one to be served first.
-	waiting []*waiter
+	// waiting are the waiting calls.
+	waiting *turns.Turns[*waiter]
 	closed  bool
+	// customers is what is known of the customers to which connections belong.
+	customers customers
 }
 
 // New returns an empty pool of up to limit connections. The clock now must
 // never return 0, which the pool's fields use for "not set".
 func New(limit int, now func() time.Duration, open func(ctx context.Context, customer string) (*conn.Conn, error)) *Pool {
-	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]time.Duration{}, opening: map[string]int{}}
+	return &Pool{open: open, now: now, limit: limit, share: max(limit/defaultShareDivisor, 1), crowd: limit, inUse: map[*conn.Conn]use{}, opening: map[string]int{}, customers: customers{usage: usage.New()}, waiting: turns.New[*waiter]()}
 }
 
 // SetLimit sets the maximum number of open connections. Connections that are
@@ -146,26 +150,28 @@
 }
 
 // Take returns a connection of the caller's customer, preferably one that already
-// carries the caller's session values. A caller without a customer takes any connection. Of the waiting calls, the one with the lowest priority number
-// is served first. Take returns the context's error if the context ends first,
-// ErrBusy if no connection is expected to be free in time, ErrClosed if the
-// pool is closed, and the error of a failed attempt to open a connection.
-func (p *Pool) Take(ctx context.Context, c caller.Caller, priority int) (*conn.Conn, error) {
+// carries the caller's session values. A caller without a customer takes any connection.
+// Of the waiting calls, the one with the lowest priority number is served first. Take
+// returns the context's error if the context ends first, ErrBusy if no connection is
+// expected to be free in time, ErrClosed if the pool is closed, and the error of a failed
+// attempt to open a connection.
+func (p *Pool) Take(ctx context.Context, c caller.Caller, priority int, options ...func(*waiter)) (*conn.Conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if cn := p.takeIdle(c); cn != nil {
+	w := p.newWaiter(ctx, c, priority, options...)
+	p.customers.usage.Started(c.Customer, p.now())
+	if cn := p.takeIdle(w); cn != nil {
 		p.mu.Unlock()
 		return cn, nil
 	}
-	if !p.freeInTime(ctx, priority) {
+	if !p.freeInTime(ctx, w) {
 		p.mu.Unlock()
 		return nil, ErrBusy
 	}
-	w := &waiter{caller: c, priority: priority, granted: make(chan grant, 1)}
-	p.enqueue(w)
+	p.waiting.Add(w)
 	p.grow()
 	p.mu.Unlock()
 	select {
@@ -176,18 +182,21 @@
 	}
 }
 
-// freeInTime reports whether a connection is expected to be free before the
-// context ends, after all waiting calls of the same or a more urgent priority
-// have used one. It returns true if no connection is open or the context has no
+// freeInTime reports whether a connection is expected to be free before the context ends. For
+// a call without a customer that is after all waiting calls of the same or a more urgent
+// priority have used one. It returns true if no connection is open or the context has no
 // deadline; the caller holds the lock.
-func (p *Pool) freeInTime(ctx context.Context, priority int) bool {
+func (p *Pool) freeInTime(ctx context.Context, w *waiter) bool {
 	deadline, ok := ctx.Deadline()
 	if !ok || p.openCount == 0 {
 		return true
 	}
+	if w.Customer() != "" {
+		return p.waiting.InTime(p.now(), w, p.connectionsOf(w.Customer()), p.openCount)
+	}
 	ahead := 1
-	for _, w := range p.waiting {
-		if w.priority <= priority {
+	for _, other := range p.waiting.Order(p.now()) {
+		if other.priority <= w.priority {
 			ahead++
 		}
 	}
@@ -198,12 +207,9 @@
 // connection was granted meanwhile, it is put back.
 func (p *Pool) abandon(w *waiter, err error) error {
 	p.mu.Lock()
-	i := slices.Index(p.waiting, w)
-	if i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-	}
+	waited := p.waiting.Remove(w)
 	p.mu.Unlock()
-	if i < 0 {
+	if !waited {
 		if g := <-w.granted; g.conn != nil {
 			p.Put(g.conn)
 		}
@@ -211,16 +217,6 @@
 	return err
 }
 
-// enqueue inserts a waiter behind those of the same or a more urgent priority;
-// the caller holds the lock.
-func (p *Pool) enqueue(w *waiter) {
-	i := len(p.waiting)
-	for i > 0 && p.waiting[i-1].priority > w.priority {
-		i--
-	}
-	p.waiting = slices.Insert(p.waiting, i, w)
-}
-
 // serves reports whether a connection may run the statements of a caller.
 func serves(cn *conn.Conn, c caller.Caller) bool {
 	return c.Customer == "" || c.Customer == cn.Customer
@@ -229,8 +225,9 @@
 // takeIdle takes the idle connection whose session values differ least from the
 // caller's, preferring the one used last. It returns nil if none of the caller's
 // customer is idle; the caller holds the lock.
-func (p *Pool) takeIdle(c caller.Caller) *conn.Conn {
+func (p *Pool) takeIdle(w *waiter) *conn.Conn {
 	p.closeBroken()
+	c := w.caller
 	best, distance := -1, 0
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if !serves(p.idle[i], c) {
@@ -248,11 +245,11 @@
 	}
 	cn := p.idle[best]
 	p.idle = slices.Delete(p.idle, best, best+1)
-	p.inUse[cn] = p.now()
+	p.startUse(cn, w)
 	return cn
 }
 
-// dropBroken closes the idle connections that are broken, and removes them from
+// closeBroken closes the idle connections that are broken, and removes them from
 // the pool; the caller holds the lock.
 func (p *Pool) closeBroken() {
 	p.idle = slices.DeleteFunc(p.idle, func(cn *conn.Conn) bool {
@@ -276,30 +273,47 @@
 	return p.lost
 }
 
-// recordUse updates the average time of use when a call ends its use of a
-// connection; the caller holds the lock.
+// startUse records that a call begins to use a connection; the caller holds the lock.
+func (p *Pool) startUse(cn *conn.Conn, w *waiter) {
+	p.inUse[cn] = use{w.Customer(), p.now(), w.keeps, w.expected}
+	p.waiting.Started(p.now(), w)
+}
+
+// recordUse updates the average times of use when a call ends its use of a connection; the
+// caller holds the lock.
 func (p *Pool) recordUse(cn *conn.Conn) {
-	if since, ok := p.inUse[cn]; ok {
-		p.meanUse += time.Duration(useWeight * float64(p.now()-since-p.meanUse))
+	if u, ok := p.inUse[cn]; ok {
+		took := p.now() - u.since
+		p.meanUse += time.Duration(useWeight * float64(took-p.meanUse))
+		p.customers.usage.Ended(u.customer, u.keeps, took, p.now())
+		p.waiting.Ended(u.customer, took, u.expected)
 	}
 }
 
-// handOver passes a connection that is new or was put back to the first waiting
-// call that it serves. If there is none, it becomes idle, and makes room for another
-// customer's connection if that customer's calls wait; the caller holds the lock.
+// handOver passes a connection that is new or was put back to the first waiting call that it
+// serves, unless it has to make room for another customer's connection. If there is no such
+// call, the connection becomes idle, and makes room if other customers' calls wait; the caller
+// holds the lock.
 func (p *Pool) handOver(cn *conn.Conn) {
 	p.recordUse(cn)
-	i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return serves(cn, w.caller) })
-	if i < 0 {
+	p.refuseLate()
+	now := p.now()
+	w, ok := p.waiting.Next(now, func(w *waiter) bool { return serves(cn, w.caller) })
+	if !ok {
 		delete(p.inUse, cn)
-		cn.LastUsed = p.now()
+		cn.LastUsed = now
 		p.idle = append(p.idle, cn)
 		p.grow()
 		return
 	}
-	w := p.waiting[i]
-	p.waiting = slices.Delete(p.waiting, i, i+1)
-	p.inUse[cn] = p.now()
+	if p.mustMakeRoom(cn, w) {
+		p.customers.lastSwitch = now
+		p.closeUsed(cn)
+		p.grow()
+		return
+	}
+	p.waiting.Remove(w)
+	p.startUse(cn, w)
 	w.granted <- grant{conn: cn}
 }
 
@@ -313,8 +327,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.surplus(cn) {
 		p.discard(cn)
+		p.grow()
 		return
 	}
 	p.handOver(cn)
@@ -343,60 +358,6 @@
 	cn.Close()
 }
 
-// Trim closes connections that have been idle for longer than d, but keeps at
-// least one idle connection. If more than this host's share are open when Trim
-// is called, spareIdle replaces d for the whole call.
-func (p *Pool) Trim(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeBroken()
-	if p.hasCustomers() {
-		d = max(d, customerIdle)
-	}
-	for len(p.idle) > minIdle {
-		if p.openCount > p.share {
-			d = spareIdle
-		}
-		if p.idle[0].LastUsed >= p.now()-d {
-			return
-		}
-		p.openCount--
-		p.idle[0].Close()
-		p.idle = slices.Delete(p.idle, 0, 1)
-	}
-}
-
-// Abort closes every connection and makes the waiting calls return err.
-// Statements running on a connection end without an answer, and the connection
-// is counted until it is put back or dropped. The pool stays usable.
-func (p *Pool) Abort(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, cn := range p.idle {
-		p.openCount--
-		cn.Close()
-	}
-	p.idle = nil
-	for cn := range p.inUse {
-		cn.Close()
-	}
-	p.failWaiting(err)
-}
-
-// Close closes the pool: idle connections at once, and those in use when they
-// are put back or dropped. Waiting calls return ErrClosed.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for _, cn := range p.idle {
-		p.openCount--
-		cn.Close()
-	}
-	p.idle = nil
-	p.failWaiting(ErrClosed)
-}
-
 // WarmingUp reports whether this host's share of connections is still being
 // opened, or was first complete less than warmTime ago. While it returns true,
 // waiting statements don't show that the target lacks capacity.
@@ -411,5 +372,5 @@
 func (p *Pool) Counts() (open, idle, waiting int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.openCount, len(p.idle), len(p.waiting)
+	return p.openCount, len(p.idle), p.waiting.Len()
 }
