--- a/process/bucket/buckets.go
+++ b/process/bucket/buckets.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -147,8 +148,8 @@
 // shares returns the shares in a claim, and forgets the buckets that are not needed.
 func (bs *Buckets) shares(now time.Duration) []share.Share {
 	shares := make([]share.Share, 0, len(bs.buckets))
-	for customer, b := range bs.buckets {
-		s := b.claim(now, customer)
+	for _, customer := range slices.Sorted(maps.Keys(bs.buckets)) {
+		s := bs.buckets[customer].claim(now, customer)
 		if s.LeftMs == 0 && s.Demand == 0 && !s.Urgent {
 			delete(bs.buckets, customer)
 			continue
--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pistachiotray/pistachiotray/process/claim"
@@ -113,11 +115,17 @@
 	inherited holding
 }
 
+// hosts returns the hosts with an entry in a fixed order, so that sums are the same in each
+// run.
+func (a *account) hosts() []string {
+	return slices.Sorted(maps.Keys(a.entries))
+}
+
 // inherit adds up what the hosts inherited.
 func (a *account) inherit(now time.Duration) {
 	a.inherited = holding{until: now + knownMemory}
-	for _, e := range a.entries {
-		if i := e.inherited; i.until > now {
+	for _, host := range a.hosts() {
+		if i := a.entries[host].inherited; i.until > now {
 			a.inherited = holding{a.inherited.rate + i.rate, a.inherited.burst + i.burst, min(a.inherited.until, i.until)}
 		}
 	}
@@ -154,7 +162,8 @@
 // rounding errors.
 func (a *account) sweep(now time.Duration) {
 	a.rates, a.most, a.demand, a.levels, a.gained, a.sweepAt = 0, 0, 0, 0, 0, now+knownMemory
-	for _, e := range a.entries {
+	for _, host := range a.hosts() {
+		e := a.entries[host]
 		if e.told.until <= now && e.granted.until <= now {
 			// The host is silent, or has lost interest.
 			e.demand = 0
--- a/process/quota/failure_test.go
+++ b/process/quota/failure_test.go
@@ -212,3 +212,18 @@
 	late.claim(2*time.Second, 3, 2*time.Second)
 	is.Equal(c.Share(), 1.0)
 }
+
+// With more hosts the coordinator must not get more claims, and a share must still outlast
+// several of them.
+func TestTimesGrowWithHosts(t *testing.T) {
+	for hosts, interval := range map[int]int64{1: 500, 100: 500, 300: 1500} {
+		is := is.New(t)
+		c := quota.New(1)
+		names := make([]string, hosts)
+		c.SetHosts(0, names)
+		a := c.Award(0, claim.New("a", 1, 1).WithKnown(hosts), plan.New(1))
+		is.Equal(a.IntervalMs, interval)
+		is.Equal(a.LifetimeMs, 4*interval)
+		is.True(a.AccountMs > a.LifetimeMs)
+	}
+}
