--- a/process/allot/allotments.go
+++ b/process/allot/allotments.go
@@ -25,6 +25,9 @@
 const (
 	// maxWait is how long an operation waits for a share where this host has none.
 	maxWait = 250 * time.Millisecond
+	// maxStartWait is the same for a process that has just started. All hosts may have
+	// restarted, and callers that are refused would all come back at once.
+	maxStartWait = time.Second
 	// maxWaiting is how many operations may wait at a time. The others are refused, so
 	// that most workers stay free while no coordinator answers.
 	maxWaiting = 64
@@ -167,7 +170,11 @@
 // await tries again with each answer to a claim, until there is a token or it is clear that
 // there is none. The caller holds mu, which is released while await waits.
 func (al *Allotments) await(ctx context.Context, customer string, after time.Duration) (bool, time.Duration) {
-	ctx, stop := context.WithTimeout(ctx, maxWait)
+	limit := maxWait
+	if al.buckets.Starting(al.now()) {
+		limit = maxStartWait
+	}
+	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
 	al.waiting++
 	defer func() { al.waiting-- }()
--- a/process/bucket/bucket.go
+++ b/process/bucket/bucket.go
@@ -43,9 +43,10 @@
 	demand    float64
 	// urgent means that operations wait for tokens.
 	urgent bool
-	// claimed means that the last claim named the customer, and fresh that the last
-	// award did.
-	claimed, fresh bool
+	// named is the number of the last claim that named the customer, and fresh means that
+	// the last award did.
+	named uint64
+	fresh bool
 }
 
 // effective returns the rate, the capacity and the end of what is granted at a time.
@@ -103,7 +104,7 @@
 		left = (e.until - now + time.Millisecond - 1).Milliseconds()
 	}
 	s := share.New(customer).WithDemand(b.demand, b.urgent).WithBucket(e.rate, e.burst, b.tokens).WithLeft(left).WithReturned(b.returned)
-	b.urgent, b.claimed = false, true
+	b.urgent = false
 	return s
 }
 
--- a/process/bucket/buckets.go
+++ b/process/bucket/buckets.go
@@ -24,6 +24,9 @@
 	// maxFailures is the number of failed claims in a row after which another coordinator
 	// is asked. One failure may be due to a connection that broke.
 	maxFailures = 2
+	// partialTime is the part of an interval after a claim about all customers within which
+	// further claims are partial, since operations wait for a few customers only.
+	partialTime = 0.8
 )
 
 // Buckets is one host's shares. Its times are those of the caller's clock, which must
@@ -47,6 +50,10 @@
 	echoAt   time.Duration
 	interval time.Duration
 	account  time.Duration
+	// wholeAt is when the last claim was sent that told about all customers, to the
+	// coordinator wholeEra.
+	wholeAt  time.Duration
+	wholeEra uint64
 	// accounts holds the time until which each coordinator may count this host, by era,
 	// and left the same by name for those that this host no longer follows.
 	accounts map[uint64]time.Duration
@@ -74,6 +81,12 @@
 	return bs.current
 }
 
+// Starting reports whether this process started so short ago that all hosts may have
+// restarted with it.
+func (bs *Buckets) Starting(now time.Duration) bool {
+	return now-bs.startedAt < firstAccount
+}
+
 // Interval returns the time between two claims.
 func (bs *Buckets) Interval() time.Duration {
 	return bs.interval
@@ -123,7 +136,14 @@
 	}
 	clean, extra := bs.foreign(now)
 	bs.accounts[bs.era] = now + bs.account
-	return to, c.WithEcho(bs.era, bs.echo, now-bs.echoAt).WithAccounts(clean, extra).WithShares(bs.shares(now)...), true
+	partial := bs.wholeEra == bs.era && bs.failures == 0 && float64(now-bs.wholeAt) < partialTime*float64(bs.interval)
+	if !partial {
+		bs.wholeAt, bs.wholeEra = now, bs.era
+	}
+	if clean <= max(bs.startedAt+bs.account-now, 0) && extra == 0 {
+		c = c.WithFresh(now - bs.startedAt)
+	}
+	return to, c.WithEcho(bs.era, bs.echo, now-bs.echoAt).WithAccounts(clean, extra).WithPartial(partial).WithShares(bs.shares(now, partial)...), true
 }
 
 // foreign returns for how long another coordinator may still count this host, and for how
@@ -145,11 +165,16 @@
 	return clean, extra
 }
 
-// shares returns the shares in a claim, and forgets the buckets that are not needed.
-func (bs *Buckets) shares(now time.Duration) []share.Share {
+// shares returns the shares in a claim, and forgets the buckets that are not needed. A partial
+// claim has only those for which operations wait.
+func (bs *Buckets) shares(now time.Duration, partial bool) []share.Share {
 	shares := make([]share.Share, 0, len(bs.buckets))
 	for _, customer := range slices.Sorted(maps.Keys(bs.buckets)) {
+		if partial && !bs.buckets[customer].urgent {
+			continue
+		}
 		s := bs.buckets[customer].claim(now, customer)
+		bs.buckets[customer].named = bs.number
 		if s.LeftMs == 0 && s.Demand == 0 && !s.Urgent {
 			delete(bs.buckets, customer)
 			continue
@@ -192,7 +217,7 @@
 		}
 	}
 	for _, b := range bs.buckets {
-		if !b.fresh && b.claimed {
+		if !b.fresh && b.named == bs.number {
 			b.replace(now, until, share.Share{}, a.Keep)
 		}
 	}
--- a/process/claim/claim.go
+++ b/process/claim/claim.go
@@ -30,6 +30,12 @@
 	// one may, in milliseconds.
 	CleanMs int64
 	ExtraMs int64
+	// FreshMs is how long ago the host's process started, in milliseconds, if it has followed
+	// no other coordinator since, and otherwise 0.
+	FreshMs int64
+	// Partial means that the claim tells only about the customers in Shares. Otherwise the
+	// host has no part of any other customer's limit.
+	Partial bool
 	// Shares holds the customers with demand or tokens.
 	Shares []share.Share
 }
@@ -59,6 +65,19 @@
 	return c
 }
 
+// WithFresh returns the claim of a process that has followed no other coordinator since it
+// started so long ago.
+func (c Claim) WithFresh(age time.Duration) Claim {
+	c.FreshMs = age.Milliseconds()
+	return c
+}
+
+// WithPartial returns the claim with Partial set to partial.
+func (c Claim) WithPartial(partial bool) Claim {
+	c.Partial = partial
+	return c
+}
+
 // WithShares returns the claim with shares.
 func (c Claim) WithShares(shares ...share.Share) Claim {
 	c.Shares = shares
--- a/process/claim/encode.go
+++ b/process/claim/encode.go
@@ -10,14 +10,21 @@
 	"github.com/pistachiotray/pistachiotray/process/share"
 )
 
+// partialBit is set in the first byte of a partial claim.
+const partialBit = 1
+
 // errMalformed is returned for bytes that are no claim.
 var errMalformed = errors.New("malformed claim")
 
 // GobEncode encodes the claim in a form that is a third as long as that of encoding/gob.
 func (c Claim) GobEncode() ([]byte, error) {
-	b := binary.AppendUvarint(nil, uint64(len(c.Host)))
+	var bits byte
+	if c.Partial {
+		bits |= partialBit
+	}
+	b := binary.AppendUvarint([]byte{bits}, uint64(len(c.Host)))
 	b = append(b, c.Host...)
-	for _, v := range []uint64{c.Start, c.Number, c.Era, uint64(c.Echo), uint64(c.HeldMs), uint64(c.Known), uint64(c.CleanMs), uint64(c.ExtraMs)} {
+	for _, v := range []uint64{c.Start, c.Number, c.Era, uint64(c.Echo), uint64(c.HeldMs), uint64(c.Known), uint64(c.CleanMs), uint64(c.ExtraMs), uint64(c.FreshMs)} {
 		b = binary.AppendUvarint(b, v)
 	}
 	for _, s := range c.Shares {
@@ -28,12 +35,17 @@
 
 // GobDecode decodes a claim. It fails if the bytes are no claim.
 func (c *Claim) GobDecode(b []byte) error {
+	if len(b) == 0 {
+		return errMalformed
+	}
+	partial := b[0]&partialBit != 0
+	b = b[1:]
 	n, size := binary.Uvarint(b)
 	if size <= 0 || n > uint64(len(b)-size) {
 		return errMalformed
 	}
 	host, b := string(b[size:size+int(n)]), b[size+int(n):]
-	var values [8]uint64
+	var values [9]uint64
 	for i := range values {
 		if values[i], size = binary.Uvarint(b); size <= 0 || i > 2 && values[i] > math.MaxInt64 {
 			return errMalformed
@@ -42,7 +54,7 @@
 	}
 	*c = Claim{
 		Host: host, Start: values[0], Number: values[1], Era: values[2], Echo: time.Duration(values[3]),
-		HeldMs: int64(values[4]), Known: int(values[5]), CleanMs: int64(values[6]), ExtraMs: int64(values[7]),
+		HeldMs: int64(values[4]), Known: int(values[5]), CleanMs: int64(values[6]), ExtraMs: int64(values[7]), FreshMs: int64(values[8]), Partial: partial,
 	}
 	for len(b) > 0 {
 		s, rest, err := share.Parse(b)
--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -24,7 +24,7 @@
 	fullDemand = 0.5
 	// spareStock is the stock per host from which every host gets a token of its own while
 	// the customer is limited.
-	spareStock = 1.25
+	spareStock = 3
 	// reserve is the part of the stock that only hosts get which have operations waiting,
 	// unless one host has all the demand.
 	reserve = 0.25
@@ -45,10 +45,12 @@
 	// gapPart is the part of overage and slack that is handed out while it is not known
 	// what is held on a host's account elsewhere, and by a majority in place of silent
 	// hosts. Both can happen at once, the first for less than half of the hosts. stockPart
-	// is the part that is added to the burst. The rest, at least 5%, allows for operations
+	// is the part that may be unused at a time. The rest, at least 15%, allows for operations
 	// that are admitted and run a little later.
-	gapPart   = 0.35
-	stockPart = 0.35
+	gapPart   = 0.3
+	stockPart = 0.6
+	// evenPart is the part of the burst that is spread over the window as a rate.
+	evenPart = 1.0
 )
 
 // holding is what a host may hold of a customer's limit until a time.
@@ -188,6 +190,8 @@
 // second, and tokens that may be unused at a time.
 type budget struct {
 	rate, stock float64
+	// patient means that operations should wait for tokens although none are left.
+	patient bool
 }
 
 // budget returns the budget for a customer. What hosts inherited may be continued at once, up
@@ -201,12 +205,19 @@
 	}
 	follow := c.cleanShare + c.extraShare
 	return budget{
-		max(limit.Rate*c.cleanShare+extra, min(limit.Rate*c.cleanShare+inherited.rate, limit.Rate*follow)),
-		max(stock*c.cleanShare+min(extra*extraStock, stock*(1-c.cleanShare)), min(stock*c.cleanShare+inherited.burst, stock*follow)),
+		rate:  max(limit.Rate*c.cleanShare+extra, min(limit.Rate*c.cleanShare+inherited.rate, limit.Rate*follow)),
+		stock: max(stock*c.cleanShare+min(extra*extraStock, stock*(1-c.cleanShare)), min(stock*c.cleanShare+inherited.burst, stock*follow)),
 	}
 }
 
-// spare returns by how much a customer's limit may be exceeded in a window.
+// even returns a customer with its limit spread over the window. A customer may run its burst
+// and its rate times the window in each window, so that with its rate alone a sixth of what
+// it may run would be refused while its demand is high for long.
+func (c *Coordinator) even(limit cust.Customer) cust.Customer {
+	return limit.WithLimit(limit.Rate+limit.Burst*evenPart/c.window, limit.Burst*(1-evenPart))
+}
+
+// spare returns by how much a customer's limit, spread over the window, may be exceeded in it.
 func (c *Coordinator) spare(limit cust.Customer) float64 {
 	return (limit.Rate*c.window+limit.Burst)*c.overage + c.slack
 }
@@ -261,6 +272,7 @@
 		if !ok || !limit.Limited() {
 			continue
 		}
+		limit = c.even(limit)
 		a, b := c.account(now, limit)
 		e, ok := a.entries[cl.Host]
 		if !ok {
@@ -275,10 +287,11 @@
 			b = c.budget(limit, a.inherited)
 		}
 		a.tokens = min(a.tokens, max(b.stock-a.held(now), 0))
+		b.patient = c.starting(now)
 		shares = append(shares, a.grant(e, now, until, b, s))
 	}
 	for customer, e := range f.entries {
-		if e.number == cl.Number {
+		if e.number == cl.Number || cl.Partial {
 			continue
 		}
 		if a, ok := c.accounts[customer]; ok {
@@ -305,7 +318,7 @@
 
 // grant decides a host's new part of the limit.
 func (a *account) grant(e *entry, now, until time.Duration, b budget, s share.Share) share.Share {
-	limited := a.demand >= saturation*b.rate && a.tokens < scarceStock*b.stock
+	limited := a.demand >= saturation*b.rate && a.tokens < scarceStock*b.stock && !b.patient
 	if e.demand < minDemand && !s.Urgent {
 		e.granted = holding{until: until}
 		return share.New(s.Customer).WithLimited(limited)
@@ -356,7 +369,7 @@
 	a.tokens -= tokens
 	e.granted = holding{max(rate, 0), burst, until}
 	a.recount(e, now, s.Tokens+tokens)
-	return share.New(s.Customer).WithBucket(max(rate, 0), burst, tokens).WithLimited(limited || burst < 1-rounding && a.tokens < 1)
+	return share.New(s.Customer).WithBucket(max(rate, 0), burst, tokens).WithLimited(limited || burst < 1-rounding && a.tokens < 1 && !b.patient)
 }
 
 // draw returns how many of the free tokens a host should get.
--- a/process/quota/coordinator.go
+++ b/process/quota/coordinator.go
@@ -28,6 +28,10 @@
 	// knownMemory is the time within which the number of known hosts does not fall, since
 	// hosts that restart together are not known for a while.
 	knownMemory = 10 * time.Second
+	// startTime is for how long a coordinator lets operations wait for tokens rather than
+	// refuses them, from when all known hosts follow it. After a restart of all hosts the
+	// callers come back at once, and the buckets are empty.
+	startTime = time.Second
 )
 
 // limits looks up the customers of the plan in force.
@@ -62,6 +66,8 @@
 	// all of them follow this coordinator.
 	hosts int
 	whole bool
+	// begunAt is when this coordinator first had all known hosts as followers, 0 before.
+	begunAt time.Duration
 }
 
 // knownCount is a number of known hosts and the last time at which it was seen.
@@ -82,7 +88,10 @@
 	// inherits means that the claim in hand is the host's first, so that it tells what the
 	// host has from another coordinator.
 	inherits bool
-	entries  map[string]*entry
+	// freshSince is when the host's process started, if it has followed no other
+	// coordinator since, and otherwise 0.
+	freshSince time.Duration
+	entries    map[string]*entry
 }
 
 // New returns a coordinator without followers. era identifies the process, and differs
@@ -198,6 +207,10 @@
 		f.cleanAt = now + time.Duration(cl.CleanMs)*time.Millisecond
 	}
 	f.extraAt = now + time.Duration(cl.ExtraMs)*time.Millisecond
+	f.freshSince = 0
+	if cl.FreshMs > 0 {
+		f.freshSince = now - time.Duration(cl.FreshMs)*time.Millisecond
+	}
 	f.inherits = !known && f.cleanAt > now && f.extraAt <= now
 	return f, true
 }
@@ -247,6 +260,7 @@
 	}
 	c.whole = following >= c.hosts && c.hosts > 0
 	if c.whole {
+		c.begin(now)
 		for _, f := range c.followers {
 			if f.until >= now {
 				f.cleanAt, f.extraAt = min(f.cleanAt, now), min(f.extraAt, now)
@@ -262,6 +276,33 @@
 	c.majority = 2*clean > c.hosts
 }
 
+// begin counts the time since the last of the hosts' processes started, once all known hosts
+// follow for the first time. If all of them have just restarted, nothing ran in that time.
+func (c *Coordinator) begin(now time.Duration) {
+	if c.begunAt != 0 {
+		return
+	}
+	c.begunAt = now
+	if c.cleanTotal+c.extraTotal+c.majorTotal > 0 || len(c.accounts) > 0 {
+		return
+	}
+	youngest := time.Duration(0)
+	for _, f := range c.followers {
+		if f.freshSince <= 0 {
+			return
+		}
+		youngest = max(youngest, f.freshSince)
+	}
+	idle := max(now-youngest, 0).Seconds()
+	c.cleanTotal += idle
+	c.followTotal += idle
+}
+
+// starting reports whether operations should wait for tokens although none are left.
+func (c *Coordinator) starting(now time.Duration) bool {
+	return c.begunAt == 0 && c.cleanShare == 0 || c.begunAt != 0 && now-c.begunAt < startTime
+}
+
 // forget drops what is kept of hosts that have been silent for long, and of customers that
 // are no longer in the plan.
 func (c *Coordinator) forget(now time.Duration, plan limits) {
