--- a/process/conns/customers.go
+++ b/process/conns/customers.go
@@ -90,6 +90,12 @@
 	return p.customers.known() || slices.ContainsFunc(p.idle, func(cn *conn.Conn) bool { return cn.Customer != "" })
 }
 
+// distinguishes reports whether uses by a customer, or by none if the name is empty, matter for
+// the shares of customers; the caller holds the lock.
+func (p *Pool) distinguishes(customer string) bool {
+	return customer != "" || p.customers.known()
+}
+
 // noteOpened updates the average duration of opening a connection.
 func (cs *customers) noteOpened(took time.Duration) {
 	if cs.meanOpen == 0 {
@@ -179,6 +185,14 @@
 	return p.share
 }
 
+// ownShare returns this host's share of the target's connections; the caller holds the lock.
+func (p *Pool) ownShare() int {
+	if p.customers.known() {
+		return min(p.share, p.maxOpen())
+	}
+	return p.share
+}
+
 // openOf returns how many connections of a customer are open; the caller holds the lock.
 func (p *Pool) openOf(customer string) int {
 	n := p.inUseOf(customer)
--- a/process/conns/grow.go
+++ b/process/conns/grow.go
@@ -117,7 +117,7 @@
 		p.openCount++
 		p.customers.noteOpened(p.now() - began)
 		p.countsOf(customer).opened++
-		if p.openCount >= p.share && p.warmSince == 0 {
+		if p.openCount >= p.ownShare() && p.warmSince == 0 {
 			p.warmSince = p.now()
 		}
 		p.handOver(cn)
--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -286,20 +286,28 @@
 // startUse records that a call begins to use a connection; the caller holds the lock.
 func (p *Pool) startUse(cn *conn.Conn, w *waiter) {
 	p.inUse[cn] = use{w.Customer(), p.now(), w.keeps, w.expected}
-	p.waiting.Started(p.now(), w)
+	if p.distinguishes(w.Customer()) {
+		p.waiting.Started(p.now(), w)
+	}
 }
 
 // recordUse updates the average times of use when a call ends its use of a connection; the
 // caller holds the lock.
 func (p *Pool) recordUse(cn *conn.Conn) {
-	if u, ok := p.inUse[cn]; ok {
-		took := p.now() - u.since
-		p.meanUse += time.Duration(useWeight * float64(took-p.meanUse))
-		p.customers.usage.Ended(u.customer, u.keeps, took, p.now())
-		if !u.keeps {
-			p.customers.strain.Add(p.now(), took)
-		}
-		p.waiting.Ended(u.customer, took, u.expected)
+	u, ok := p.inUse[cn]
+	if !ok {
+		return
+	}
+	now := p.now()
+	took := now - u.since
+	p.meanUse += time.Duration(useWeight * float64(took-p.meanUse))
+	if !p.distinguishes(u.customer) {
+		return
+	}
+	p.customers.usage.Ended(u.customer, u.keeps, took, now)
+	p.waiting.Ended(u.customer, took, u.expected)
+	if !u.keeps {
+		p.customers.strain.Add(now, took)
 	}
 }
 
@@ -378,7 +386,7 @@
 func (p *Pool) WarmingUp() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.openCount < p.share && p.openingCount > 0 || p.warmSince != 0 && p.now()-p.warmSince < warmTime
+	return p.openCount < p.ownShare() && p.openingCount > 0 || p.warmSince != 0 && p.now()-p.warmSince < warmTime
 }
 
 // Counts returns the numbers of open connections, of idle connections and of
--- a/process/conns/waiter.go
+++ b/process/conns/waiter.go
@@ -48,6 +48,9 @@
 	if at, ok := ctx.Deadline(); ok {
 		w.deadline = w.since + time.Until(at)
 	}
+	if !p.distinguishes(c.Customer) {
+		return w
+	}
 	if w.expected = p.customers.usage.Expected(c.Customer, w.keeps); w.expected == 0 {
 		w.expected = p.meanUse
 	}
