--- a/process/rset/customer.go
+++ b/process/rset/customer.go
@@ -57,7 +57,7 @@
 		quota = max(rs.maxConns/max(rs.assignment.LiveCount(), 1), 1)
 	case ts.direct:
 		names := slices.Sorted(maps.Keys(rs.customers))
-		quota = rs.assignment.CustomerShare(ts.target, names, ts.lenders, rs.maxConns)
+		quota = rs.assignment.CustomerShare(ts.target, names, ts.lenders, rs.maxConns/restartDivisor)
 	}
 	ts.pool.SetCustomers(rs.customers, quota)
 }
--- a/process/rset/lenders.go
+++ b/process/rset/lenders.go
@@ -6,6 +6,11 @@
 // long pauses.
 const minCrowd = 2
 
+// restartDivisor divides the connections that a target accepts into those that hosts open at
+// once and the rest. If all hosts lose power, the target counts their connections for some
+// seconds more, and the restarted hosts need others.
+const restartDivisor = 2
+
 // SetAssignment sets the assignment that decides which hosts connect to which
 // target.
 func (rs *ReplicaSet) SetAssignment(a assign.Assignment) {
@@ -31,11 +36,10 @@
 	ts.lenders, ts.direct = rs.assignment.Lenders(ts.target, rs.maxConns)
 	ts.firstLender = rs.assignment.FirstIndex(ts.target, len(ts.lenders))
 	if ts.lenders != nil {
-		ts.pool.SetShare(rs.maxConns/max(len(ts.lenders), 1), rs.maxConns)
+		lenders := max(len(ts.lenders), 1)
+		ts.pool.SetShare(rs.maxConns/restartDivisor/lenders, max(rs.maxConns/lenders, minCrowd))
 		return
 	}
-	// If all hosts lose power, the target counts their connections for some seconds
-	// more. Half of its connections are left for the restarted hosts.
 	hosts := max(rs.assignment.LiveCount(), 1)
-	ts.pool.SetShare(rs.maxConns/2/hosts, max(3*rs.maxConns/2/hosts, minCrowd))
+	ts.pool.SetShare(rs.maxConns/restartDivisor/hosts, max(3*rs.maxConns/2/hosts, minCrowd))
 }
