--- a/process/conns/customers.go
+++ b/process/conns/customers.go
@@ -17,9 +17,8 @@
 	// openPrice is how many times the duration of opening a connection a call waits for
 	// one in use instead: the call would wait while one is opened, a slot of the target
 	// would be occupied meanwhile, and the connection that makes room has to be opened
-	// again. At three quarters of a target's slots, 3 gave 1 new connection for 50 to 55
-	// statements in simulations, and 4 1 for 62.
-	openPrice = 4
+	// again.
+	openPrice = 3
 	// patience is the same for a connection that would be used less often than the one
 	// that makes room.
 	patience = 10
@@ -217,7 +216,7 @@
 
 // worthOpening reports whether another connection should be opened for a call that is the nth
 // waiting one of its customer. If a connection of the customer that is in use is expected back
-// sooner than opening another is worth, and well before the call's time is up, the call waits
+// sooner than opening another is worth, the call waits
 // for it; the caller holds the lock.
 func (p *Pool) worthOpening(w *waiter, n int) bool {
 	customer := w.Customer()
@@ -226,7 +225,7 @@
 		return true
 	}
 	wait := p.expectedReturn(customer, inUse) * time.Duration(2*n-1) / time.Duration(2*(inUse+p.opening[customer]))
-	if wait < openPrice*p.customers.meanOpen && wait < (w.deadline-p.now())/2 {
+	if wait < openPrice*p.customers.meanOpen {
 		return false
 	}
 	if wait >= patience*p.customers.meanOpen || p.openCount+p.openingCount < p.room() {
--- a/process/conns/room.go
+++ b/process/conns/room.go
@@ -90,6 +90,9 @@
 // come first for the customer and has no connection for it; the caller holds the lock.
 func (p *Pool) servedInTime(w *waiter) bool {
 	own := p.connectionsOf(w.Customer())
+	if !p.strained() {
+		return p.waiting.InTime(p.now(), w, own, p.openCount)
+	}
 	if p.mayStart(w) && p.mayOpen(w) {
 		if !w.excess && p.canOpen(w.Customer()) {
 			own++
