--- a/standin/platd/member.go
+++ b/standin/platd/member.go
@@ -26,6 +26,10 @@
 // registrations.
 const registerInterval = 50 * time.Millisecond
 
+// maxLineBytes is the length of the longest line that a member reads: a statement of 1 MiB,
+// with what a host adds to it.
+const maxLineBytes = 1<<20 + 1<<10
+
 // connection is an open connection to a member of a stand-in group.
 type connection interface {
 	Run(ctx context.Context, batch []stmt.Stmt) ([]reply.Reply, error)
@@ -136,6 +140,7 @@
 func serveMember(ctx context.Context, c net.Conn, g *qgroup.Group, t target.Target) {
 	defer func() { _ = c.Close() }()
 	lineScanner := bufio.NewScanner(c)
+	lineScanner.Buffer(nil, maxLineBytes)
 	if !lineScanner.Scan() {
 		return
 	}
