Budget for callers, targets' answers and other hosts; no worker waits for a caller

A worker sends what a connection takes at once; the session sends the rest, in pieces that each have a deadline. Sessions have limits for values. Connections keep a digest of long session values.

platform/server moves to connection/server, since it knows no encoding any more; the protocol is passed to it.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -44,11 +44,17 @@
 	// values are sorted by name.
 	values   []sessionValue
 	prepared map[string]prepared
+	// keptBytes is the memory that the values and prepared statements take.
+	keptBytes int
 	// key identifies the customer. It is unexported so that it is neither logged nor
 	// sent to other hosts.
 	key string
 }
 
+// entryBytes is the memory that a value or prepared statement takes besides its texts, which are
+// parts of a message.
+const entryBytes = 128
+
 // New returns a session without values, outside of a transaction.
 func New(id, database string) Caller {
 	return Caller{ID: id, Database: database, Status: reply.Idle}
@@ -89,8 +95,11 @@
 	values := slices.Clone(c.values)
 	i, ok := slices.BinarySearchFunc(values, name, compareName)
 	if ok {
-		values[i].text = text
+		c.keptBytes += len(text) - len(values[i].text)
+		// The name too: the former one is a part of the message that set the former text.
+		values[i] = sessionValue{name, text}
 	} else {
+		c.keptBytes += entryBytes + len(name) + len(text)
 		values = slices.Insert(values, i, sessionValue{name, text})
 	}
 	c.values = values
@@ -129,17 +138,37 @@
 	if c.prepared == nil {
 		c.prepared = map[string]prepared{}
 	}
+	c = c.withoutBytes(name)
+	c.keptBytes += entryBytes + len(name) + len(text)
+	// Without delete, the map would keep the former name, a part of the message that set it.
+	delete(c.prepared, name)
 	c.prepared[name] = prepared{text, writes}
 	return c
 }
 
 // WithoutPrepared returns the session without the named prepared statement.
 func (c Caller) WithoutPrepared(name string) Caller {
+	c = c.withoutBytes(name)
 	c.prepared = maps.Clone(c.prepared)
 	delete(c.prepared, name)
 	return c
 }
 
+// withoutBytes returns the session without the memory of a prepared statement, if there is one
+// of that name.
+func (c Caller) withoutBytes(name string) Caller {
+	if p, ok := c.prepared[name]; ok {
+		c.keptBytes -= entryBytes + len(name) + len(p.text)
+	}
+	return c
+}
+
+// Kept returns how many values and prepared statements the session has, and the memory that
+// they take, in bytes.
+func (c Caller) Kept() (count, size int) {
+	return len(c.values) + len(c.prepared), c.keptBytes
+}
+
 // Prepared returns the text of a prepared statement and whether it writes.
 func (c Caller) Prepared(name string) (text string, writes, ok bool) {
 	p, ok := c.prepared[name]
--- a/connection/conn/conn.go
+++ b/connection/conn/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"strconv"
 	"strings"
 	"time"
@@ -72,7 +73,8 @@
 	// host is the host that lends the connection, nil if the connection is not
 	// borrowed.
 	host remoteHost
-	// values are the session values that are set on the connection.
+	// values are the fingerprints of the session values that are set on the connection. The
+	// texts may be long, and the session that set them may have ended.
 	values map[string]string
 	// prepared holds the names of the statements that are prepared on it.
 	prepared map[string]bool
@@ -142,7 +144,7 @@
 	matching, total := 0, 0
 	c.Values(func(name, text string) {
 		total++
-		if cn.values[name] == text {
+		if cn.values[name] == fingerprint(text) {
 			matching++
 		}
 	})
@@ -162,9 +164,9 @@
 		clear(cn.prepared)
 	}
 	c.Values(func(name, text string) {
-		if current, ok := cn.values[name]; !ok || current != text {
+		if current, ok := cn.values[name]; !ok || current != fingerprint(text) {
 			steps = append(steps, stmt.New(stmt.ProxyID, stmt.Set, "").WithName(name, text))
-			cn.values[name] = text
+			cn.values[name] = fingerprint(text)
 		}
 	})
 	for _, s := range batch {
@@ -181,6 +183,17 @@
 	return steps
 }
 
+// fingerprint returns a short text that no other value has: the text itself if it is short, or
+// else its SHA-256, which is longer than any short text.
+func fingerprint(text string) string {
+	const maxShortBytes = 31
+	if len(text) <= maxShortBytes {
+		return text
+	}
+	sum := sha256.Sum256([]byte(text))
+	return string(sum[:])
+}
+
 // hasExtraValues reports whether a value is set on the connection that the caller
 // does not have.
 func (cn *Conn) hasExtraValues(c caller.Caller) bool {
--- a/connection/huff/stream.go
+++ b/connection/huff/stream.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/huff0"
+
+	"github.com/pistachiotray/pistachiotray/connection/share"
 )
 
 const (
@@ -21,6 +23,11 @@
 	// maxMessageBytes is the maximum size of a message that is read without
 	// compression. A statement of 1 MiB and the fields that are sent with it fit in.
 	maxMessageBytes = 4 << 20
+	// keptBytes is the size up to which the buffer of a written frame is kept for the next one,
+	// and a message is read at once.
+	keptBytes = 16 << 10
+	// decodingCopies is how often the bytes of a message are copied when it is decoded.
+	decodingCopies = 2
 )
 
 // ErrMalformed is returned for a frame that can't be decompressed or whose length is
@@ -32,6 +39,17 @@
 // memory, since connections are many and mostly idle.
 var scratchPool = sync.Pool{New: func() any { return &huff0.Scratch{} }}
 
+// account pays for the memory of long messages.
+type account interface {
+	// Begin notes that a long message begins, and Finish that it is complete or failed.
+	Begin()
+	Finish()
+	// Progress is called before each wait for more of a long message.
+	Progress()
+	// Draw draws memory before it is used.
+	Draw(n int) error
+}
+
 // Stream writes and reads frames. A frame begins with a varint: the length of the
 // message shifted left by one bit, with the lowest bit set if the message is
 // compressed. In a frame with a compressed message, a second varint follows with the
@@ -44,11 +62,32 @@
 	buf []byte
 	// unread is the rest of the last message read.
 	unread []byte
+	// account pays for long messages, and drawn is the memory that was drawn since the last
+	// call of Drawn.
+	account account
+	drawn   int
+}
+
+// WithAccount returns an option that sets the account that pays for long messages. Whoever reads
+// the messages returns what Drawn returns.
+func WithAccount(a account) func(*Stream) {
+	return func(s *Stream) { s.account = a }
 }
 
 // New returns a Stream over conn.
-func New(conn io.ReadWriter) *Stream {
-	return &Stream{writer: conn, reader: bufio.NewReader(conn)}
+func New(conn io.ReadWriter, options ...func(*Stream)) *Stream {
+	s := &Stream{writer: conn, reader: bufio.NewReader(conn), account: (*share.Share)(nil)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Drawn returns how much memory was drawn for messages since the last call.
+func (s *Stream) Drawn() int {
+	n := s.drawn
+	s.drawn = 0
+	return n
 }
 
 // Write sends bytes as one frame.
@@ -63,7 +102,11 @@
 		s.buf = binary.AppendUvarint(s.buf, uint64(len(b))<<1)
 		s.buf = append(s.buf, b...)
 	}
-	if _, err := s.writer.Write(s.buf); err != nil {
+	_, err := s.writer.Write(s.buf)
+	if cap(s.buf) > keptBytes {
+		s.buf = nil
+	}
+	if err != nil {
 		return 0, errors.Wrap(err, "Stream.Write")
 	}
 	return len(b), nil
@@ -123,11 +166,14 @@
 	return decompress(compressed, int(size))
 }
 
-// readBytes reads n bytes. It checks n before it allocates memory.
+// readBytes reads n bytes. It allocates memory for a long message as its bytes arrive.
 func (s *Stream) readBytes(n uint64) ([]byte, error) {
 	if n > maxMessageBytes {
 		return nil, ErrMalformed
 	}
+	if n > keptBytes {
+		return s.readLong(int(n))
+	}
 	b := make([]byte, n)
 	if _, err := io.ReadFull(s.reader, b); err != nil {
 		return nil, errors.Wrap(err, "Stream.Read")
@@ -135,6 +181,40 @@
 	return b, nil
 }
 
+// readLong reads n bytes, which draw from the account as they arrive, and then as much again for
+// each copy that their decoding makes.
+func (s *Stream) readLong(n int) ([]byte, error) {
+	s.account.Begin()
+	defer s.account.Finish()
+	var b []byte
+	for len(b) < n {
+		size := min(max(2*len(b), keptBytes), n)
+		if err := s.draw(size - len(b)); err != nil {
+			return nil, err
+		}
+		larger := make([]byte, size)
+		copy(larger, b)
+		for at := len(b); at < size; {
+			s.account.Progress()
+			m, err := s.reader.Read(larger[at:])
+			if err != nil {
+				return nil, errors.Wrap(err, "Stream.Read")
+			}
+			at += m
+		}
+		b = larger
+	}
+	return b, s.draw(decodingCopies * n)
+}
+
+func (s *Stream) draw(n int) error {
+	if err := s.account.Draw(n); err != nil {
+		return errors.Wrap(err, "Stream.Read")
+	}
+	s.drawn += n
+	return nil
+}
+
 // decompress returns a message that had size bytes before compression.
 func decompress(compressed []byte, size int) ([]byte, error) {
 	scratch := scratchPool.Get().(*huff0.Scratch)
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -17,6 +17,8 @@
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
+	"github.com/pistachiotray/pistachiotray/connection/share"
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
@@ -29,6 +31,9 @@
 const (
 	// maxRequestTime is the maximum time limit that another host may set for a request.
 	maxRequestTime = 30 * time.Second
+	// progressTimeout bounds the wait for the next part of a long message. Hosts are near each
+	// other and send a message at once.
+	progressTimeout = 5 * time.Second
 )
 
 // groups looks up database groups.
@@ -53,12 +58,23 @@
 	lent     atomic.Int64
 	stopping atomic.Bool
 	packer   pack.Packer
+	// budget pays for long messages of other hosts, nil if their memory is not limited.
+	budget *budget.Budget
+}
+
+// WithBudget returns an option that sets what pays for long messages of other hosts.
+func WithBudget(b *budget.Budget) func(*Relay) {
+	return func(r *Relay) { r.budget = b }
 }
 
 // New returns a relay that lends the connections of the groups and passes on the
 // changes of the platform's tables.
-func New(log *zap.Logger, g groups, n news) *Relay {
-	return &Relay{log: log, groups: g, news: n}
+func New(log *zap.Logger, g groups, n news, options ...func(*Relay)) *Relay {
+	r := &Relay{log: log, groups: g, news: n}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Serve accepts connections of other hosts until the listener is closed.
@@ -103,21 +119,34 @@
 	defer func() { _ = c.Close() }()
 	b := &borrower{relay: r}
 	defer b.drop()
-	compressed := huff.New(c)
-	decoder, encoder := gob.NewDecoder(compressed), gob.NewEncoder(compressed)
+	sh := share.New(r.budget, func() { _ = c.Close() }, share.WithProgress(func() { _ = c.SetReadDeadline(time.Now().Add(progressTimeout)) }))
+	defer sh.Leave()
+	compressed := huff.New(c, huff.WithAccount(sh))
+	incoming := &guard{reader: compressed}
+	decoder, encoder := gob.NewDecoder(incoming), gob.NewEncoder(compressed)
 	for {
 		var p parcel.Parcel
+		incoming.next()
 		if err := decoder.Decode(&p); err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				r.log.Debug("relay: connection to host failed", zap.String("Error", err.Error()))
 			}
 			return
 		}
+		drawn := compressed.Drawn()
+		if drawn > 0 {
+			_ = c.SetReadDeadline(time.Time{})
+		}
+		if guarded, ok := c.(interface{ Prove() }); ok {
+			guarded.Prove()
+		}
 		if p.Verb == parcel.Put {
 			b.put()
 			continue
 		}
-		if err := encoder.Encode(b.handle(p)); err != nil {
+		answer := b.handle(p)
+		sh.Return(drawn)
+		if err := encoder.Encode(answer); err != nil {
 			return
 		}
 	}
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -31,6 +31,10 @@
 // The other host reduces it to its own limit.
 const defaultTimeLimit = time.Hour
 
+// maxMovedBytes is the length of a request and its answer up to which the connection is used
+// again. The encoder and the decoder keep buffers of the longest message.
+const maxMovedBytes = 64 << 10
+
 // ErrRefused is returned when the other host did not lend a connection, so that
 // nothing was sent to the target.
 var ErrRefused = errors.New("the other host gave no connection")
@@ -72,6 +76,9 @@
 		return nil, nil, errors.Wrap(err, "Remote.Take")
 	}
 	if !answer.Kept {
+		if r.conn.moved > maxMovedBytes {
+			r.Close()
+		}
 		return answer.Replies, nil, nil
 	}
 	return answer.Replies, conn.New(t.ID, nil, conn.WithHost(r), conn.WithCustomer(b.Caller.Customer)), nil
@@ -139,10 +146,19 @@
 type steadyConn struct {
 	net.Conn
 	extend time.Duration
+	// moved is the number of bytes sent and received for the present request.
+	moved int
+}
+
+func (c *steadyConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.moved += n
+	return n, err
 }
 
 func (c *steadyConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.moved += n
 	if n > 0 && err == nil && c.extend > 0 {
 		err = c.SetReadDeadline(time.Now().Add(c.extend))
 	}
@@ -206,6 +222,7 @@
 func (r *Remote) ask(ctx context.Context, p parcel.Parcel) (parcel.Parcel, error) {
 	stop := context.AfterFunc(ctx, r.abort)
 	defer stop()
+	r.conn.moved = 0
 	if err := r.encoder.Encode(p); err != nil {
 		r.Close()
 		return parcel.Parcel{}, errors.Wrap(err, "Remote.ask")
--- a/connection/runner/runner.go
+++ b/connection/runner/runner.go
@@ -50,6 +50,8 @@
 	tx *transaction
 	// idleTimer ends the open transaction once it has been idle for too long.
 	idleTimer *time.Timer
+	// limits bound what the session keeps, nil if nothing does.
+	limits *limits
 	// logFields are the log fields of the statement that runs.
 	logFields []zap.Field
 }
@@ -72,8 +74,12 @@
 
 // New returns the runner of a new session. now returns the time since the
 // machine started, suspended time included.
-func New(c caller.Caller, ct catalog, log requestLog, now func() time.Duration) *Runner {
-	return &Runner{catalog: ct, requestLog: log, now: now, caller: c}
+func New(c caller.Caller, ct catalog, log requestLog, now func() time.Duration, options ...func(*Runner)) *Runner {
+	r := &Runner{catalog: ct, requestLog: log, now: now, caller: c}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Run runs one statement and returns its reply. The context must end when the caller
@@ -109,11 +115,12 @@
 	}
 	switch s.Kind {
 	case stmt.Set:
-		r.caller = r.caller.WithValue(s.Name, s.Rest)
+		return r.keep(r.caller.WithValue(keptTexts(s)))
 	case stmt.Prepare:
-		r.caller = r.caller.WithPrepared(s.Name, s.Rest, s.Writes)
+		name, text := keptTexts(s)
+		return r.keep(r.caller.WithPrepared(name, text, s.Writes))
 	case stmt.Deallocate:
-		r.caller = r.caller.WithoutPrepared(s.Name)
+		return r.keep(r.caller.WithoutPrepared(s.Name))
 	case stmt.Begin, stmt.BeginRead:
 		return r.begin(s)
 	case stmt.Rollback:
--- a/platform/server/server.go
+++ b/connection/server/server.go
@@ -1,4 +1,4 @@
-// Package server serves callers that speak the platform's line protocol.
+// Package server serves the sessions of callers. The encoding of their messages is given.
 package server
 
 import (
@@ -15,6 +15,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/share"
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
@@ -24,9 +26,8 @@
 const (
 	// startTimeout bounds the wait for the first message of a new connection.
 	startTimeout = 10 * time.Second
-	// writeTimeout bounds one write to a caller. The connection of a caller that
-	// doesn't read in time is closed.
-	writeTimeout = 5 * time.Second
+	// defaultProgressTimeout is the progress timeout without WithProgressTimeout.
+	defaultProgressTimeout = 10 * time.Second
 	// acceptPause is the pause after a failure to accept a connection.
 	acceptPause = 50 * time.Millisecond
 	// refusalLogsPerSecond limits the rate of log lines about refused callers.
@@ -42,6 +43,29 @@
 	Close()
 }
 
+// reader reads the messages of one caller.
+type reader interface {
+	// ReadStart reads the first message, and returns the database and the caller's key.
+	ReadStart() (database, key string, err error)
+	// ReadStatement reads the next statement. It returns false if the caller ends the session.
+	ReadStatement() (stmt.Stmt, bool, error)
+	// Drawn returns how much memory was drawn for the messages since the last call.
+	Drawn() int
+}
+
+// protocol encodes the messages to callers.
+type protocol interface {
+	// AppendReady appends the message that accepts a session.
+	AppendReady(dst []byte) []byte
+	// AppendError appends the message that refuses a caller.
+	AppendError(dst []byte, c code.Code, reason string) []byte
+	// AppendReply appends the answer to a statement.
+	AppendReply(dst []byte, r reply.Reply) []byte
+	// Refusal returns the code and reason with which to refuse the message that a reader
+	// could not read, or code.Done if the caller gets no answer.
+	Refusal(err error) (code.Code, string)
+}
+
 // workers run tasks. Submit returns false, without running the task, once the
 // workers are closed.
 type workers interface {
@@ -60,8 +84,15 @@
 type Server struct {
 	log       *zap.Logger
 	databases databases
-	newRunner func(c caller.Caller) runner
+	protocol  protocol
+	newReader func(c net.Conn, s *share.Share) reader
+	newRunner func(c caller.Caller, s *share.Share) runner
 	workers   workers
+	// budget is the memory that sessions share, nil if it is not limited.
+	budget *budget.Budget
+	// progressTimeout bounds the wait for the next part of a long message or for a caller that
+	// takes the next part of an answer. The caller's connection is closed after that.
+	progressTimeout time.Duration
 	// now returns the time since the machine booted.
 	now        func() time.Duration
 	host       string
@@ -79,20 +110,40 @@
 	// counts the refusals that were not logged since the last line.
 	refusalLogLimiter *rate.Limiter
 	suppressed        atomic.Int64
+	// stalled counts the sessions that ended by the progress timeout, and refused the callers
+	// that were refused.
+	stalled, refused atomic.Int64
+}
+
+// WithBudget returns an option that sets the memory that sessions share.
+func WithBudget(b *budget.Budget) func(*Server) {
+	return func(sv *Server) { sv.budget = b }
+}
+
+// WithProgressTimeout returns an option that bounds the wait for the next part of a long message
+// or for a caller that takes the next part of an answer.
+func WithProgressTimeout(d time.Duration) func(*Server) {
+	return func(sv *Server) { sv.progressTimeout = d }
 }
 
 // New returns a server for at most maxCallers callers at a time. Session ids
-// start with the host's name. newRunner returns the runner for a
-// session. now returns the time since the machine booted.
-func New[R runner](host string, maxCallers int, log *zap.Logger, w workers, now func() time.Duration,
-	d databases, newRunner func(c caller.Caller) R,
+// start with the host's name. newReader returns the reader of a connection, and newRunner
+// the runner for a session. now returns the time since the machine booted.
+func New[D reader, R runner](host string, maxCallers int, log *zap.Logger, w workers, now func() time.Duration, d databases,
+	p protocol, newReader func(c net.Conn, s *share.Share) D, newRunner func(c caller.Caller, s *share.Share) R, options ...func(*Server),
 ) *Server {
-	return &Server{
-		host: host, maxCallers: maxCallers, log: log, workers: w, now: now, databases: d,
-		newRunner:         func(c caller.Caller) runner { return newRunner(c) },
+	sv := &Server{
+		host: host, maxCallers: maxCallers, log: log, workers: w, now: now, databases: d, protocol: p,
+		newReader:         func(c net.Conn, s *share.Share) reader { return newReader(c, s) },
+		newRunner:         func(c caller.Caller, s *share.Share) runner { return newRunner(c, s) },
 		sessions:          map[*session]struct{}{},
 		refusalLogLimiter: rate.NewLimiter(refusalLogsPerSecond, refusalLogsPerSecond),
+		progressTimeout:   defaultProgressTimeout,
+	}
+	for _, o := range options {
+		o(sv)
 	}
+	return sv
 }
 
 // Serve accepts callers until the listener is closed.
@@ -109,7 +160,7 @@
 		}
 		// Connections are admitted in the order in which they were accepted, since
 		// admit closes the oldest connection that has not started a session.
-		s := &session{server: sv, conn: c, id: sv.host + "-" + strconv.FormatUint(sv.lastID.Add(1), 10)}
+		s := &session{server: sv, conn: c, id: sv.host + "-" + strconv.FormatUint(sv.lastID.Add(1), 10), sender: newSender(c, sv.progressTimeout)}
 		go sv.serve(s, sv.admit(s))
 	}
 }
@@ -183,6 +234,15 @@
 	return len(sv.sessions)
 }
 
+// Metrics returns the number of open sessions, and since the start that of refused callers and of
+// sessions that ended since their callers stalled.
+func (sv *Server) Metrics() any {
+	return struct {
+		Callers          int
+		Refused, Stalled int64
+	}{sv.CallerCount(), sv.refused.Load(), sv.stalled.Load()}
+}
+
 // isStopping reports whether Drain was called.
 func (sv *Server) isStopping() bool {
 	sv.mu.Lock()
--- a/platform/server/server_test.go
+++ b/connection/server/server_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,12 +14,34 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
-	"github.com/pistachiotray/pistachiotray/platform/server"
+	"github.com/pistachiotray/pistachiotray/connection/server"
+	"github.com/pistachiotray/pistachiotray/connection/share"
+	"github.com/pistachiotray/pistachiotray/platform/lines"
+	"github.com/pistachiotray/pistachiotray/process/budget"
+	"github.com/pistachiotray/pistachiotray/process/pool"
 	"github.com/pistachiotray/pistachiotray/request/code"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
+// wire is the line protocol, in which the tests speak to the server.
+type wire struct{}
+
+func newReader(c net.Conn, s *share.Share) *lines.Reader {
+	return lines.New(c, lines.WithAccount(s))
+}
+
+func (wire) AppendReady(dst []byte) []byte { return lines.AppendReady(dst, reply.Idle, mark.Mark{}) }
+
+func (wire) AppendError(dst []byte, c code.Code, reason string) []byte {
+	return lines.AppendError(dst, c, reason)
+}
+
+func (wire) AppendReply(dst []byte, r reply.Reply) []byte { return lines.AppendReply(dst, r) }
+
+func (wire) Refusal(error) (code.Code, string) { return code.Done, "" }
+
 // idleRunner is the runner of a session that sends no statements.
 type idleRunner struct{}
 
@@ -70,7 +95,7 @@
 		}
 		near, far := net.Pipe()
 		l.waiting = append(l.waiting, far)
-		sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, anyDatabase{}, func(caller.Caller) idleRunner { return idleRunner{} })
+		sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, anyDatabase{}, wire{}, newReader, func(caller.Caller, *share.Share) idleRunner { return idleRunner{} })
 		go sv.Serve(l)
 		_, err := near.Write([]byte("START orders u\r\n"))
 		is.NoErr(err)
@@ -109,7 +134,7 @@
 	t.Cleanup(func() { _ = l.Close() })
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) + time.Second }
-	sv := server.New("h", 1000, zap.NewNop(), goWorkers{}, now, anyDatabase{}, func(caller.Caller) answeringRunner { return r })
+	sv := server.New("h", 1000, zap.NewNop(), goWorkers{}, now, anyDatabase{}, wire{}, newReader, func(caller.Caller, *share.Share) answeringRunner { return r })
 	go sv.Serve(l)
 	return sv, func() client {
 		conn, err := net.Dial("tcp", l.Addr().String())
@@ -192,7 +217,7 @@
 			l := &queueListener{waiting: []net.Conn{far}, closed: make(chan struct{})}
 			defer close(l.closed)
 			d := anyDatabase{"removed": code.UnknownDatabase, "added": code.NotRunOldPlan, "early": code.NotRunStopping}
-			sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, d, func(caller.Caller) idleRunner { return idleRunner{} })
+			sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, d, wire{}, newReader, func(caller.Caller, *share.Share) idleRunner { return idleRunner{} })
 			go sv.Serve(l)
 			is.Equal(client{near, bufio.NewReader(near)}.ask("START "+name+" u"), want)
 		})
@@ -211,3 +236,126 @@
 	late := client{conn, bufio.NewReader(conn)}
 	is.Equal(late.ask("START orders u")[:5], "ERROR")
 }
+
+// rowRunner answers every statement with a large row.
+type rowRunner struct{ row string }
+
+func (r rowRunner) Run(context.Context, stmt.Stmt) reply.Reply {
+	return reply.Reply{Rows: []string{r.row}, Signature: "t 1", Status: reply.Idle}
+}
+func (rowRunner) Close() {}
+
+// startRowServer starts a server with a pool of workers and a budget, and returns its address.
+func startRowServer(t *testing.T, workers int, b *budget.Budget, timeout time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	p := pool.New(zap.NewNop(), workers)
+	now := func() time.Duration { return time.Second }
+	newRunner := func(caller.Caller, *share.Share) rowRunner { return rowRunner{strings.Repeat("x", 1<<20)} }
+	sv := server.New("h", 1000, zap.NewNop(), p, now, anyDatabase{}, wire{}, newReader, newRunner, server.WithBudget(b), server.WithProgressTimeout(timeout))
+	go sv.Serve(l)
+	return l.Addr().String()
+}
+
+// openSession opens a session and returns its connection.
+func openSession(t *testing.T, address string) client {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	c := client{conn, bufio.NewReader(conn)}
+	if got := c.ask("START orders u"); got != "READY I -" {
+		t.Fatalf("START was answered %q", got)
+	}
+	return c
+}
+
+// Callers that send statements and read no answers held a worker each until the write timed out,
+// so that as many of them as there are workers stopped the host.
+func TestCallersThatDoNotReadHoldNoWorker(t *testing.T) {
+	is := is.New(t)
+	address := startRowServer(t, 2, nil, time.Hour)
+	for range 8 {
+		c := openSession(t, address)
+		for range 8 {
+			_, err := c.conn.Write([]byte("QUERY 1 READ a\r\n"))
+			is.NoErr(err)
+		}
+	}
+	is.Equal(openSession(t, address).ask("QUERY 1 READ a"), "READY I -")
+}
+
+// A caller that takes no part of an answer in time is disconnected, and one that takes it
+// slowly is not, although the whole takes longer than the timeout.
+func TestProgressTimeoutIsForPartsOfAnAnswer(t *testing.T) {
+	is := is.New(t)
+	const timeout = 300 * time.Millisecond
+	address := startRowServer(t, 2, nil, timeout)
+	slow, stopped := openSession(t, address), openSession(t, address)
+	const statements = 12
+	for range statements {
+		_, _ = slow.conn.Write([]byte("QUERY 1 READ a\r\n"))
+		_, _ = stopped.conn.Write([]byte("QUERY 1 READ a\r\n"))
+	}
+	for range statements {
+		time.Sleep(timeout / 6)
+		for {
+			line, err := slow.reader.ReadString('\n')
+			is.NoErr(err)
+			if strings.HasPrefix(line, "READY") {
+				break
+			}
+		}
+	}
+	time.Sleep(timeout)
+	n, _ := io.Copy(io.Discard, stopped.conn)
+	is.True(n < statements<<20)
+}
+
+// used returns how much of a budget is drawn.
+func used(b *budget.Budget) int64 {
+	return reflect.ValueOf(b.Metrics()).FieldByName("Used").Int()
+}
+
+// Whatever a session draws must be returned however it ends: by the caller in the middle of a
+// message or of an answer, by the budget, by the timeout, or by a message over the limit.
+func TestEndedSessionsReturnTheirMemory(t *testing.T) {
+	long := "QUERY 1 WRITE " + strings.Repeat("x", 900<<10)
+	for name, text := range map[string]string{
+		"complete message":    long + "\r\n",
+		"half a message":      long,
+		"over the limit":      long + long,
+		"malformed":           long + "\r\r\n",
+		"answers not read":    strings.Repeat("QUERY 1 READ a\r\n", 20),
+		"long and not read":   strings.Repeat(long+"\r\n", 4),
+		"terminated":          long + "\r\nTERMINATE\r\n",
+		"half a second start": "START orders " + strings.Repeat("k", 10_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := budget.New(zap.NewNop(), 4<<20, budget.WithWait(50*time.Millisecond))
+			address := startRowServer(t, 2, b, 100*time.Millisecond)
+			var clients []client
+			for range 6 {
+				c := openSession(t, address)
+				clients = append(clients, c)
+				go func() { _, _ = c.conn.Write([]byte(text)) }()
+			}
+			time.Sleep(50 * time.Millisecond)
+			for _, c := range clients {
+				_ = c.conn.Close()
+			}
+			for end := time.Now().Add(10 * time.Second); used(b) != 0 && time.Now().Before(end); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			if used(b) != 0 {
+				t.Errorf("%d bytes were not returned", used(b))
+			}
+		})
+	}
+}
--- a/platform/server/session.go
+++ b/connection/server/session.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,11 +12,11 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
-	"github.com/pistachiotray/pistachiotray/platform/lines"
+	"github.com/pistachiotray/pistachiotray/connection/share"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/request/code"
-	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
+	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
 // endDelay is how long a draining session goes on reading before it ends. It allows for
@@ -27,6 +29,12 @@
 	conn   net.Conn
 	id     string
 	runner runner
+	// share is the memory that the session holds of the process's budget.
+	share *share.Share
+	// sender sends answers.
+	sender *sender
+	// running counts the statement that runs, until its answer was sent.
+	running sync.WaitGroup
 
 	// mu guards the fields from outstanding to force.
 	mu sync.Mutex
@@ -39,56 +47,91 @@
 	ending bool
 	// force means that draining doesn't wait for the open transaction.
 	force bool
-	// writeBuffer is reused for each reply. Statements run one at a time, so
+	// answerBuffer is reused for each reply. Statements run one at a time, so
 	// the field needs no lock.
-	writeBuffer []byte
+	answerBuffer []byte
 }
 
 // serve reads the caller's statements until the session ends. Workers run the
 // statements, one at a time. Meanwhile serve reads ahead by one message, so that
-// it notices when the caller disconnects.
+// it notices when the caller disconnects. The next statement runs when the caller has taken
+// the answer to the last one.
 func (s *session) serve() {
 	defer func() { _ = s.conn.Close() }()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	r := lines.New(s.conn)
+	s.share = share.New(s.server.budget, func() { _ = s.conn.Close(); stop() }, share.WithProgress(s.noteProgress))
+	defer s.share.Leave()
+	r := s.server.newReader(s.conn, s.share)
 	if !s.start(ctx, r) {
 		return
 	}
-	var running sync.WaitGroup
 	for {
 		st, ok, err := r.ReadStatement()
 		if err != nil || !ok {
+			s.noteStalled(err)
 			s.rejectMessage(err)
 			break
 		}
-		s.beginStatement()
+		drawn := r.Drawn()
+		s.beginStatement(drawn > 0)
 		st = st.WithArrived(s.server.now())
-		running.Wait()
-		running.Add(1)
+		s.running.Wait()
+		s.running.Add(1)
 		if !s.server.workers.Submit(func() {
-			defer running.Done()
-			if !rescue.Run(s.server.log, func() { s.answer(s.runner.Run(ctx, st)) }) {
+			if !rescue.Run(s.server.log, func() { s.run(ctx, st, drawn) }) {
 				_ = s.conn.Close()
+				s.running.Done()
 			}
 		}) {
-			running.Done()
+			s.running.Done()
 			break
 		}
 	}
 	stop()
-	running.Wait()
+	s.running.Wait()
 	s.runner.Close()
 }
 
-// rejectMessage sends an error to the caller if err means that its message was
-// malformed or too long. For any other error, and for nil, it sends nothing.
+// run runs a statement and sends the reply. The statement counts as running until the caller has
+// taken the reply, which may be after run has returned: a caller that doesn't read holds no
+// worker. drawn is the memory that was drawn for the statement.
+func (s *session) run(ctx context.Context, st stmt.Stmt, drawn int) {
+	if drawn > 0 {
+		// A long statement is copied once more on its way to a target or to another host.
+		s.share.Charge(drawn)
+	}
+	s.share.SetWorking(true)
+	r := s.runner.Run(ctx, st)
+	s.share.SetWorking(false)
+	if drawn > 0 {
+		s.share.Return(2 * drawn)
+	}
+	s.answerBuffer = s.server.protocol.AppendReply(s.answerBuffer[:0], r)
+	rest := s.sender.try(s.answerBuffer)
+	if len(rest) == 0 {
+		s.endStatement(r.Status)
+		s.running.Done()
+		return
+	}
+	held := cap(s.answerBuffer)
+	s.share.Charge(held)
+	s.share.Begin()
+	go func() {
+		defer s.running.Done()
+		s.noteStalled(s.sender.send(rest))
+		s.share.Finish()
+		s.share.Return(held)
+		s.endStatement(r.Status)
+	}()
+}
+
+// rejectMessage sends an error to the caller if err means that its message can't be served, after
+// the answer to the statement that runs. For any other error, and for nil, it sends nothing.
 func (s *session) rejectMessage(err error) {
-	switch {
-	case errors.Is(err, lines.ErrMalformed):
-		s.write(lines.AppendError(nil, code.BadMessage, "malformed message"))
-	case errors.Is(err, lines.ErrTooLong):
-		s.write(lines.AppendError(nil, code.MessageTooLarge, "message over 1 MiB"))
+	if c, reason := s.server.protocol.Refusal(err); c != code.Done {
+		s.running.Wait()
+		_ = s.sender.send(s.server.protocol.AppendError(nil, c, reason))
 	}
 }
 
@@ -96,6 +139,7 @@
 // refusal with the given fields unless the limit of log lines per second is reached.
 func (s *session) refuse(c code.Code, reason string, fields ...zap.Field) {
 	sv := s.server
+	sv.refused.Add(1)
 	if sv.refusalLogLimiter.Allow() {
 		fields = append(fields, zap.String("Caller", s.id), zap.String("Outcome", c.Name()),
 			zap.String("Reason", reason), zap.Int64("Suppressed", sv.suppressed.Swap(0)))
@@ -103,13 +147,34 @@
 	} else {
 		sv.suppressed.Add(1)
 	}
-	s.write(lines.AppendError(nil, c, reason))
+	// The connection is closed in any case.
+	_ = s.sender.send(sv.protocol.AppendError(nil, c, reason))
+}
+
+// noteStalled counts and logs the end of a session whose caller sent no more of a message, or
+// took no more of an answer, within the progress timeout, which err says. A session that is
+// about to end has such a deadline too.
+func (s *session) noteStalled(err error) {
+	s.mu.Lock()
+	ending := s.ending
+	s.mu.Unlock()
+	if ending || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	sv := s.server
+	sv.stalled.Add(1)
+	if sv.refusalLogLimiter.Allow() {
+		sv.log.Info("caller stalled", zap.String("Caller", s.id), zap.Duration("Limit", sv.progressTimeout),
+			zap.Int64("Suppressed", sv.suppressed.Swap(0)))
+	} else {
+		sv.suppressed.Add(1)
+	}
 }
 
 // start reads the first message, creates the runner and sends READY. It returns
 // false if the session must end. It has then sent the caller an error, unless the
 // connection failed or was closed.
-func (s *session) start(ctx context.Context, r *lines.Reader) bool {
+func (s *session) start(ctx context.Context, r reader) bool {
 	if err := s.conn.SetReadDeadline(time.Now().Add(startTimeout)); err != nil {
 		return false
 	}
@@ -118,6 +183,7 @@
 		s.rejectMessage(err)
 		return false
 	}
+	s.share.Return(r.Drawn())
 	if !s.server.markStarted(s) {
 		return false
 	}
@@ -132,8 +198,8 @@
 		s.refuse(c, reason, s.server.databases.LogFields()...)
 		return false
 	}
-	s.runner = s.server.newRunner(caller.New(s.id, database).WithKey(key))
-	if !s.write(lines.AppendReady(nil, reply.Idle, mark.Mark{})) {
+	s.runner = s.server.newRunner(caller.New(s.id, strings.Clone(database)).WithKey(strings.Clone(key)), s.share)
+	if s.sender.send(s.server.protocol.AppendReady(nil)) != nil {
 		return false
 	}
 	s.mu.Lock()
@@ -144,17 +210,28 @@
 }
 
 // beginStatement counts a statement as outstanding. If the session was about to end,
-// the statement is still served.
-func (s *session) beginStatement() {
+// the statement is still served. long means that the message was long, so that its parts had
+// deadlines.
+func (s *session) beginStatement(long bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outstanding++
-	if s.ending {
+	if s.ending || long {
 		s.ending = false
 		s.setReadDeadline(time.Time{})
 	}
 }
 
+// noteProgress renews the deadline of reading while a long message arrives. A session that has
+// not started, or is about to end, keeps its deadline.
+func (s *session) noteProgress() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.status != 0 && !s.ending {
+		s.setReadDeadline(time.Now().Add(s.server.progressTimeout))
+	}
+}
+
 // setReadDeadline sets the deadline of reading; the zero time means none.
 func (s *session) setReadDeadline(at time.Time) {
 	if err := s.conn.SetReadDeadline(at); err != nil {
@@ -162,14 +239,16 @@
 	}
 }
 
-// answer sends the reply to a statement and counts the statement as answered.
-func (s *session) answer(r reply.Reply) {
-	s.writeBuffer = lines.AppendReply(s.writeBuffer[:0], r)
-	s.write(s.writeBuffer)
+// endStatement counts a statement as answered. status is the transaction state after it.
+func (s *session) endStatement(status byte) {
+	const keptBytes = 16 << 10
+	if cap(s.answerBuffer) > keptBytes {
+		s.answerBuffer = nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outstanding--
-	s.status = r.Status
+	s.status = status
 	s.closeIfDrained()
 }
 
@@ -193,16 +272,3 @@
 		s.setReadDeadline(time.Now().Add(endDelay))
 	}
 }
-
-// write sends encoded messages to the caller. It returns false if the messages
-// were not sent completely; it closes the connection after a failed write.
-func (s *session) write(messages []byte) bool {
-	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return false
-	}
-	if _, err := s.conn.Write(messages); err != nil {
-		_ = s.conn.Close()
-		return false
-	}
-	return true
-}
--- a/process/budget/budget.go
+++ b/process/budget/budget.go
@@ -36,7 +36,7 @@
 // leaves. When a draw does not fit, takers are closed until it will:
 //
 //  1. the largest one, if it stands out;
-//  2. the one whose unfinished message is the oldest;
+//  2. the one whose unfinished message is the oldest, those that hold little after all others;
 //  3. the largest one that is not in the middle of a statement, if it holds more than a little.
 //
 // The draw then waits until they have returned their bytes. The methods may be called
@@ -118,6 +118,14 @@
 	return b
 }
 
+// SetLimit changes the number of bytes.
+func (b *Budget) SetLimit(limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+	b.serveWaiting()
+}
+
 // Join adds a taker and returns its ID, which is not 0. The function end closes the taker,
 // which must then leave soon; it must not block. With nil the taker is never closed.
 func (b *Budget) Join(end func()) uint64 {
@@ -163,7 +171,14 @@
 // SetWorking notes whether a statement of a taker runs. The statement ends by itself within its
 // time limit, so that the taker is closed only if it stands out or has an unfinished message.
 func (b *Budget) SetWorking(id uint64, working bool) {
-	b.change(id, func(t *taker) { t.working = working })
+	b.mu.Lock()
+	var victims []func()
+	if t := b.takers[id]; t != nil {
+		t.working = working
+		victims = b.closeForWaiting()
+	}
+	b.mu.Unlock()
+	endAll(victims)
 }
 
 // change changes the state of a taker, unless it left, and closes takers for a draw that waits.
--- a/process/budget/budget_test.go
+++ b/process/budget/budget_test.go
@@ -84,6 +84,21 @@
 	is.Equal(*closed, []int{3, 1})
 }
 
+// A caller with a message of usual size that is slow must not go before large ones.
+func TestTakersThatHoldLittleAreClosedLast(t *testing.T) {
+	is := is.New(t)
+	b := budget.New(zap.NewNop(), limit)
+	ids, closed := joined(b, 6)
+	for _, id := range ids {
+		b.Begin(id)
+	}
+	is.NoErr(b.Draw(ids[0], 60*kib))
+	for _, id := range ids[1:] {
+		is.NoErr(b.Draw(id, 7*mib))
+	}
+	is.Equal(*closed, []int{1, 2})
+}
+
 // Session values that nobody uses must not keep others out for good.
 func TestIdleTakersAreClosedLast(t *testing.T) {
 	is := is.New(t)
--- a/process/budget/choice.go
+++ b/process/budget/choice.go
@@ -48,7 +48,7 @@
 		}
 		if t.unfinished > 0 && t.held > 0 {
 			unfinished++
-			if first == nil || t.began < first.began {
+			if first == nil || closedBefore(t, first) {
 				first = t
 			}
 		}
@@ -77,6 +77,15 @@
 	return t.id < other.id
 }
 
+// closedBefore reports whether a taker with an unfinished message is closed before another one.
+// Those that hold little come last: they are ordinary, and closing them gains nothing.
+func closedBefore(t, other *taker) bool {
+	if small, otherSmall := t.held <= smallBytes, other.held <= smallBytes; small != otherSmall {
+		return otherSmall
+	}
+	return t.began < other.began
+}
+
 // serveWaiting lets the draws that fit now go on, the oldest first. A large one does not hold up
 // the smaller ones behind it. The caller holds the lock.
 func (b *Budget) serveWaiting() {
