Front for PostgreSQL's protocol: callers share a budget of memory

Messages over 8 KiB draw from it as they arrive; before, a message used the memory that its length announced, up to 16 MiB, with its first bytes. Answers are sent in pieces that each have a deadline. Prepared statements and settings of a session have limits.

COPY data before the first batch waited for a batch that might never come: the end of such a connection was not noticed. It is dropped now, as it is after a request; the new test TestEndedCallersReturnTheirMemory (copy data) showed it.

--- a/connection/front/batch.go
+++ b/connection/front/batch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -19,6 +20,8 @@
 // terminate or err set.
 type batch struct {
 	frames []byte
+	// drawn is the memory that was drawn for frames.
+	drawn int
 	// query is the text of a simple Query, if isSimple is set.
 	query    string
 	isSimple bool
@@ -44,7 +47,10 @@
 	defer close(c.batches)
 	defer c.abandonCopy()
 	b := newBatch()
-	copyReady := b.copyReady
+	// Before the first batch, COPY data belongs to none and is dropped at once. It must not wait
+	// for a batch that may never come, since the end of the connection would not be noticed.
+	copyReady := make(chan struct{})
+	close(copyReady)
 	for {
 		kind, frames, err := c.reader.Append(b.frames)
 		if err != nil {
@@ -52,6 +58,10 @@
 			return
 		}
 		message := frames[len(b.frames):]
+		drawn := c.reader.Drawn()
+		if drawn > 0 {
+			c.setReadDeadline(time.Time{})
+		}
 		switch kind {
 		case 'X':
 			c.enqueue(batch{terminate: true})
@@ -60,6 +70,7 @@
 			if !c.copyInput(kind, message, copyReady) {
 				return
 			}
+			c.share.Return(drawn)
 			continue
 		case 'Q':
 			b.isSimple = true
@@ -70,6 +81,7 @@
 			return
 		}
 		b.frames = frames
+		b.drawn += drawn
 		b.flush = kind == 'H'
 		if len(b.frames) > c.front.messageLimit*batchLimitFactor {
 			c.enqueue(batch{err: fault.New(code.MessageTooLarge, "too much before a Sync")})
@@ -171,7 +183,9 @@
 		if m.Decode(frame.Body(p)) != nil {
 			return nil, s, false, errMalformed
 		}
-		return c.registerStatement(&m), scan.New(m.Query), true, nil
+		query := m.Query
+		p, err := c.registerStatement(&m)
+		return p, scan.New(query), true, err
 	case 'B':
 		var m pgproto3.Bind
 		if m.Decode(frame.Body(p)) != nil {
@@ -194,7 +208,7 @@
 			return nil, s, false, errMalformed
 		}
 		if m.ObjectType == 'S' {
-			c.session = c.session.WithoutPrepared(m.Name)
+			c.setSession(c.session.WithoutPrepared(m.Name))
 		}
 		return p, s, false, nil
 	case 'H':
@@ -208,8 +222,8 @@
 // registerStatement adds a prepared statement to the session and returns the Parse
 // frame to send to the target. At the target, a named statement has a name derived
 // from its text and parameter types. Sessions that prepare the same statement can
-// therefore share it in a slot.
-func (c *client) registerStatement(m *pgproto3.Parse) []byte {
+// therefore share it in a slot. It returns a fault if the session keeps too many.
+func (c *client) registerStatement(m *pgproto3.Parse) ([]byte, error) {
 	name := m.Name
 	targetName := ""
 	if name != "" {
@@ -217,8 +231,7 @@
 	}
 	m.Name = targetName
 	p := encode(m)
-	c.session = c.session.WithPrepared(name, targetName, p)
-	return p
+	return p, c.keep(c.session.WithPrepared(name, targetName, p))
 }
 
 // sharedStatementName returns a name derived from the statement's text and
--- a/connection/front/client.go
+++ b/connection/front/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/frame"
 	"github.com/pistachiotray/pistachiotray/connection/sess"
+	"github.com/pistachiotray/pistachiotray/connection/share"
 	"github.com/pistachiotray/pistachiotray/connection/token"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/code"
@@ -25,9 +26,13 @@
 
 // client is one caller's connection.
 type client struct {
-	front   *Front
-	conn    net.Conn
-	reader  *frame.Reader
+	front  *Front
+	conn   net.Conn
+	reader *frame.Reader
+	// share is the memory that the caller holds of the process's budget, and kept the part of
+	// it for the session's prepared statements and settings.
+	share   *share.Share
+	kept    int
 	pid     uint32
 	secret  []byte
 	session sess.Session
@@ -55,10 +60,48 @@
 
 func newClient(f *Front, conn net.Conn) *client {
 	ctx, stop := context.WithCancel(context.Background())
-	return &client{
-		front: f, conn: conn, reader: frame.New(conn, f.messageLimit),
-		batches: make(chan batch, 1), ctx: ctx, stop: stop,
+	c := &client{front: f, conn: conn, batches: make(chan batch, 1), ctx: ctx, stop: stop}
+	c.share = share.New(f.budget, func() { _ = conn.Close(); stop() }, share.WithProgress(c.noteProgress))
+	c.reader = frame.New(conn, f.messageLimit, frame.WithAccount(c.share))
+	return c
+}
+
+// noteProgress renews the read deadline while a long message arrives, unless the connection is
+// about to end or has not started its session.
+func (c *client) noteProgress() {
+	c.setReadDeadline(time.Now().Add(readTimeout))
+}
+
+// setReadDeadline sets the read deadline unless stopIfIdle has set one.
+func (c *client) setReadDeadline(at time.Time) {
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	if !c.closedWhileIdle && c.pid != 0 {
+		_ = c.conn.SetReadDeadline(at)
+	}
+}
+
+// keep replaces the session by one with other prepared statements or settings. It returns a fault
+// if they pass the limits of a session.
+func (c *client) keep(next sess.Session) error {
+	count, size := next.Kept()
+	if size > c.kept && (count > c.front.valueLimit || size > c.front.sessionLimit) {
+		return fault.New(code.MessageTooLarge, "the session keeps too many prepared statements and settings")
 	}
+	c.setSession(next)
+	return nil
+}
+
+// setSession replaces the session and accounts for the memory that it keeps.
+func (c *client) setSession(next sess.Session) {
+	c.session = next
+	_, size := next.Kept()
+	if size > c.kept {
+		c.share.Charge(size - c.kept)
+	} else {
+		c.share.Return(c.kept - size)
+	}
+	c.kept = size
 }
 
 // run serves the caller's requests until the caller leaves or this host stops. The
@@ -84,7 +127,16 @@
 			terminated = c.session.Status == 'I'
 			break
 		}
+		if b.drawn > 0 {
+			// The messages are copied when they are rewritten for the target.
+			c.share.Charge(b.drawn)
+		}
+		c.share.SetWorking(true)
 		err := c.serve(b)
+		c.share.SetWorking(false)
+		if b.drawn > 0 {
+			c.share.Return(2 * b.drawn)
+		}
 		c.endBusy()
 		if err != nil {
 			break
@@ -168,15 +220,32 @@
 	_ = c.write(errorFrame(f, "FATAL"))
 }
 
-// write sends bytes to the caller. It renews the write deadline only if a tenth of
-// writeTimeout has passed since the last renewal.
+// write sends bytes to the caller in pieces. It renews the write deadline only if a tenth of
+// writeTimeout has passed since the last renewal. While more than a piece is sent, it counts as
+// held by the caller, who may be closed for it.
 func (c *client) write(p []byte) error {
-	if now := time.Now(); now.Sub(c.deadlineSetAt) > writeTimeout/10 {
-		c.deadlineSetAt = now
-		_ = c.conn.SetWriteDeadline(now.Add(writeTimeout + writeTimeout/10))
+	if len(p) > pieceBytes {
+		held := len(p)
+		c.share.Charge(held)
+		c.share.Begin()
+		defer func() {
+			c.share.Finish()
+			c.share.Return(held)
+		}()
+	}
+	for {
+		piece := p[:min(pieceBytes, len(p))]
+		if now := time.Now(); now.Sub(c.deadlineSetAt) > writeTimeout/10 {
+			c.deadlineSetAt = now
+			_ = c.conn.SetWriteDeadline(now.Add(writeTimeout + writeTimeout/10))
+		}
+		if _, err := c.conn.Write(piece); err != nil {
+			return err
+		}
+		if p = p[len(piece):]; len(p) == 0 {
+			return nil
+		}
 	}
-	_, err := c.conn.Write(p)
-	return err
 }
 
 // errorFrame encodes a fault as an ErrorResponse. The detail field contains the name
--- a/connection/front/front.go
+++ b/connection/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
@@ -25,9 +27,14 @@
 	// startupTimeout bounds the time in which a new connection must have sent all
 	// messages of its startup, authentication included.
 	startupTimeout = 10 * time.Second
-	// writeTimeout bounds a write to a caller that does not read. A write may take up to
-	// a tenth longer, since the deadline is not renewed for each write.
+	// writeTimeout bounds the time in which a caller must take the next piece of an answer. It
+	// may take up to a tenth longer, since the deadline is not renewed for each piece.
 	writeTimeout = 10 * time.Second
+	// pieceBytes is the size of such a piece.
+	pieceBytes = 64 << 10
+	// readTimeout bounds the wait for the next part of a message that is longer than the read
+	// buffer.
+	readTimeout = 10 * time.Second
 	// defaultCallerLimit is the maximum number of connections without
 	// WithCallerLimit.
 	defaultCallerLimit = 10_000
@@ -92,6 +99,12 @@
 	tls          *tls.Config
 	messageLimit int
 	callerLimit  int
+	// budget is the memory that callers share, nil if it is not limited.
+	budget *budget.Budget
+	// valueLimit is the most prepared statements and settings of a session, and sessionLimit
+	// the most memory that they may take, in bytes.
+	valueLimit   int
+	sessionLimit int
 	now          func() time.Time
 
 	stopping     atomic.Bool
@@ -134,11 +147,23 @@
 	return func(f *Front) { f.callerLimit = n }
 }
 
+// WithBudget returns an option that sets the memory that callers share.
+func WithBudget(b *budget.Budget) func(*Front) {
+	return func(f *Front) { f.budget = b }
+}
+
+// WithSessionLimits returns an option that bounds the number of the prepared statements and
+// settings of a session, and the memory that they may take, in bytes.
+func WithSessionLimits(values, size int) func(*Front) {
+	return func(f *Front) { f.valueLimit, f.sessionLimit = values, size }
+}
+
 // New returns the front of a host. Without WithKeys, the host's name is the key that
 // signs session tokens.
 func New(host string, log *zap.Logger, b backend, p policies, g groups, options ...func(*Front)) *Front {
 	f := &Front{
 		host: host, log: log, backend: b, policies: p, groups: g, messageLimit: defaultMessageLimit, callerLimit: defaultCallerLimit,
+		valueLimit: math.MaxInt, sessionLimit: math.MaxInt,
 		now: time.Now, clients: map[uint32]*client{},
 		tokenKeys: map[string][]byte{"none": []byte(host)}, signKeyName: "none",
 	}
@@ -173,6 +198,7 @@
 	f.callerCount.Add(1)
 	defer f.callerCount.Add(-1)
 	c := newClient(f, conn)
+	defer c.share.Leave()
 	if err := c.startup(); err != nil {
 		f.log.Debug("caller not admitted", zap.Error(err))
 		return
@@ -202,6 +228,14 @@
 	return f.callerCount.Load(), f.refusedCount.Load()
 }
 
+// Memory returns the state of the memory that callers share.
+func (f *Front) Memory() any {
+	if f.budget == nil {
+		return nil
+	}
+	return f.budget.Metrics()
+}
+
 // CancelByKey cancels the request that runs for the caller with a cancel key, if any.
 // It reports whether the key belongs to a caller of this host.
 func (f *Front) CancelByKey(pid uint32, secret []byte) bool {
--- a/connection/front/front_test.go
+++ b/connection/front/front_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"reflect"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/front"
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
 	"github.com/pistachiotray/pistachiotray/request/mark"
@@ -65,7 +70,8 @@
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
 	b := backend{}
 	f.Fuzz(func(t *testing.T, p []byte) {
-		server := front.New("h", zap.NewNop(), b, b, b, front.WithMessageLimit(1<<16))
+		memory := budget.New(zap.NewNop(), 1<<20, budget.WithWait(time.Millisecond))
+		server := front.New("h", zap.NewNop(), b, b, b, front.WithMessageLimit(1<<16), front.WithBudget(memory), front.WithSessionLimits(10, 1<<16))
 		callerEnd, hostEnd := net.Pipe()
 		done := make(chan struct{})
 		go func() {
@@ -79,5 +85,94 @@
 		if open, _ := server.Callers(); open != 0 {
 			t.Fatalf("%d callers remain", open)
 		}
+		if used(memory) != 0 {
+			t.Fatalf("%d bytes were not returned", used(memory))
+		}
 	})
 }
+
+// used returns how much of a budget is drawn.
+func used(b *budget.Budget) int64 {
+	return reflect.ValueOf(b.Metrics()).FieldByName("Used").Int()
+}
+
+// Whatever a caller draws must be returned however its connection ends, also if the budget
+// closes it.
+func TestEndedCallersReturnTheirMemory(t *testing.T) {
+	startup := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "clerk", "database": "d"}}
+	long := strings.Repeat("x", 400<<10)
+	for name, messages := range map[string][]pgproto3.FrontendMessage{
+		"simple":           {startup, &pgproto3.Query{String: "SELECT '" + long + "'"}, &pgproto3.Terminate{}},
+		"prepared":         {startup, &pgproto3.Parse{Name: "s", Query: long}, &pgproto3.Sync{}, &pgproto3.Parse{Name: "t", Query: long}, &pgproto3.Sync{}},
+		"never executed":   {startup, &pgproto3.Parse{Name: "s", Query: long}, &pgproto3.Parse{Name: "s", Query: long}},
+		"setting":          {startup, &pgproto3.Query{String: "SET a.b = '" + long + "'"}, &pgproto3.Query{String: "RESET ALL"}},
+		"over the message": {startup, &pgproto3.Query{String: long + long + long}},
+		"copy data":        {startup, &pgproto3.CopyData{Data: []byte(long)}, &pgproto3.Terminate{}},
+	} {
+		for _, cut := range []int{0, 1, 100 << 10} {
+			t.Run(fmt.Sprintf("%s, without the last %d bytes", name, cut), func(t *testing.T) {
+				memory := budget.New(zap.NewNop(), 3<<20, budget.WithWait(20*time.Millisecond))
+				b := backend{}
+				server := front.New("h", zap.NewNop(), b, b, b, front.WithMessageLimit(1<<20), front.WithBudget(memory))
+				text := encode(t, messages...)
+				var callers sync.WaitGroup
+				for range 5 {
+					callerEnd, hostEnd := net.Pipe()
+					callers.Go(func() { server.Handle(hostEnd) })
+					go func() { _, _ = io.Copy(io.Discard, callerEnd) }()
+					callers.Go(func() {
+						_, _ = callerEnd.Write(text[:len(text)-cut])
+						_ = callerEnd.Close()
+					})
+				}
+				callers.Wait()
+				if used(memory) != 0 {
+					t.Errorf("%d bytes were not returned", used(memory))
+				}
+			})
+		}
+	}
+}
+
+// Prepared statements without end are refused, and the session goes on.
+func TestPreparedStatementsOfASessionAreLimited(t *testing.T) {
+	b := backend{}
+	server := front.New("h", zap.NewNop(), b, b, b, front.WithSessionLimits(2, 1<<20))
+	callerEnd, hostEnd := net.Pipe()
+	go server.Handle(hostEnd)
+	defer func() { _ = callerEnd.Close() }()
+	caller := pgproto3.NewFrontend(callerEnd, callerEnd)
+	// untilReady returns whether there was an error before the next ReadyForQuery.
+	untilReady := func() (failed bool) {
+		for {
+			m, err := caller.Receive()
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch m.(type) {
+			case *pgproto3.ErrorResponse:
+				failed = true
+			case *pgproto3.ReadyForQuery:
+				return failed
+			}
+		}
+	}
+	send := func(messages ...pgproto3.FrontendMessage) {
+		text := encode(t, messages...)
+		go func() { _, _ = callerEnd.Write(text) }()
+	}
+	send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "clerk", "database": "d"}})
+	untilReady()
+	for i, want := range []bool{false, false, true, true} {
+		send(&pgproto3.Parse{Name: fmt.Sprint("s", i), Query: "SELECT 1"}, &pgproto3.Sync{})
+		if got := untilReady(); got != want {
+			t.Errorf("statement %d was refused: %v", i, got)
+		}
+	}
+	send(&pgproto3.Close{ObjectType: 'S', Name: "s0"}, &pgproto3.Sync{})
+	untilReady()
+	send(&pgproto3.Parse{Name: "s9", Query: "SELECT 1"}, &pgproto3.Sync{})
+	if untilReady() {
+		t.Error("a statement was refused after another was closed")
+	}
+}
--- a/connection/front/serve.go
+++ b/connection/front/serve.go
@@ -37,6 +37,9 @@
 	if c.session.TransactionLost {
 		return c.serveLostTransaction(s, b)
 	}
+	if err := c.checkSetting(s, b); err != nil {
+		return c.refuse(err)
+	}
 	req, err := c.newCall(body, prepare, s)
 	if err != nil {
 		return c.refuse(err)
@@ -44,6 +47,19 @@
 	return c.exchange(req, s, b)
 }
 
+// checkSetting returns a fault if a batch changes a setting and the session would then keep too
+// much. The batch has not run then.
+func (c *client) checkSetting(s scan.Scan, b batch) error {
+	if s.Setting == "" || s.Reset {
+		return nil
+	}
+	count, size := c.session.WithSetting(s.Setting, b.statement(), false).Kept()
+	if size > c.kept && (count > c.front.valueLimit || size > c.front.sessionLimit) {
+		return fault.New(code.MessageTooLarge, "the session keeps too many prepared statements and settings")
+	}
+	return nil
+}
+
 // releaseCopyInput lets readLoop handle the COPY data that follows the batch. It has
 // no effect when called again.
 func (c *client) releaseCopyInput() {
@@ -229,12 +245,12 @@
 	}
 	before := c.session
 	keepSettings := before.Status == 'I' || !errored && before.Status != 'E' && !rolledBack(p)
-	c.session = c.session.WithFloor(position).WithStatus(status, keepSettings)
+	c.setSession(c.session.WithFloor(position).WithStatus(status, keepSettings))
 	if req.FreshFloor {
 		c.session = c.session.WithFloor(req.Floor)
 	}
 	if s.Setting != "" && !errored {
-		c.session = c.session.WithSetting(s.Setting, b.statement(), s.Reset)
+		c.setSession(c.session.WithSetting(s.Setting, b.statement(), s.Reset))
 	}
 	response := p
 	if before.Floor != c.session.Floor {
--- a/connection/front/startup.go
+++ b/connection/front/startup.go
@@ -112,7 +112,7 @@
 	}
 	t := tls.Server(c.conn, c.front.tls)
 	c.conn = t
-	c.reader = frame.New(t, c.front.messageLimit)
+	c.reader = frame.New(t, c.front.messageLimit, frame.WithAccount(c.share))
 	return nil
 }
 
--- a/connection/sess/sess.go
+++ b/connection/sess/sess.go
@@ -39,8 +39,10 @@
 	// Sequence counts the session's requests.
 	Sequence uint64
 
-	// prepared holds the prepared statements by the caller's name.
-	prepared map[string]statement
+	// prepared holds the prepared statements by the caller's name, and preparedBytes is the
+	// memory that they take.
+	prepared      map[string]statement
+	preparedBytes int
 	// settings are the session's settings, in the order in which they were set.
 	settings []setting
 	// pending are the changes of settings made in the open transaction.
@@ -124,15 +126,43 @@
 	if s.prepared == nil {
 		s.prepared = map[string]statement{}
 	}
+	s.preparedBytes -= s.statementBytes(name)
 	s.prepared[name] = statement{targetName, frame}
+	s.preparedBytes += s.statementBytes(name)
 	return s
 }
 
+// entryBytes is the memory that a statement or setting takes besides its texts.
+const entryBytes = 128
+
+// statementBytes returns the memory that a prepared statement takes, 0 if there is none of that
+// name.
+func (s Session) statementBytes(name string) int {
+	p, ok := s.prepared[name]
+	if !ok {
+		return 0
+	}
+	return entryBytes + len(name) + len(p.targetName) + len(p.frame)
+}
+
+// Kept returns how many prepared statements and settings the session has, and the memory that
+// they take, in bytes.
+func (s Session) Kept() (count, size int) {
+	size = s.preparedBytes
+	for _, settings := range [][]setting{s.settings, s.pending} {
+		for _, p := range settings {
+			size += entryBytes + len(p.name) + len(p.statement)
+		}
+	}
+	return len(s.prepared) + len(s.settings) + len(s.pending), size
+}
+
 // WithoutPrepared returns the session without a prepared statement.
 func (s Session) WithoutPrepared(name string) Session {
 	if _, ok := s.prepared[name]; !ok {
 		return s
 	}
+	s.preparedBytes -= s.statementBytes(name)
 	s.prepared = maps.Clone(s.prepared)
 	delete(s.prepared, name)
 	return s
--- a/process/conf/settings.go
+++ b/process/conf/settings.go
@@ -41,6 +41,9 @@
 	AllowTrust         bool
 	MessageLimit       int
 	CallerLimit        int
+	CallerMemory       int64
+	SessionValues      int
+	SessionMemory      int
 	Workers            int
 	DrainTime          time.Duration
 	Grace              time.Duration
@@ -63,6 +66,9 @@
 		TargetUser:     "pistachiotray",
 		MessageLimit:   16 << 20,
 		CallerLimit:    10_000,
+		CallerMemory:   1 << 30,
+		SessionValues:  10_000,
+		SessionMemory:  64 << 20,
 		Workers:        8,
 		DrainTime:      30 * time.Second,
 		Grace:          2 * time.Second,
@@ -102,6 +108,9 @@
 	f.BoolVar(&s.AllowTrust, "allow-trust", s.AllowTrust, "let callers in without a password although not on loopback")
 	f.IntVar(&s.MessageLimit, "message-limit", s.MessageLimit, "longest message of a caller, in bytes")
 	f.IntVar(&s.CallerLimit, "caller-limit", s.CallerLimit, "most connections of callers")
+	f.Int64Var(&s.CallerMemory, "caller-memory", s.CallerMemory, "most memory for callers' messages over 8 KiB, answers that are being sent and what sessions keep, in bytes; beyond it the largest or oldest caller is closed")
+	f.IntVar(&s.SessionValues, "session-values", s.SessionValues, "most prepared statements and settings of a session")
+	f.IntVar(&s.SessionMemory, "session-memory", s.SessionMemory, "most memory that a session's prepared statements and settings may take, in bytes")
 	f.IntVar(&s.Workers, "workers", s.Workers, "number of workers that take decisions")
 	f.DurationVar(&s.DrainTime, "drain-time", s.DrainTime, "longest time that a planned stop waits for work in progress")
 	f.DurationVar(&s.Grace, "grace", s.Grace, "how long a transaction waits for a session that lost its host")
@@ -178,6 +187,9 @@
 	}
 	add(s.MessageLimit < minMessageLimit, "message-limit: must be 1024 or more")
 	add(s.CallerLimit < 1, "caller-limit: must be 1 or more")
+	add(s.CallerMemory < 1, "caller-memory: must be 1 or more")
+	add(s.SessionValues < 1, "session-values: must be 1 or more")
+	add(s.SessionMemory < 1, "session-memory: must be 1 or more")
 	add(s.Workers < 1, "workers: must be 1 or more")
 	for _, d := range []struct {
 		name  string
--- a/process/host/metrics.go
+++ b/process/host/metrics.go
@@ -19,6 +19,7 @@
 	NewestVersion  uint64
 	Callers        int64
 	CallersRefused int64
+	CallerMemory   any
 	Requests       int
 	TasksWaiting   int
 	Goroutines     int
@@ -63,6 +64,7 @@
 	}
 	m.Ready, m.Why = h.Ready()
 	m.Callers, m.CallersRefused = h.front.Callers()
+	m.CallerMemory = h.front.Memory()
 	m.PlatformCalls, m.PlatformFailed = h.platform.Calls()
 	m.AuditWaiting, m.AuditWritten, m.AuditDropped = h.trail.Counts()
 	h.engine.Inspect(func(g *group.Group) { m.Groups[g.Name()] = h.groupMetrics(g) })
--- a/process/host/provide.go
+++ b/process/host/provide.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/front"
 	"github.com/pistachiotray/pistachiotray/connection/peer"
 	"github.com/pistachiotray/pistachiotray/process/audit"
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/conf"
 	"github.com/pistachiotray/pistachiotray/process/config"
 	"github.com/pistachiotray/pistachiotray/process/engine"
@@ -140,6 +141,7 @@
 	options := []func(*front.Front){
 		front.WithUsers(sec.users), front.WithKeys(sec.tokenKeys, sec.signingKeyName), front.WithTLS(sec.callerTLS),
 		front.WithMessageLimit(s.MessageLimit), front.WithCallerLimit(s.CallerLimit),
+		front.WithBudget(budget.New(log, s.CallerMemory)), front.WithSessionLimits(s.SessionValues, s.SessionMemory),
 	}
 	return front.New(s.Host, log, e, c, g, options...)
 }
