--- a/connection/server/server_test.go
+++ b/connection/server/server_test.go
@@ -359,3 +359,17 @@
 		})
 	}
 }
+
+// A session keeps its key, which may be nearly as long as a message.
+func TestKeptKeyIsAccountedFor(t *testing.T) {
+	is := is.New(t)
+	const keyBytes = 900 << 10
+	b := budget.New(zap.NewNop(), 32<<20)
+	address := startRowServer(t, 2, b, time.Hour)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	c := client{conn, bufio.NewReader(conn)}
+	is.Equal(c.ask("START orders "+strings.Repeat("k", keyBytes)), "READY I -")
+	is.Equal(used(b), int64(keyBytes))
+}
--- a/connection/server/session.go
+++ b/connection/server/session.go
@@ -23,6 +23,10 @@
 // the way of a statement that its caller sent before.
 const endDelay = 100 * time.Millisecond
 
+// maxLoggedBytes bounds the part of a reason that is logged, since it may repeat what the caller
+// sent.
+const maxLoggedBytes = 200
+
 // session serves one caller's connection.
 type session struct {
 	server *Server
@@ -142,7 +146,7 @@
 	sv.refused.Add(1)
 	if sv.refusalLogLimiter.Allow() {
 		fields = append(fields, zap.String("Caller", s.id), zap.String("Outcome", c.Name()),
-			zap.String("Reason", reason), zap.Int64("Suppressed", sv.suppressed.Swap(0)))
+			zap.String("Reason", reason[:min(len(reason), maxLoggedBytes)]), zap.Int64("Suppressed", sv.suppressed.Swap(0)))
 		sv.log.Info("caller refused", fields...)
 	} else {
 		sv.suppressed.Add(1)
@@ -183,7 +187,11 @@
 		s.rejectMessage(err)
 		return false
 	}
-	s.share.Return(r.Drawn())
+	if drawn := r.Drawn(); drawn > 0 {
+		// The session keeps the key.
+		s.share.Charge(len(key))
+		s.share.Return(drawn)
+	}
 	if !s.server.markStarted(s) {
 		return false
 	}
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -24,6 +24,9 @@
 	// significantDigits decimal digits.
 	maxTime           = time.Minute
 	significantDigits = 2
+	// maxLoggedIDBytes bounds the part of a statement's ID that is logged, since callers choose
+	// IDs of any length.
+	maxLoggedIDBytes = 100
 )
 
 // doneOutcome is the outcome of a successful statement: the name of the result
@@ -59,7 +62,7 @@
 		return
 	}
 	m.log.Info("statement", append([]zap.Field{
-		zap.String("ID", id), zap.String("Caller", caller), zap.String("Database", database),
+		zap.String("ID", id[:min(len(id), maxLoggedIDBytes)]), zap.String("Caller", caller), zap.String("Database", database),
 		zap.String("Outcome", outcome), zap.Duration("Took", took), zap.Int64("Suppressed", suppressed),
 	}, fields...)...)
 }
