--- a/connection/runner/keep.go
+++ b/connection/runner/keep.go
@@ -9,6 +9,10 @@
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
 
+// freeBytes is the memory of values and prepared statements that is not accounted for. Most
+// sessions keep less.
+const freeBytes = 4 << 10
+
 // account accounts for the memory that a session keeps.
 type account interface {
 	// Charge notes that n more bytes are used.
@@ -55,10 +59,10 @@
 		return reply.Refuse(code.MessageTooLarge, "the session keeps too many values and prepared statements")
 	}
 	r.caller = next
-	if size > before {
-		r.limits.account.Charge(size - before)
-	} else {
-		r.limits.account.Return(before - size)
+	if change := max(size, freeBytes) - max(before, freeBytes); change > 0 {
+		r.limits.account.Charge(change)
+	} else if change < 0 {
+		r.limits.account.Return(-change)
 	}
 	return reply.Done(r.caller.Status)
 }
--- a/connection/share/share.go
+++ b/connection/share/share.go
@@ -1,14 +1,26 @@
 // Package share accounts for the memory that one connection holds of a process's budget.
 package share
 
-import "github.com/pistachiotray/pistachiotray/process/budget"
+import (
+	"math"
+	"sync/atomic"
 
-// Share is what one connection holds of a budget. A nil Share has no limits. The methods may be
-// called concurrently.
+	"github.com/pistachiotray/pistachiotray/process/budget"
+)
+
+// left is the ID of a Share that left its budget, which no taker has.
+const left = math.MaxUint64
+
+// Share is what one connection holds of a budget. It joins the budget with the first bytes that
+// it draws, so that connections with small messages cost little. A nil Share has no limits. The
+// methods may be called concurrently.
 type Share struct {
 	budget *budget.Budget
-	id     uint64
-	// progress is called before the connection waits for more of a long message.
+	end    func()
+	// id is the ID of the taker, 0 before it joined the budget.
+	id atomic.Uint64
+	// progress is called before the connection waits for more of a long message, unless it is
+	// nil.
 	progress func()
 }
 
@@ -25,23 +37,35 @@
 	if b == nil {
 		return nil
 	}
-	s := &Share{budget: b, id: b.Join(end), progress: func() {}}
+	s := &Share{budget: b, end: end}
 	for _, o := range options {
 		o(s)
 	}
 	return s
 }
 
+// join returns the ID of the taker, which joins the budget unless it has or has left.
+func (s *Share) join() uint64 {
+	if id := s.id.Load(); id != 0 {
+		return id
+	}
+	id := s.budget.Join(s.end)
+	if !s.id.CompareAndSwap(0, id) {
+		s.budget.Leave(id)
+	}
+	return s.id.Load()
+}
+
 // Begin notes that a long message begins, which arrives or is sent.
 func (s *Share) Begin() {
 	if s != nil {
-		s.budget.Begin(s.id)
+		s.budget.Begin(s.join())
 	}
 }
 
 // Progress notes that the connection is about to wait for more of a long message.
 func (s *Share) Progress() {
-	if s != nil {
+	if s != nil && s.progress != nil {
 		s.progress()
 	}
 }
@@ -49,7 +73,7 @@
 // Finish notes that a long message is complete, or was given up.
 func (s *Share) Finish() {
 	if s != nil {
-		s.budget.Finish(s.id)
+		s.budget.Finish(s.join())
 	}
 }
 
@@ -58,33 +82,36 @@
 	if s == nil {
 		return nil
 	}
-	return s.budget.Draw(s.id, n)
+	return s.budget.Draw(s.join(), n)
 }
 
 // Charge draws n bytes that are used already, without waiting.
 func (s *Share) Charge(n int) {
-	if s != nil {
-		s.budget.Charge(s.id, n)
+	if s != nil && n > 0 {
+		s.budget.Charge(s.join(), n)
 	}
 }
 
 // Return gives back n bytes.
 func (s *Share) Return(n int) {
-	if s != nil {
-		s.budget.Return(s.id, n)
+	if s != nil && n > 0 {
+		s.budget.Return(s.join(), n)
 	}
 }
 
 // SetWorking notes whether a statement of the connection runs.
 func (s *Share) SetWorking(working bool) {
-	if s != nil {
-		s.budget.SetWorking(s.id, working)
+	if s == nil {
+		return
+	}
+	if id := s.id.Load(); id != 0 {
+		s.budget.SetWorking(id, working)
 	}
 }
 
 // Leave gives back all that the connection holds. The Share can't be used any more.
 func (s *Share) Leave() {
 	if s != nil {
-		s.budget.Leave(s.id)
+		s.budget.Leave(s.id.Swap(left))
 	}
 }
