--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -17,7 +17,9 @@
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
+	"github.com/pistachiotray/pistachiotray/connection/share"
 	"github.com/pistachiotray/pistachiotray/process/award"
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/claim"
 	"github.com/pistachiotray/pistachiotray/process/delta"
 	"github.com/pistachiotray/pistachiotray/process/report"
@@ -31,6 +33,9 @@
 const (
 	// maxRequestTime is the maximum time limit that another host may set for a request.
 	maxRequestTime = 30 * time.Second
+	// progressTimeout bounds the wait for the next part of a long message. Hosts are near each
+	// other and send a message at once.
+	progressTimeout = 5 * time.Second
 )
 
 // groups looks up database groups.
@@ -63,6 +68,13 @@
 	lent     atomic.Int64
 	stopping atomic.Bool
 	packer   pack.Packer
+	// budget pays for long messages of other hosts, nil if their memory is not limited.
+	budget *budget.Budget
+}
+
+// WithBudget returns an option that sets what pays for long messages of other hosts.
+func WithBudget(b *budget.Budget) func(*Relay) {
+	return func(r *Relay) { r.budget = b }
 }
 
 // New returns a relay that lends the connections of the groups and passes on the
@@ -123,21 +135,34 @@
 	defer func() { _ = c.Close() }()
 	b := &borrower{relay: r}
 	defer b.drop()
-	compressed := huff.New(c)
-	decoder, encoder := gob.NewDecoder(compressed), gob.NewEncoder(compressed)
+	sh := share.New(r.budget, func() { _ = c.Close() }, share.WithProgress(func() { _ = c.SetReadDeadline(time.Now().Add(progressTimeout)) }))
+	defer sh.Leave()
+	compressed := huff.New(c, huff.WithAccount(sh))
+	incoming := &guard{reader: compressed}
+	decoder, encoder := gob.NewDecoder(incoming), gob.NewEncoder(compressed)
 	for {
 		var p parcel.Parcel
+		incoming.next()
 		if err := decoder.Decode(&p); err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				r.log.Debug("relay: connection to host failed", zap.String("Error", err.Error()))
 			}
 			return
 		}
+		drawn := compressed.Drawn()
+		if drawn > 0 {
+			_ = c.SetReadDeadline(time.Time{})
+		}
+		if guarded, ok := c.(interface{ Prove() }); ok {
+			guarded.Prove()
+		}
 		if p.Verb == parcel.Put {
 			b.put()
 			continue
 		}
-		if err := encoder.Encode(b.handle(p)); err != nil {
+		answer := b.handle(p)
+		sh.Return(drawn)
+		if err := encoder.Encode(answer); err != nil {
 			return
 		}
 	}
