Spread reads over shared targets by shares from old load information

Where hosts share the connections to the targets of a group, Pick chooses a target at random by shares: slots over slowness, less for failures and for a load above the usual one. The answers of lenders state how much work is outstanding at the target, without further messages. A caller without a customer asks the less loaded of two lenders. Other groups choose as before.

--- a/connection/batch/batch.go
+++ b/connection/batch/batch.go
@@ -24,6 +24,9 @@
 	// Priority is the route's priority. Batches with a lower number get a connection
 	// first.
 	Priority int
+	// Kind names the kind of work, within which times can be compared. It is empty if
+	// nothing is known.
+	Kind string
 	// Wait bounds the wait for a connection.
 	Wait time.Duration
 	// Keep means that the connection is handed to the requester if all statements
@@ -49,6 +52,12 @@
 	return b
 }
 
+// WithKind returns the batch with another kind of work.
+func (b Batch) WithKind(kind string) Batch {
+	b.Kind = kind
+	return b
+}
+
 // WithWait returns the batch with another maximum wait for a connection.
 func (b Batch) WithWait(d time.Duration) Batch {
 	b.Wait = d
--- a/connection/parcel/parcel.go
+++ b/connection/parcel/parcel.go
@@ -94,6 +94,17 @@
 	HeldMs int64
 	// Fault is the reason why the request failed, or empty.
 	Fault string
+	// Outstanding is, in the answer to Take and TakeFresh, how many statements were at the
+	// target or waiting for it on the lender's connections, the answered ones included. It is
+	// 0 if the lender does not say. FreeConns is how many of its connections were idle.
+	Outstanding int
+	FreeConns   int
+}
+
+// WithLoad returns the answer with the load of the target as the lender knows it.
+func (p Parcel) WithLoad(outstanding, free int) Parcel {
+	p.Outstanding, p.FreeConns = outstanding, free
+	return p
 }
 
 // NewFollow returns a request with the verb Follow. known holds the position of each
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -202,7 +202,12 @@
 		b.relay.lent.Add(-1)
 	}
 	b.group, b.conn = group, cn
-	return parcel.Parcel{Replies: replies, Kept: cn != nil, Sent: errors.Is(err, rset.ErrAnswerLost), Fault: faultText(err)}
+	answer := parcel.Parcel{Replies: replies, Kept: cn != nil, Sent: errors.Is(err, rset.ErrAnswerLost), Fault: faultText(err)}
+	outstanding, free := group.OwnLoad(p.Target)
+	if cn == nil {
+		outstanding++
+	}
+	return answer.WithLoad(outstanding, free)
 }
 
 // run runs a stage on the connection that is lent to the other host.
--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,8 @@
 // hostNetwork is a network of hosts that listen on in-memory connections.
 type hostNetwork struct {
 	hosts map[string]*host
+	// mu guards conns, dials and the field dialed of the hosts while statements run.
+	mu sync.Mutex
 	// conns are the borrower's ends of all connections opened.
 	conns []net.Conn
 	// dials counts the attempts to connect.
@@ -61,7 +64,9 @@
 
 // Host opens a connection to a host. It implements the dialer of package borrow.
 func (hn *hostNetwork) Host(ctx context.Context, n gossip.HostInfo) (*remote.Remote, error) {
+	hn.mu.Lock()
 	hn.dials++
+	hn.mu.Unlock()
 	h, ok := hn.hosts[n.Host]
 	if !ok || h.down {
 		return nil, errors.New("refused")
@@ -70,9 +75,11 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	h.dialed = true
 	borrowerEnd, lenderEnd := net.Pipe()
+	hn.mu.Lock()
+	h.dialed = true
 	hn.conns = append(hn.conns, borrowerEnd)
+	hn.mu.Unlock()
 	h.incoming <- lenderEnd
 	return remote.New(n.Host, &silenceableConn{borrowerEnd, h}), nil
 }
--- a/connection/remote/remote.go
+++ b/connection/remote/remote.go
@@ -38,12 +38,14 @@
 // Remote is a connection to another host. It is used by one goroutine at a time.
 type Remote struct {
 	// Host is the name of the other host.
-	Host      string
-	conn      *steadyConn
-	decoder   *gob.Decoder
-	encoder   *gob.Encoder
-	broken    atomic.Bool
-	closeOnce sync.Once
+	Host    string
+	conn    *steadyConn
+	decoder *gob.Decoder
+	encoder *gob.Encoder
+	broken  atomic.Bool
+	// outstanding and free are described at Load.
+	outstanding, free int
+	closeOnce         sync.Once
 }
 
 // New returns a Remote over an open connection to the named host.
@@ -68,6 +70,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "Remote.Take")
 	}
+	r.outstanding, r.free = answer.Outstanding, answer.FreeConns
 	if err := refusal(answer); err != nil {
 		return nil, nil, errors.Wrap(err, "Remote.Take")
 	}
@@ -77,6 +80,13 @@
 	return answer.Replies, conn.New(t.ID, nil, conn.WithHost(r), conn.WithCustomer(b.Caller.Customer)), nil
 }
 
+// Load returns the load of the target as the other host stated it in the last answer to Take:
+// the statements outstanding on its connections, with those that were answered, and its idle
+// connections. Both are 0 if the host did not say.
+func (r *Remote) Load() (outstanding, free int) {
+	return r.outstanding, r.free
+}
+
 // refusal returns the fault in an answer as an error, or nil if there is none. The
 // error wraps ErrRefused if nothing was sent to the target.
 func refusal(answer parcel.Parcel) error {
--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -61,7 +61,7 @@
 // minConnWait.
 func (r *Runner) batch(group *rset.ReplicaSet, rt route.Route, arrived time.Duration, stages ...[]stmt.Stmt) batch.Batch {
 	wait := max(maxWait(group, rt)-(r.now()-arrived), minConnWait)
-	return batch.New(r.caller, stages...).WithPriority(rt.Priority).WithWait(wait)
+	return batch.New(r.caller, stages...).WithPriority(rt.Priority).WithKind(rt.Database).WithWait(wait)
 }
 
 // waitedTooLong reports whether a statement that did not run has waited so long
@@ -265,7 +265,7 @@
 		waitBeforeRetry(ctx)
 		return target.Target{}, position, err
 	}
-	t, ok := ts.group.Pick(ts.tried, position, reached)
+	t, ok := ts.group.Pick(rt.Database, ts.tried, position, reached)
 	if !ok {
 		clear(ts.tried)
 		ts.watermarkAfter = r.now()
@@ -287,7 +287,7 @@
 		if rt.Kind == route.ReadYourWrites {
 			floor = r.caller.Floor
 		}
-		t, ok := ts.group.Pick(ts.tried, floor, r.caller.FloorAt)
+		t, ok := ts.group.Pick(rt.Database, ts.tried, floor, r.caller.FloorAt)
 		if ok && !ts.group.ConnectsTo(t.ID) {
 			ts.tried[t.ID] = true
 			return t, floor, rt.MaxAge - ageMargin, nil
--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -216,6 +216,16 @@
 	return int(xxhash.Sum64String(t.ID+"/"+as.self) % uint64(max(n, 1)))
 }
 
+// SecondIndex returns the index of another host than that of FirstIndex, which this host may
+// ask first as well. It is the same if n is 1.
+func (as Assignment) SecondIndex(t target.Target, n int) int {
+	if n < 2 {
+		return 0
+	}
+	step := 1 + int(xxhash.Sum64String(as.self+"/second/"+t.ID)%uint64(n-1))
+	return (as.FirstIndex(t, n) + step) % n
+}
+
 // CustomerIndex returns the index of the host that is asked first for a customer's
 // connections among n lenders of a target. It is the same at all hosts, so that each
 // customer has its connections at few lenders.
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -71,8 +71,9 @@
 // Do runs a batch at a target through one of the given hosts. It asks the host
 // at index first before the others. It returns the target connection if the
 // batch keeps it. If it returns remote.ErrRefused, ErrNoLender or
-// ErrUnreachable, nothing was sent to the target.
-func (br *Borrower) Do(ctx context.Context, t target.Target, b batch.Batch, hosts []gossip.HostInfo, first int) ([]reply.Reply, *conn.Conn, error) {
+// ErrUnreachable, nothing was sent to the target. It calls heard with the load of the target as
+// each host that answered states it, unless that says nothing.
+func (br *Borrower) Do(ctx context.Context, t target.Target, b batch.Batch, hosts []gossip.HostInfo, first int, heard func(host string, outstanding, free int)) ([]reply.Reply, *conn.Conn, error) {
 	var replies []reply.Reply
 	var cn *conn.Conn
 	// b.Wait bounds the total time for which the hosts wait for a connection.
@@ -88,6 +89,9 @@
 		if errors.Is(err, remote.ErrRefused) {
 			waited += br.now() - began
 		}
+		if outstanding, free := r.Load(); outstanding > 0 && (err == nil || errors.Is(err, remote.ErrRefused)) {
+			heard(r.Host, outstanding, free)
+		}
 		if cn != nil {
 			br.mu.Lock()
 			br.inUse[cn] = r
--- a/process/rset/address_test.go
+++ b/process/rset/address_test.go
@@ -49,7 +49,7 @@
 		is.True(errors.Is(err, code.NotRunWrongTarget))
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
-			_, ok := rs.Pick(nil, mark.Mark{}, 0)
+			_, ok := rs.Pick("", nil, mark.Mark{}, 0)
 			is.True(!ok) // no read is sent to the failing target
 			_, err := rs.Take(t.Context(), "i-gone", batch.New(caller.Caller{}))
 			is.True(errors.Is(err, rset.ErrUnavailable))
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -135,13 +135,13 @@
 	}
 	ts.running--
 	if err != nil && !errors.Is(err, remote.ErrRefused) || failed(replies) {
-		ts.failures = ts.failures.with(rs.now(), true)
+		ts.noteOutcome(rs.now(), true)
 	}
 	if err != nil {
 		return
 	}
 	if !failed(replies) {
-		ts.failures = ts.failures.with(rs.now(), false)
+		ts.noteOutcome(rs.now(), false)
 	}
 	ts.latency = ts.expectedLatency(rs.now())
 	ts.latency += time.Duration(latencyWeight * float64(took-ts.latency))
@@ -361,25 +361,26 @@
 	return failing, reachable
 }
 
-// Pick returns the target with the shortest expected response time for a read.
+// Pick returns the target for a read of a kind of work: the one with the shortest expected
+// response time or, if hosts share the connections to the targets, one chosen by package spread.
 // The target must include the log position need to serve the read; reached is a
 // time by which the leader had reached that position. Pick never returns a
 // leaving or failing target or one of those in tried. It returns a replica that
 // is expected to refuse the read only if there is no other target, or if it is
 // time to check whether that replica caught up. It returns false if there is no
 // target to try.
-func (rs *ReplicaSet) Pick(tried map[string]bool, need mark.Mark, reached time.Duration) (target.Target, bool) {
+func (rs *ReplicaSet) Pick(kind string, tried map[string]bool, need mark.Mark, reached time.Duration) (target.Target, bool) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	now := rs.now()
 	refuses := func(ts *targetState) bool { return ts.target.ID != rs.leader && ts.lag.wouldRefuse(need, reached, now) }
-	best := rs.cheapest(tried, func(ts *targetState) bool { return refuses(ts) && now >= ts.lag.nextProbe })
+	best := rs.choose(kind, tried, func(ts *targetState) bool { return refuses(ts) && now >= ts.lag.nextProbe })
 	if best != nil {
 		best.lag.nextProbe = now + best.lag.probePause()
 		return best.target, true
 	}
-	if best = rs.cheapest(tried, func(ts *targetState) bool { return !refuses(ts) }); best == nil {
-		best = rs.cheapest(tried, func(*targetState) bool { return true })
+	if best = rs.choose(kind, tried, func(ts *targetState) bool { return !refuses(ts) }); best == nil {
+		best = rs.choose(kind, tried, func(*targetState) bool { return true })
 	}
 	if best == nil {
 		return target.Target{}, false
--- /dev/null
+++ b/process/rset/load.go
@@ -0,0 +1,266 @@
+package rset
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/connection/batch"
+	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/rating"
+	"github.com/pistachiotray/pistachiotray/process/spread"
+	"github.com/pistachiotray/pistachiotray/request/reply"
+)
+
+const (
+	// maxKinds bounds the kinds of work whose times are known. Further kinds are not
+	// compared.
+	maxKinds = 64
+	// kindWeight is the weight of a new measurement in the expected time of a kind.
+	kindWeight = 0.05
+	// defaultWork is the expected time of a kind of work that was never measured.
+	defaultWork = 10 * time.Millisecond
+	// countPause is the least time between two counts of this host's own connections to
+	// a target.
+	countPause = 20 * time.Millisecond
+	// loadLogPause is the least time between two log lines with the loads of the targets.
+	loadLogPause = time.Minute
+)
+
+// choose returns the eligible target for a read, or nil if there is none. It excludes leaving
+// and failing targets and those in tried; the caller holds the lock.
+func (rs *ReplicaSet) choose(kind string, tried map[string]bool, eligible func(*targetState) bool) *targetState {
+	if !rs.shared() {
+		return rs.cheapest(tried, eligible)
+	}
+	now := rs.now()
+	var found []*targetState
+	for id, ts := range rs.states {
+		if !tried[id] && !ts.target.Leaving && ts.failingSince == 0 && eligible(ts) {
+			found = append(found, ts)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	rs.logLoads(now, kind)
+	if len(found) == 1 {
+		return found[0]
+	}
+	return found[spread.Choose(now, rs.expectedTime(kind), rs.loads(now, found), rs.random)]
+}
+
+// loads returns what is known of the loads of some targets, and sorts these by their IDs; the
+// caller holds the lock.
+func (rs *ReplicaSet) loads(now time.Duration, targets []*targetState) []spread.Load {
+	slices.SortFunc(targets, func(a, b *targetState) int { return cmp.Compare(a.target.ID, b.target.ID) })
+	loads := make([]spread.Load, len(targets))
+	for i, ts := range targets {
+		ts.load = ts.load.WithTarget(ts.target.Slots, rs.distance(ts.target.Zone), len(ts.lenders))
+		own := ts.running
+		if ts.direct {
+			// What this host and its borrowers have running is in the pool's counts.
+			own = 0
+			if age, ok := ts.load.Age(now); !ok || age >= countPause {
+				ts.load = ts.load.WithReport(now, ts.outstanding())
+			}
+		}
+		loads[i] = ts.load.WithOwn(own)
+	}
+	return loads
+}
+
+// outstanding returns how many statements and lent connections are at the target, or wait for
+// it, on this host's own connections; the caller holds the lock.
+func (ts *targetState) outstanding() int {
+	open, idle, waiting := ts.pool.Counts()
+	return open - idle + waiting
+}
+
+// OwnLoad returns how many statements and lent connections are at a target, or wait for it, on
+// this host's own connections, and how many of these are idle.
+func (rs *ReplicaSet) OwnLoad(id string) (outstanding, free int) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	ts, ok := rs.states[id]
+	if !ok {
+		return 0, 0
+	}
+	open, idle, waiting := ts.pool.Counts()
+	return open - idle + waiting, idle
+}
+
+// noteOutcome updates the target's failure rate when a run of statements ended; the caller
+// holds the lock.
+func (ts *targetState) noteOutcome(now time.Duration, failed bool) {
+	ts.failures = ts.failures.with(now, failed)
+	if ts.lenders != nil {
+		ts.load = ts.load.WithOutcome(now, failed)
+	}
+}
+
+// noteLenderLoad notes how many statements are outstanding on a lender's connections to a
+// target, with the answered one of this host, and how many of these connections are idle.
+func (rs *ReplicaSet) noteLenderLoad(id, host string, outstanding, free int) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	ts, ok := rs.states[id]
+	if !ok || !slices.ContainsFunc(ts.lenders, func(h gossip.HostInfo) bool { return h.Host == host }) {
+		return
+	}
+	now := rs.now()
+	ts.load = ts.load.WithReport(now, outstanding-1)
+	l, ok := ts.lenderLoads[host]
+	if !ok {
+		l = spread.New(host, 0)
+	}
+	if ts.lenderLoads == nil {
+		ts.lenderLoads = map[string]spread.Load{}
+	}
+	if free > 0 {
+		// Without an idle connection, a statement waits for one as behind another statement.
+		outstanding--
+	}
+	ts.lenderLoads[host] = l.WithTarget(rs.maxConns/len(ts.lenders), 0, 1).WithReport(now, outstanding)
+}
+
+// forgetLenders removes the loads of hosts that are no lenders any more; the caller holds the
+// lock.
+func (ts *targetState) forgetLenders() {
+	for host := range ts.lenderLoads {
+		if !slices.ContainsFunc(ts.lenders, func(h gossip.HostInfo) bool { return h.Host == host }) {
+			delete(ts.lenderLoads, host)
+		}
+	}
+}
+
+// lenderIndex returns the index of the lender to ask first for a target: the first one by hash
+// or, if that has more work than the second one, one of the two by their loads. A lender that is
+// not known counts as idle, so that it is asked. The caller holds the lock.
+func (rs *ReplicaSet) lenderIndex(ts *targetState) int {
+	now := rs.now()
+	first, second := ts.lenderLoads[ts.lenders[ts.firstLender].Host], ts.lenderLoads[ts.lenders[ts.secondLender].Host]
+	if first.Outstanding(now, 0) < second.Outstanding(now, 0)+1 {
+		return ts.firstLender
+	}
+	if second.ID == "" {
+		return ts.secondLender
+	}
+	if spread.Choose(now, defaultWork, []spread.Load{first, second}, rs.random) == 0 {
+		return ts.firstLender
+	}
+	return ts.secondLender
+}
+
+// kindOf returns the name under which the times of a batch are kept, or the empty string if
+// they can't be compared with those of others.
+func kindOf(b batch.Batch) string {
+	if b.Kind == "" || b.Keep || len(b.Stages) != 1 || len(b.Stages[0]) != 1 {
+		return ""
+	}
+	return b.Kind
+}
+
+// noteTime learns from the time that a batch took at a target.
+func (rs *ReplicaSet) noteTime(id string, b batch.Batch, replies []reply.Reply, took time.Duration) {
+	kind := kindOf(b)
+	if kind == "" || slices.ContainsFunc(replies, func(r reply.Reply) bool { return !r.OK() }) {
+		return
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	ts, ok := rs.states[id]
+	if !ok || ts.lenders == nil {
+		return
+	}
+	now := rs.now()
+	unloaded := ts.load.Unloaded(now, took)
+	mean, known := rs.kindTimes[kind]
+	if !known && len(rs.kindTimes) >= maxKinds {
+		return
+	}
+	if !known {
+		mean = unloaded
+	}
+	mean += time.Duration(kindWeight * float64(unloaded-mean))
+	rs.kindTimes[kind] = mean
+	ts.load = ts.load.WithTime(now, took, mean)
+}
+
+// expectedTime returns how long a kind of work takes on average at a target of the group that
+// has free slots; the caller holds the lock.
+func (rs *ReplicaSet) expectedTime(kind string) time.Duration {
+	if d, ok := rs.kindTimes[kind]; ok && d > 0 {
+		return d
+	}
+	return defaultWork
+}
+
+// Explain returns how each target is rated for a read of a kind of work that may run at any of
+// them, ordered by their IDs.
+func (rs *ReplicaSet) Explain(kind string) []rating.Rating {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.explain(rs.now(), kind)
+}
+
+// explain returns what Explain does; the caller holds the lock.
+func (rs *ReplicaSet) explain(now time.Duration, kind string) []rating.Rating {
+	var usable, unusable []*targetState
+	for _, ts := range rs.states {
+		if ts.target.Leaving || ts.failingSince != 0 {
+			unusable = append(unusable, ts)
+			continue
+		}
+		usable = append(usable, ts)
+	}
+	ratings := rs.rate(now, kind, usable)
+	for i, ts := range unusable {
+		reason := "it does not answer"
+		if ts.target.Leaving {
+			reason = "it is leaving"
+		}
+		ratings = append(ratings, rs.rate(now, kind, unusable[i:i+1])[0].WithUnusable(reason))
+	}
+	for i, r := range ratings {
+		ratings[i] = r.WithLeads(r.ID == rs.leader)
+	}
+	slices.SortFunc(ratings, func(a, b rating.Rating) int { return cmp.Compare(a.ID, b.ID) })
+	return ratings
+}
+
+// rate returns the ratings of usable targets; the caller holds the lock.
+func (rs *ReplicaSet) rate(now time.Duration, kind string, targets []*targetState) []rating.Rating {
+	if rs.shared() {
+		return spread.Ratings(now, rs.expectedTime(kind), rs.loads(now, targets))
+	}
+	ratings := make([]rating.Rating, len(targets))
+	for i, ts := range targets {
+		work := ts.expectedLatency(now)
+		ratings[i] = rating.Rating{
+			ID: ts.target.ID, Work: work, Wait: work * time.Duration(ts.running/max(ts.target.Slots, 1)), Retry: ts.failures.cost(now), Way: rs.distance(ts.target.Zone),
+			Outstanding: float64(ts.running), Own: ts.running, Slots: ts.target.Slots, Slowness: 1, FailureRate: ts.failures.rateAt(now), ReportAge: -1,
+		}
+	}
+	// Without shared connections, the cheapest target gets each read.
+	if best := rs.cheapest(nil, func(*targetState) bool { return true }); best != nil {
+		for i := range ratings {
+			if ratings[i].ID == best.target.ID {
+				ratings[i].Share = 1
+			}
+		}
+	}
+	return ratings
+}
+
+// logLoads logs the ratings of the targets, at most once in loadLogPause; the caller holds the
+// lock.
+func (rs *ReplicaSet) logLoads(now time.Duration, kind string) {
+	if rs.loadsLoggedAt != 0 && now-rs.loadsLoggedAt < loadLogPause {
+		return
+	}
+	rs.loadsLoggedAt = now
+	rs.log.Info("target loads", zap.String("Group", rs.Name), zap.Any("Targets", rs.explain(now, kind)))
+}
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,8 +17,8 @@
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/borrow"
 	"github.com/pistachiotray/pistachiotray/process/conns"
-	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/permit"
+	"github.com/pistachiotray/pistachiotray/process/spread"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/process/wmark"
@@ -140,50 +141,12 @@
 	nextLagHandover  time.Duration
 	lagHandoverPause time.Duration
 	view             view
-}
-
-// targetState is the state of one target of the group, as this host observed
-// it.
-type targetState struct {
-	target target.Target
-	pool   *conns.Pool
-	// direct is set if this host opens its own connections to the target.
-	// Otherwise it borrows connections from the hosts in lenders, and asks the
-	// host at index firstLender first.
-	direct      bool
-	lenders     []gossip.HostInfo
-	firstLender int
-	// running is the number of this host's statements that are running at the
-	// target.
-	running int
-	// latency is the moving average of the target's response times.
-	latency time.Duration
-	// lastHeard is when the target last answered, 0 if it never did.
-	lastHeard time.Duration
-	// failingSince is when the target was found not to answer, 0 while it
-	// answers.
-	failingSince time.Duration
-	// probing is set while probeLoop runs for the target.
-	probing bool
-	// unresponsive is set if the target's machine accepts connections, but on
-	// them either nothing answers or another target does.
-	unresponsive bool
-	// cancels is the set of functions that cancel the statements in progress.
-	// They are called when the target stops answering.
-	cancels map[uint64]func()
-	// drainUntil is when a leaving target stops getting new work as the leader,
-	// 0 while the target is not leaving.
-	drainUntil time.Duration
-	// connRefused is set if the target's machine refused the last attempt to
-	// connect.
-	connRefused bool
-	// lost is the number of lost connections that this host knew of when it last sent a
-	// commit.
-	lost uint64
-	// lag is how far the target's log is behind the leader's.
-	lag lag
-	// failures is the recent share of the target's runs that failed.
-	failures failureRate
+	// random is the source of random choices of targets and lenders. kindTimes holds the
+	// expected time of each kind of work, see expectedTime.
+	random    *rand.Rand
+	kindTimes map[string]time.Duration
+	// loadsLoggedAt is when the loads of the targets were last logged.
+	loadsLoggedAt time.Duration
 }
 
 // New returns a group without targets. The function distance returns how much
@@ -196,6 +159,7 @@
 		states: map[string]*targetState{}, changed: make(chan struct{}), watermarks: wmark.New(),
 		alarm: make(chan struct{}, 1), targetsChanged: make(chan struct{}, 1), drainTime: defaultDrainTime,
 		doubted: make(chan struct{}, 1), formerHosts: map[string]formerHost{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), kindTimes: map[string]time.Duration{},
 	}
 	rs.leasesKnownAt, rs.startedAt = now, now()
 	for _, o := range options {
@@ -234,6 +198,8 @@
 	}
 	ts.lenders, ts.direct = rs.assignment.Lenders(ts.target, rs.maxConns)
 	ts.firstLender = rs.assignment.FirstIndex(ts.target, len(ts.lenders))
+	ts.secondLender = rs.assignment.SecondIndex(ts.target, len(ts.lenders))
+	ts.forgetLenders()
 	if ts.lenders != nil {
 		ts.pool.SetShare(rs.maxConns/max(len(ts.lenders), 1), rs.maxConns)
 		return
@@ -303,7 +269,7 @@
 		rs.raiseAlarm()
 	}
 	if !ok {
-		ts = &targetState{cancels: map[uint64]func(){}}
+		ts = &targetState{cancels: map[uint64]func(){}, load: spread.New(t.ID, rs.random.Float64())}
 		opened := t
 		ts.pool = conns.New(rs.maxConns, rs.now, func(ctx context.Context, customer string) (*conn.Conn, error) {
 			cn, err := rs.dialer.Open(ctx, opened, customer)
--- a/process/rset/take.go
+++ b/process/rset/take.go
@@ -41,8 +41,11 @@
 		return nil, nil, err
 	}
 	t, direct, lenders, first := ts.target, ts.direct, ts.lenders, ts.firstLender
-	if b.Caller.Customer != "" {
+	switch {
+	case b.Caller.Customer != "":
 		first = rs.assignment.CustomerIndex(t, b.Caller.Customer, len(lenders))
+	case !direct && len(lenders) > 1:
+		first = rs.lenderIndex(ts)
 	}
 	rs.mu.Unlock()
 	if !direct {
@@ -60,8 +63,9 @@
 // with stages, something may have been sent, and doBorrowed returns
 // ErrAnswerLost.
 func (rs *ReplicaSet) doBorrowed(ctx context.Context, t target.Target, b batch.Batch, lenders []gossip.HostInfo, first int) ([]reply.Reply, *conn.Conn, error) {
+	heard := func(host string, outstanding, free int) { rs.noteLenderLoad(t.ID, host, outstanding, free) }
 	if len(b.Stages) == 0 {
-		return rs.borrower.Do(ctx, t, b, lenders, first)
+		return rs.borrower.Do(ctx, t, b, lenders, first, heard)
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -69,12 +73,13 @@
 	var cn *conn.Conn
 	began := rs.now()
 	replies, err := rs.runMonitored(t.ID, probeAfter+min(b.Wait, probeAfter), func() ([]reply.Reply, error) {
-		replies, kept, err := rs.borrower.Do(ctx, t, b, lenders, first)
+		replies, kept, err := rs.borrower.Do(ctx, t, b, lenders, first, heard)
 		cn = kept
 		return replies, err
 	})
 	if err == nil {
 		rs.learnWatermark(b, replies, began)
+		rs.noteTime(t.ID, b, replies, rs.now()-began)
 		return replies, cn, nil
 	}
 	if errors.Is(err, remote.ErrRefused) || errors.Is(err, borrow.ErrNoLender) || errors.Is(err, borrow.ErrUnreachable) {
@@ -120,6 +125,7 @@
 		return nil, nil, fmt.Errorf("%w: %w", ErrAnswerLost, err)
 	}
 	rs.learnWatermark(b, replies, began)
+	rs.noteTime(id, b, replies, rs.now()-began)
 	n := len(replies)
 	switch {
 	case b.Keep && (n == 0 || replies[n-1].OK()):
@@ -242,6 +248,11 @@
 func (rs *ReplicaSet) Shared() bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	return rs.shared()
+}
+
+// shared returns what Shared does; the caller holds the lock.
+func (rs *ReplicaSet) shared() bool {
 	for _, ts := range rs.states {
 		if ts.lenders != nil {
 			return true
