--- a/connection/relay/spread_test.go
+++ b/connection/relay/spread_test.go
@@ -107,3 +107,31 @@
 		is.True(well["g-1"] > well["g-2"]*3/4)
 	})
 }
+
+// A lender whose connections are busy with the work of others must be relieved by the next one.
+func TestBusyLenderIsRelieved(t *testing.T) {
+	withHosts(t, func(t *testing.T, network *hostNetwork, far *rset.ReplicaSet, b *qgroup.Group) {
+		is := is.New(t)
+		read := batch.New(caller.Caller{}, []stmt.Stmt{stmt.New("1", stmt.Read, "").WithName("a", "")}).WithWait(time.Second)
+		do := func() {
+			_, _, err := far.Do(t.Context(), "g-0", read)
+			is.NoErr(err)
+		}
+		for range 5 {
+			do()
+		}
+		first, second := network.hosts["gate-1"], network.hosts["gate-2"]
+		if second.dialed {
+			first, second = second, first
+		}
+		is.True(!second.dialed) // without load, one lender is enough
+		cn, err := first.group.Take(t.Context(), "g-0", batch.New(caller.Caller{}))
+		is.NoErr(err)
+		for range 5 {
+			time.Sleep(100 * time.Millisecond)
+			do()
+		}
+		is.True(second.dialed)
+		first.group.Put(cn)
+	})
+}
--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -61,7 +61,7 @@
 // minConnWait.
 func (r *Runner) batch(group *rset.ReplicaSet, rt route.Route, arrived time.Duration, stages ...[]stmt.Stmt) batch.Batch {
 	wait := max(maxWait(group, rt)-(r.now()-arrived), minConnWait)
-	return batch.New(r.caller, stages...).WithPriority(rt.Priority).WithKind(rt.Database).WithWait(wait)
+	return batch.New(r.caller, stages...).WithPriority(rt.Priority).WithWait(wait)
 }
 
 // waitedTooLong reports whether a statement that did not run has waited so long
@@ -217,7 +217,7 @@
 func (r *Runner) read(ctx context.Context, group *rset.ReplicaSet, rt route.Route, s stmt.Stmt) reply.Reply {
 	var last reply.Reply
 	mayHaveRun := false
-	ts := targetSearch{group: group, tried: map[string]bool{}}
+	ts := targetSearch{group: group, tried: map[string]bool{}, kind: kindOf(rt, s)}
 	for try := 1; ; try++ {
 		t, position, maxAge, err := r.readTarget(ctx, &ts, rt, s.Arrived)
 		if err == nil {
@@ -235,6 +235,15 @@
 	}
 }
 
+// kindOf returns the kind of work that a read is: times are compared only between reads of one
+// database that are prepared, or that are not.
+func kindOf(rt route.Route, s stmt.Stmt) string {
+	if s.Kind == stmt.Execute {
+		return rt.Database + "/prepared"
+	}
+	return rt.Database
+}
+
 // retryableRead reports whether another target may answer a read that got this
 // reply.
 func retryableRead(answer reply.Reply) bool {
@@ -246,6 +255,8 @@
 type targetSearch struct {
 	group *rset.ReplicaSet
 	tried map[string]bool
+	// kind is the kind of work, empty for a transaction.
+	kind string
 	// watermarkAfter is the time after which the watermark for the read must have been
 	// requested; zero means any time. It is set when all targets were tried without
 	// success.
@@ -265,7 +276,7 @@
 		waitBeforeRetry(ctx)
 		return target.Target{}, position, err
 	}
-	t, ok := ts.group.Pick(rt.Database, ts.tried, position, reached)
+	t, ok := ts.group.Pick(ts.kind, ts.tried, position, reached)
 	if !ok {
 		clear(ts.tried)
 		ts.watermarkAfter = r.now()
@@ -287,7 +298,7 @@
 		if rt.Kind == route.ReadYourWrites {
 			floor = r.caller.Floor
 		}
-		t, ok := ts.group.Pick(rt.Database, ts.tried, floor, r.caller.FloorAt)
+		t, ok := ts.group.Pick(ts.kind, ts.tried, floor, r.caller.FloorAt)
 		if ok && !ts.group.ConnectsTo(t.ID) {
 			ts.tried[t.ID] = true
 			return t, floor, rt.MaxAge - ageMargin, nil
@@ -299,7 +310,7 @@
 
 // readOnce sends a read to one target.
 func (r *Runner) readOnce(ctx context.Context, ts *targetSearch, t target.Target, rt route.Route, s stmt.Stmt, maxAge time.Duration) (reply.Reply, error) {
-	replies, _, err := ts.group.Do(ctx, t.ID, r.batch(ts.group, rt, s.Arrived, []stmt.Stmt{s}).WithMaxAge(maxAge))
+	replies, _, err := ts.group.Do(ctx, t.ID, r.batch(ts.group, rt, s.Arrived, []stmt.Stmt{s}).WithKind(ts.kind).WithMaxAge(maxAge))
 	if err != nil {
 		return reply.Reply{}, err
 	}
--- a/process/rset/load.go
+++ b/process/rset/load.go
@@ -154,19 +154,9 @@
 	return ts.secondLender
 }
 
-// kindOf returns the name under which the times of a batch are kept, or the empty string if
-// they can't be compared with those of others.
-func kindOf(b batch.Batch) string {
-	if b.Kind == "" || b.Keep || len(b.Stages) != 1 || len(b.Stages[0]) != 1 {
-		return ""
-	}
-	return b.Kind
-}
-
-// noteTime learns from the time that a batch took at a target.
+// noteTime learns from the time that a batch of a known kind took at a target.
 func (rs *ReplicaSet) noteTime(id string, b batch.Batch, replies []reply.Reply, took time.Duration) {
-	kind := kindOf(b)
-	if kind == "" || slices.ContainsFunc(replies, func(r reply.Reply) bool { return !r.OK() }) {
+	if b.Kind == "" || slices.ContainsFunc(replies, func(r reply.Reply) bool { return !r.OK() }) {
 		return
 	}
 	rs.mu.Lock()
@@ -177,7 +167,7 @@
 	}
 	now := rs.now()
 	unloaded := ts.load.Unloaded(now, took)
-	mean, known := rs.kindTimes[kind]
+	mean, known := rs.kindTimes[b.Kind]
 	if !known && len(rs.kindTimes) >= maxKinds {
 		return
 	}
@@ -185,7 +175,7 @@
 		mean = unloaded
 	}
 	mean += time.Duration(kindWeight * float64(unloaded-mean))
-	rs.kindTimes[kind] = mean
+	rs.kindTimes[b.Kind] = mean
 	ts.load = ts.load.WithTime(now, took, mean)
 }
 
--- a/process/spread/choose.go
+++ b/process/spread/choose.go
@@ -16,13 +16,10 @@
 	// since each statement there takes too long for its caller.
 	slowFrom = 1.7
 	// failureDiscount is by how much a failure rate of 1 divides the share of work.
-	failureDiscount = 25
+	failureDiscount = 30
 	// minShare is the least share of a target of its ordinary work. These few statements
 	// show when the target is well again.
 	minShare = 0.015
-	// loadPower is the power of the relative load by which the share of work is divided. A
-	// higher power makes the hosts overshoot together.
-	loadPower = 1
 	// minUsual is the load per slot below which differences of load don't matter.
 	minUsual = 0.3
 	// maxShift bounds the factor by which the relative load changes a share.
@@ -63,24 +60,40 @@
 	usual := Usual(now, loads)
 	shares := make([]float64, len(loads))
 	nearest := nearestDistance(loads)
-	var total float64
-	cheapest := math.Inf(1)
+	total, far := 0.0, false
 	for i, l := range loads {
 		shares[i] = l.share(now, usual)
+		far = far || l.Distance-nearest >= sameRegion
+	}
+	if far {
+		reduceFar(now, expected, loads, shares)
+	}
+	for _, s := range shares {
+		total += s
+	}
+	for i := range shares {
+		shares[i] /= total
+	}
+	return shares
+}
+
+// reduceFar reduces the shares of the targets in other regions to what the nearer ones can't
+// serve in good time. A target far away whose load is not known counts as idle, since it would
+// never be asked otherwise.
+func reduceFar(now, expected time.Duration, loads []Load, shares []float64) {
+	usual := Usual(now, loads)
+	nearest := nearestDistance(loads)
+	cheapest := math.Inf(1)
+	for _, l := range loads {
 		if l.Distance-nearest < sameRegion {
 			cheapest = min(cheapest, l.cost(now, expected, usual))
 		}
 	}
 	for i, l := range loads {
-		if far := l.Distance - nearest; far >= sameRegion {
-			shares[i] *= excess(cheapest, l.cost(now, expected, usual)+float64(far))
+		if way := l.Distance - nearest; way >= sameRegion {
+			shares[i] *= excess(cheapest, l.cost(now, expected, 0)+float64(way))
 		}
-		total += shares[i]
 	}
-	for i := range shares {
-		shares[i] /= total
-	}
-	return shares
 }
 
 // cost returns the sum of the parts of Estimate but the way, in nanoseconds.
@@ -127,14 +140,15 @@
 }
 
 // share returns the target's share of work relative to others: its slots over its slowness,
-// less for failures and for a load above the usual one.
+// less in trouble and for a load above the usual one, and more for a load below. A target that
+// has little work because it is in trouble gets no more for that.
 func (l Load) share(now time.Duration, usual float64) float64 {
 	slowness := l.Slowness(now)
-	share := 1 / slowness / (1 + failureDiscount*l.FailureRate(now))
+	health := 1 / (1 + failureDiscount*l.FailureRate(now))
 	if slowness > slowFrom {
-		share *= slowFrom / slowness * slowFrom / slowness
+		health *= slowFrom / slowness * slowFrom / slowness
 	}
 	relative := (l.Outstanding(now, usual)/float64(l.Slots) + minUsual) / (usual + minUsual)
-	share /= min(max(math.Pow(relative, loadPower), 1.0/maxShift), maxShift)
-	return float64(l.Slots) * max(share, minShare)
+	shift := min(max(1/relative, 1.0/maxShift), 1+(maxShift-1)*health)
+	return float64(l.Slots) * max(health/slowness*shift, minShare)
 }
--- a/process/spread/load.go
+++ b/process/spread/load.go
@@ -31,12 +31,15 @@
 	minSlowness = 0.3
 	// failureCost is the time that a failed statement costs: that of a slow answer.
 	failureCost = time.Second
-	// failureWeight is the weight of a new outcome in the failure rate.
-	failureWeight = 0.2
+	// failureWeight and successWeight are the weights of a new outcome in the failure rate.
+	// A target that fails in part or from time to time answers many statements between two
+	// failures, so that successes have less weight.
+	failureWeight = 0.3
+	successWeight = 0.1
 	// minHalfLife is the shortest time in which the failure rate halves without outcomes.
 	// Each host draws its own time of up to twice this, so that hosts don't all return to a
 	// target at once.
-	minHalfLife = 5 * time.Second
+	minHalfLife = 8 * time.Second
 	// slowHalfLife is the same for the slowness, where few measurements arrive.
 	slowHalfLife = 20 * time.Second
 )
@@ -60,7 +63,7 @@
 	// slowness is the mean of measured over expected time, of measurements up to measuredAt.
 	slowness   float64
 	measuredAt time.Duration
-	// failureRate is the mean of the outcomes up to failedAt, in which 1 is a failure.
+	// failureRate is the weighted mean of the outcomes up to failedAt, in which 1 is a failure.
 	failureRate float64
 	failedAt    time.Duration
 	// temper is between 0 and 1. It differs between hosts.
@@ -101,11 +104,10 @@
 
 // WithOutcome returns the load after a run of statements ended.
 func (l Load) WithOutcome(now time.Duration, failed bool) Load {
-	rate := l.FailureRate(now) * (1 - failureWeight)
+	l.failureRate, l.failedAt = l.FailureRate(now)*(1-successWeight), now
 	if failed {
-		rate += failureWeight
+		l.failureRate += failureWeight * (1 - l.failureRate)
 	}
-	l.failureRate, l.failedAt = rate, now
 	return l
 }
 
@@ -134,12 +136,18 @@
 
 // FailureRate returns the recent share of the target's runs that failed.
 func (l Load) FailureRate(now time.Duration) float64 {
+	if l.failureRate == 0 {
+		return 0
+	}
 	return l.failureRate * l.remaining(now-l.failedAt, minHalfLife)
 }
 
 // Slowness returns how many times as long as usual the target takes for its work. It returns
 // toward 1 while nothing is measured.
 func (l Load) Slowness(now time.Duration) float64 {
+	if l.measuredAt == 0 {
+		return 1
+	}
 	return 1 + (l.slowness-1)*l.remaining(now-l.measuredAt, slowHalfLife)
 }
 
--- a/process/spread/sim_test.go
+++ b/process/spread/sim_test.go
@@ -14,9 +14,16 @@
 	hosts       = 80
 	targets     = 24
 	utilization = 0.8
-	tick        = 10 * time.Millisecond
-	warmUp      = 10 * time.Second
-	window      = time.Second
+	// lenders is the number of hosts with connections to a target. The other hosts use
+	// these connections, each those of one lender.
+	lenders = 5
+	// groupSize is the number of targets in a group, of which the first is the leader, and
+	// writes the share of statements that must run there.
+	groupSize = 3
+	writes    = 0.15
+	tick      = 10 * time.Millisecond
+	warmUp    = 10 * time.Second
+	window    = time.Second
 )
 
 // kinds holds the mean times of the kinds of work at a target of ordinary speed.
@@ -86,14 +93,22 @@
 	next     []int
 	choose   policy
 	took     []time.Duration
+	// lent holds the outstanding statements at each target by lender. If onAnswers is set,
+	// hosts learn only what the lender of their own statement states in its answer.
+	lent      [targets][lenders]int
+	onAnswers bool
 }
 
 // newSimulation returns a simulation in which the information of the hosts has an age.
-func newSimulation(seed uint64, age time.Duration, choose policy) *simulation {
+// The options change each target.
+func newSimulation(seed uint64, age time.Duration, choose policy, options ...func(*simTarget)) *simulation {
 	s := &simulation{now: time.Hour, age: age, random: rand.New(rand.NewPCG(seed, 1)), choose: choose}
 	capacity := 0.0
 	for range targets {
 		t := &simTarget{slots: 4 + 2*s.random.IntN(2), speed: 0.6 + s.random.Float64(), trouble: noTrouble}
+		for _, o := range options {
+			o(t)
+		}
 		capacity += float64(t.slots) * t.speed
 		s.targets = append(s.targets, t)
 	}
@@ -172,6 +187,7 @@
 	t.work[w] += st.size / t.speed * slower / float64(t.slots)
 	t.sent[w]++
 	s.own[host][i]++
+	s.lent[i][host%lenders]++
 	t.queue = append(t.queue, st)
 	s.start(t)
 }
@@ -197,8 +213,12 @@
 	t := s.targets[i]
 	t.running--
 	s.own[host][i]--
+	s.lent[i][host%lenders]--
 	s.start(t)
 	l := s.loads[host][i].WithOutcome(s.now, e.fails)
+	if s.onAnswers {
+		l = l.WithTarget(t.slots, 0, lenders).WithReport(s.now, s.lent[i][host%lenders])
+	}
 	if !e.fails {
 		// The host keeps the mean of each kind over all targets, as package rset does.
 		mean := &s.expected[host][e.stmt.kind]
@@ -227,6 +247,30 @@
 	return spread.Choose(s.now, s.expected[host][kind], loads, s.random)
 }
 
+// groupPolicy chooses by package spread among the targets of a random group, or the leader for
+// a write. The hosts know of the load what the answers to their own statements tell.
+func groupPolicy(s *simulation, host, kind int, _ []int) int {
+	s.onAnswers = true
+	first := s.random.IntN(targets/groupSize) * groupSize
+	if s.random.Float64() < writes {
+		return first
+	}
+	loads := s.loads[host][first : first+groupSize]
+	for i := range loads {
+		loads[i] = loads[i].WithOwn(s.own[host][first+i])
+	}
+	return first + spread.Choose(s.now, s.expected[host][kind], loads, s.random)
+}
+
+// randomInGroup chooses as groupPolicy does, but at random.
+func randomInGroup(s *simulation, _, _ int, _ []int) int {
+	first := s.random.IntN(targets/groupSize) * groupSize
+	if s.random.Float64() < writes {
+		return first
+	}
+	return first + s.random.IntN(groupSize)
+}
+
 // leastLoaded chooses the target with the least reported load per slot, and one of several
 // at random.
 func leastLoaded(s *simulation, _, _ int, reported []int) int {
