--- a/process/rset/load.go
+++ b/process/rset/load.go
@@ -25,6 +25,10 @@
 	// countPause is the least time between two counts of this host's own connections to
 	// a target.
 	countPause = 20 * time.Millisecond
+	// lenderSlack is by how many statements the first lender's work must exceed the second's
+	// before the second is asked: less than a statement all the time, so that an idle lender
+	// relieves a busy one, and more than single statements add to the mean.
+	lenderSlack = 0.5
 	// loadLogPause is the least time between two log lines with the loads of the targets.
 	loadLogPause = time.Minute
 )
@@ -142,7 +146,7 @@
 func (rs *ReplicaSet) lenderIndex(ts *targetState) int {
 	now := rs.now()
 	first, second := ts.lenderLoads[ts.lenders[ts.firstLender].Host], ts.lenderLoads[ts.lenders[ts.secondLender].Host]
-	if first.Outstanding(now, 0) < second.Outstanding(now, 0)+1 {
+	if first.Outstanding(now, 0) < second.Outstanding(now, 0)+lenderSlack {
 		return ts.firstLender
 	}
 	if second.ID == "" {
--- a/process/spread/spread_test.go
+++ b/process/spread/spread_test.go
@@ -91,6 +91,36 @@
 	is.True(shares[0] > 0.49 && shares[0] < 0.51)
 }
 
+// TestSlownessCountsWithoutReports guards against a share that follows the load alone, which is
+// not known of a target that no host asked for long.
+func TestSlownessCountsWithoutReports(t *testing.T) {
+	is := is.New(t)
+	share := func(took time.Duration) float64 {
+		now := time.Hour
+		slow, good := newLoad("slow", 0), newLoad("good", 0)
+		for range 50 {
+			now += 100 * time.Millisecond
+			slow = slow.WithTime(now, took, 10*time.Millisecond)
+			good = good.WithTime(now, 10*time.Millisecond, 10*time.Millisecond)
+		}
+		return spread.Shares(now, 10*time.Millisecond, []spread.Load{slow, good})[0]
+	}
+	is.True(share(15*time.Millisecond) > 0.38 && share(15*time.Millisecond) < 0.42) // by its speed
+	is.True(share(30*time.Millisecond) > 0.01 && share(30*time.Millisecond) < 0.15) // less than that
+}
+
+// TestLoadCountsWithoutTimes guards against a share that follows the times alone, which tell of
+// a load only when it has delayed statements.
+func TestLoadCountsWithoutTimes(t *testing.T) {
+	is := is.New(t)
+	const now = time.Hour
+	busy, idle := newLoad("busy", 0).WithReport(now, 6), newLoad("idle", 0).WithReport(now, 2)
+	share := spread.Shares(now, 10*time.Millisecond, []spread.Load{busy, idle})[0]
+	is.True(share > 0.2 && share < 0.4)
+	own := spread.Shares(now, 10*time.Millisecond, []spread.Load{newLoad("own", 0).WithOwn(6), idle})[0]
+	is.True(own < 0.4) // a host knows its own work before anyone reports it
+}
+
 // TestNoTargetIsForgotten guards against targets that get no work at all, so that nobody notices
 // that they are well again.
 func TestNoTargetIsForgotten(t *testing.T) {
