--- a/process/rset/load.go
+++ b/process/rset/load.go
@@ -118,7 +118,8 @@
 	ts.load = ts.load.WithReport(now, outstanding-1)
 	l, ok := ts.lenderLoads[host]
 	if !ok {
-		l = spread.New(host, 0)
+		// A lender counts as idle until several reports say otherwise.
+		l = spread.New(host, 0).WithReport(now, 0)
 	}
 	if ts.lenderLoads == nil {
 		ts.lenderLoads = map[string]spread.Load{}
@@ -146,7 +147,7 @@
 func (rs *ReplicaSet) lenderIndex(ts *targetState) int {
 	now := rs.now()
 	first, second := ts.lenderLoads[ts.lenders[ts.firstLender].Host], ts.lenderLoads[ts.lenders[ts.secondLender].Host]
-	if first.Outstanding(now, 0) < second.Outstanding(now, 0)+lenderSlack {
+	if first.Steady(now) < second.Steady(now)+lenderSlack {
 		return ts.firstLender
 	}
 	if second.ID == "" {
--- a/process/spread/load.go
+++ b/process/spread/load.go
@@ -168,6 +168,12 @@
 	return max(others+(l.last-l.mean)*math.Exp(-age/float64(reportDecay)), 0) + float64(l.Own)
 }
 
+// Steady returns the mean of the reported work per host with connections, which single
+// statements change little. It returns toward 0 while nothing is reported.
+func (l Load) Steady(now time.Duration) float64 {
+	return l.mean * float64(silentDecay) / float64(silentDecay+max(now-l.reportedAt, 0))
+}
+
 // perSlot returns the reported load per slot.
 func (l Load) perSlot(now time.Duration) float64 {
 	return l.Outstanding(now, 0) / float64(l.Slots)
--- a/process/spread/sim_test.go
+++ b/process/spread/sim_test.go
@@ -283,6 +283,16 @@
 	return best
 }
 
+// twoChoices chooses the less loaded, by information, of two random targets.
+func twoChoices(s *simulation, _, _ int, reported []int) int {
+	load := func(i int) float64 { return float64(reported[i]) / float64(s.targets[i].slots) }
+	a, b := s.random.IntN(targets), s.random.IntN(targets)
+	if load(b) < load(a) {
+		return b
+	}
+	return a
+}
+
 func randomTarget(s *simulation, _, _ int, _ []int) int { return s.random.IntN(targets) }
 
 func roundRobin(s *simulation, host, _ int, _ []int) int {
--- a/process/spread/spread_test.go
+++ b/process/spread/spread_test.go
@@ -28,6 +28,7 @@
 		whole, windows := play("spread", age, spreadPolicy)
 		is.True(whole <= maxUneven)
 		is.True(windows <= maxUneven)
+		play("two random choices", age, twoChoices)
 		play("least loaded by information", age, leastLoaded)
 	}
 	// These two use no information.
