--- a/process/rset/load.go
+++ b/process/rset/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +34,22 @@
 	loadLogPause = time.Minute
 )
 
+// rated is the log entry of one target's rating. Times are in milliseconds, and AgeMs, the age of
+// the last report of its load, is -1 if there was none.
+type rated struct {
+	ID          string
+	Leads       bool   `json:",omitempty"`
+	Unusable    string `json:",omitempty"`
+	Share       float64
+	EstimateMs  int64
+	WaitMs      int64
+	Outstanding float64
+	Own         int
+	Slowness    float64
+	FailureRate float64
+	AgeMs       int64
+}
+
 // choose returns the eligible target for a read, or nil if there is none. It excludes leaving
 // and failing targets and those in tried; the caller holds the lock.
 func (rs *ReplicaSet) choose(kind string, tried map[string]bool, eligible func(*targetState) bool) *targetState {
@@ -257,5 +274,21 @@
 		return
 	}
 	rs.loadsLoggedAt = now
-	rs.log.Info("target loads", zap.String("Group", rs.Name), zap.Any("Targets", rs.explain(now, kind)))
+	ratings := rs.explain(now, kind)
+	entries := make([]rated, len(ratings))
+	for i, r := range ratings {
+		entries[i] = rated{
+			ID: r.ID, Leads: r.Leads, Unusable: r.Unusable, Share: hundredths(r.Share), EstimateMs: r.Estimate().Milliseconds(), WaitMs: r.Wait.Milliseconds(),
+			Outstanding: hundredths(r.Outstanding), Own: r.Own, Slowness: hundredths(r.Slowness), FailureRate: hundredths(r.FailureRate), AgeMs: -1,
+		}
+		if r.ReportAge >= 0 {
+			entries[i].AgeMs = r.ReportAge.Milliseconds()
+		}
+	}
+	rs.log.Info("target loads", zap.String("Group", rs.Name), zap.Any("Targets", entries))
+}
+
+// hundredths rounds a number for the log.
+func hundredths(x float64) float64 {
+	return math.Round(x*100) / 100
 }
--- a/process/spread/load.go
+++ b/process/spread/load.go
@@ -118,7 +118,7 @@
 	if l.Distance >= sameRegion {
 		took = max(took-regionTrip, 0)
 	}
-	return time.Duration(float64(took) / l.Crowding(now, l.perSlot(now)))
+	return time.Duration(float64(took) / l.Crowding(now, 0))
 }
 
 // WithTime returns the load after statements took a time at the target. expected is what
@@ -174,11 +174,6 @@
 	return l.mean * float64(silentDecay) / float64(silentDecay+max(now-l.reportedAt, 0))
 }
 
-// perSlot returns the reported load per slot.
-func (l Load) perSlot(now time.Duration) float64 {
-	return l.Outstanding(now, 0) / float64(l.Slots)
-}
-
 // Age returns the age of the last report, and false if there was none.
 func (l Load) Age(now time.Duration) (time.Duration, bool) {
 	return now - l.reportedAt, l.reportedAt != 0
