--- a/connection/relay/spread_test.go
+++ b/connection/relay/spread_test.go
@@ -110,7 +110,7 @@
 
 // A lender whose connections stay busy with the work of others must be relieved by the next one.
 func TestBusyLenderIsRelieved(t *testing.T) {
-	withHosts(t, func(t *testing.T, network *hostNetwork, far *rset.ReplicaSet, b *qgroup.Group) {
+	withHosts(t, func(t *testing.T, network *hostNetwork, far *rset.ReplicaSet, _ *qgroup.Group) {
 		is := is.New(t)
 		read := batch.New(caller.Caller{}, []stmt.Stmt{stmt.New("1", stmt.Read, "").WithName("a", "")}).WithWait(time.Second)
 		do := func() {
