--- a/process/spread/load.go
+++ b/process/spread/load.go
@@ -112,8 +112,8 @@
 }
 
 // Unloaded returns how long statements that took a time would have taken at a target that is
-// in this region and has a free slot. The mean of it over all targets is what a kind of work is expected
-// to take.
+// in this region and has a free slot. The mean of it over all targets is what a kind of work
+// is expected to take.
 func (l Load) Unloaded(now, took time.Duration) time.Duration {
 	if l.Distance >= sameRegion {
 		took = max(took-regionTrip, 0)
--- a/process/spread/spread_test.go
+++ b/process/spread/spread_test.go
@@ -178,3 +178,15 @@
 	}
 	is.True(share(1, now+2*time.Minute) > 0.45)
 }
+
+func BenchmarkChoose(b *testing.B) {
+	const now = time.Hour
+	loads := []spread.Load{
+		newLoad("a", 0).WithReport(now-time.Second, 7).WithTime(now, time.Second, time.Second).WithOutcome(now, true),
+		newLoad("b", 20*time.Millisecond).WithReport(now, 3), newLoad("c", 120*time.Millisecond),
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for b.Loop() {
+		spread.Choose(now+time.Second, 10*time.Millisecond, loads, random)
+	}
+}
