--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -223,6 +223,16 @@
 	return int(xxhash.Sum64String(t.ID+"/"+as.self) % uint64(max(n, 1)))
 }
 
+// SecondIndex returns the index of another host than that of FirstIndex, which this host may
+// ask first as well. It is the same if n is 1.
+func (as Assignment) SecondIndex(t target.Target, n int) int {
+	if n < 2 {
+		return 0
+	}
+	step := 1 + int(xxhash.Sum64String(as.self+"/second/"+t.ID)%uint64(n-1))
+	return (as.FirstIndex(t, n) + step) % n
+}
+
 // CustomerLenders returns the lenders of a target, given nearest first, in the order in which
 // they are asked for a customer's connections: the first half by rendezvous hashing, and then
 // the others. It is the same at all hosts, and the loss of a lender moves few customers.
--- a/process/rset/lenders.go
+++ b/process/rset/lenders.go
@@ -35,6 +35,8 @@
 	}
 	ts.lenders, ts.direct = rs.assignment.Lenders(ts.target, rs.maxConns)
 	ts.firstLender = rs.assignment.FirstIndex(ts.target, len(ts.lenders))
+	ts.secondLender = rs.assignment.SecondIndex(ts.target, len(ts.lenders))
+	ts.forgetLenders()
 	if ts.lenders != nil {
 		lenders := max(len(ts.lenders), 1)
 		ts.pool.SetShare(rs.maxConns/restartDivisor/lenders, max(rs.maxConns/lenders, minCrowd))
