--- a/connection/share/share.go
+++ b/connection/draw/draw.go
@@ -1,5 +1,5 @@
-// Package share accounts for the memory that one connection holds of a process's budget.
-package share
+// Package draw accounts for the memory that one connection holds of a process's budget.
+package draw
 
 import (
 	"math"
@@ -8,13 +8,13 @@
 	"github.com/pistachiotray/pistachiotray/process/budget"
 )
 
-// left is the ID of a Share that left its budget, which no taker has.
+// left is the ID of a Draw that left its budget, which no taker has.
 const left = math.MaxUint64
 
-// Share is what one connection holds of a budget. It joins the budget with the first bytes that
-// it draws, so that connections with small messages cost little. A nil Share has no limits. The
+// Draw is what one connection holds of a budget. It joins the budget with the first bytes that
+// it draws, so that connections with small messages cost little. A nil Draw has no limits. The
 // methods may be called concurrently.
-type Share struct {
+type Draw struct {
 	budget *budget.Budget
 	end    func()
 	// id is the ID of the taker, 0 before it joined the budget.
@@ -26,18 +26,18 @@
 
 // WithProgress returns an option that sets a function that is called before each wait for more
 // of a long message.
-func WithProgress(f func()) func(*Share) {
-	return func(s *Share) { s.progress = f }
+func WithProgress(f func()) func(*Draw) {
+	return func(s *Draw) { s.progress = f }
 }
 
-// New returns the share of a connection. The function end closes the connection when the budget
+// New returns the Draw of a connection. The function end closes the connection when the budget
 // is used up; it must not block. With nil the connection is never closed for that. Without a
 // budget New returns nil.
-func New(b *budget.Budget, end func(), options ...func(*Share)) *Share {
+func New(b *budget.Budget, end func(), options ...func(*Draw)) *Draw {
 	if b == nil {
 		return nil
 	}
-	s := &Share{budget: b, end: end}
+	s := &Draw{budget: b, end: end}
 	for _, o := range options {
 		o(s)
 	}
@@ -45,7 +45,7 @@
 }
 
 // join returns the ID of the taker, which joins the budget unless it has or has left.
-func (s *Share) join() uint64 {
+func (s *Draw) join() uint64 {
 	if id := s.id.Load(); id != 0 {
 		return id
 	}
@@ -57,28 +57,28 @@
 }
 
 // Begin notes that a long message begins, which arrives or is sent.
-func (s *Share) Begin() {
+func (s *Draw) Begin() {
 	if s != nil {
 		s.budget.Begin(s.join())
 	}
 }
 
 // Progress notes that the connection is about to wait for more of a long message.
-func (s *Share) Progress() {
+func (s *Draw) Progress() {
 	if s != nil && s.progress != nil {
 		s.progress()
 	}
 }
 
 // Finish notes that a long message is complete, or was given up.
-func (s *Share) Finish() {
+func (s *Draw) Finish() {
 	if s != nil {
 		s.budget.Finish(s.join())
 	}
 }
 
 // Draw draws n bytes before they are used, and may wait. It returns an error if there are none.
-func (s *Share) Draw(n int) error {
+func (s *Draw) Draw(n int) error {
 	if s == nil {
 		return nil
 	}
@@ -86,21 +86,21 @@
 }
 
 // Charge draws n bytes that are used already, without waiting.
-func (s *Share) Charge(n int) {
+func (s *Draw) Charge(n int) {
 	if s != nil && n > 0 {
 		s.budget.Charge(s.join(), n)
 	}
 }
 
 // Return gives back n bytes.
-func (s *Share) Return(n int) {
+func (s *Draw) Return(n int) {
 	if s != nil && n > 0 {
 		s.budget.Return(s.join(), n)
 	}
 }
 
 // SetWorking notes whether a statement of the connection runs.
-func (s *Share) SetWorking(working bool) {
+func (s *Draw) SetWorking(working bool) {
 	if s == nil {
 		return
 	}
@@ -109,8 +109,8 @@
 	}
 }
 
-// Leave gives back all that the connection holds. The Share can't be used any more.
-func (s *Share) Leave() {
+// Leave gives back all that the connection holds. The Draw can't be used any more.
+func (s *Draw) Leave() {
 	if s != nil {
 		s.budget.Leave(s.id.Swap(left))
 	}
--- a/connection/front/client.go
+++ b/connection/front/client.go
@@ -11,9 +11,9 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/frame"
 	"github.com/pistachiotray/pistachiotray/connection/sess"
-	"github.com/pistachiotray/pistachiotray/connection/share"
 	"github.com/pistachiotray/pistachiotray/connection/token"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/code"
@@ -31,7 +31,7 @@
 	reader *frame.Reader
 	// share is the memory that the caller holds of the process's budget, and kept the part of
 	// it for the session's prepared statements and settings.
-	share   *share.Share
+	share   *draw.Draw
 	kept    int
 	pid     uint32
 	secret  []byte
@@ -61,7 +61,7 @@
 func newClient(f *Front, conn net.Conn) *client {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &client{front: f, conn: conn, batches: make(chan batch, 1), ctx: ctx, stop: stop}
-	c.share = share.New(f.budget, func() { _ = conn.Close(); stop() }, share.WithProgress(c.noteProgress))
+	c.share = draw.New(f.budget, func() { _ = conn.Close(); stop() }, draw.WithProgress(c.noteProgress))
 	c.reader = frame.New(conn, f.messageLimit, frame.WithAccount(c.share))
 	return c
 }
--- a/connection/huff/stream.go
+++ b/connection/huff/stream.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/huff0"
 
-	"github.com/pistachiotray/pistachiotray/connection/share"
+	"github.com/pistachiotray/pistachiotray/connection/draw"
 )
 
 const (
@@ -76,7 +76,7 @@
 
 // New returns a Stream over conn.
 func New(conn io.ReadWriter, options ...func(*Stream)) *Stream {
-	s := &Stream{writer: conn, reader: bufio.NewReader(conn), account: (*share.Share)(nil)}
+	s := &Stream{writer: conn, reader: bufio.NewReader(conn), account: (*draw.Draw)(nil)}
 	for _, o := range options {
 		o(s)
 	}
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -14,10 +14,10 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/conn"
+	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/huff"
 	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
-	"github.com/pistachiotray/pistachiotray/connection/share"
 	"github.com/pistachiotray/pistachiotray/process/award"
 	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/claim"
@@ -135,7 +135,7 @@
 	defer func() { _ = c.Close() }()
 	b := &borrower{relay: r}
 	defer b.drop()
-	sh := share.New(r.budget, func() { _ = c.Close() }, share.WithProgress(func() { _ = c.SetReadDeadline(time.Now().Add(progressTimeout)) }))
+	sh := draw.New(r.budget, func() { _ = c.Close() }, draw.WithProgress(func() { _ = c.SetReadDeadline(time.Now().Add(progressTimeout)) }))
 	defer sh.Leave()
 	compressed := huff.New(c, huff.WithAccount(sh))
 	incoming := &guard{reader: compressed}
--- a/connection/server/server.go
+++ b/connection/server/server.go
@@ -15,7 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
-	"github.com/pistachiotray/pistachiotray/connection/share"
+	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/request/code"
@@ -85,8 +85,8 @@
 	log       *zap.Logger
 	databases databases
 	protocol  protocol
-	newReader func(c net.Conn, s *share.Share) reader
-	newRunner func(c caller.Caller, s *share.Share) runner
+	newReader func(c net.Conn, s *draw.Draw) reader
+	newRunner func(c caller.Caller, s *draw.Draw) runner
 	workers   workers
 	// budget is the memory that sessions share, nil if it is not limited.
 	budget *budget.Budget
@@ -130,12 +130,12 @@
 // start with the host's name. newReader returns the reader of a connection, and newRunner
 // the runner for a session. now returns the time since the machine booted.
 func New[D reader, R runner](host string, maxCallers int, log *zap.Logger, w workers, now func() time.Duration, d databases,
-	p protocol, newReader func(c net.Conn, s *share.Share) D, newRunner func(c caller.Caller, s *share.Share) R, options ...func(*Server),
+	p protocol, newReader func(c net.Conn, s *draw.Draw) D, newRunner func(c caller.Caller, s *draw.Draw) R, options ...func(*Server),
 ) *Server {
 	sv := &Server{
 		host: host, maxCallers: maxCallers, log: log, workers: w, now: now, databases: d, protocol: p,
-		newReader:         func(c net.Conn, s *share.Share) reader { return newReader(c, s) },
-		newRunner:         func(c caller.Caller, s *share.Share) runner { return newRunner(c, s) },
+		newReader:         func(c net.Conn, s *draw.Draw) reader { return newReader(c, s) },
+		newRunner:         func(c caller.Caller, s *draw.Draw) runner { return newRunner(c, s) },
 		sessions:          map[*session]struct{}{},
 		refusalLogLimiter: rate.NewLimiter(refusalLogsPerSecond, refusalLogsPerSecond),
 		progressTimeout:   defaultProgressTimeout,
--- a/connection/server/server_test.go
+++ b/connection/server/server_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
+	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/server"
-	"github.com/pistachiotray/pistachiotray/connection/share"
 	"github.com/pistachiotray/pistachiotray/platform/lines"
 	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/pool"
@@ -28,7 +28,7 @@
 // wire is the line protocol, in which the tests speak to the server.
 type wire struct{}
 
-func newReader(c net.Conn, s *share.Share) *lines.Reader {
+func newReader(c net.Conn, s *draw.Draw) *lines.Reader {
 	return lines.New(c, lines.WithAccount(s))
 }
 
@@ -95,7 +95,7 @@
 		}
 		near, far := net.Pipe()
 		l.waiting = append(l.waiting, far)
-		sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, anyDatabase{}, wire{}, newReader, func(caller.Caller, *share.Share) idleRunner { return idleRunner{} })
+		sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, anyDatabase{}, wire{}, newReader, func(caller.Caller, *draw.Draw) idleRunner { return idleRunner{} })
 		go sv.Serve(l)
 		_, err := near.Write([]byte("START orders u\r\n"))
 		is.NoErr(err)
@@ -134,7 +134,7 @@
 	t.Cleanup(func() { _ = l.Close() })
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) + time.Second }
-	sv := server.New("h", 1000, zap.NewNop(), goWorkers{}, now, anyDatabase{}, wire{}, newReader, func(caller.Caller, *share.Share) answeringRunner { return r })
+	sv := server.New("h", 1000, zap.NewNop(), goWorkers{}, now, anyDatabase{}, wire{}, newReader, func(caller.Caller, *draw.Draw) answeringRunner { return r })
 	go sv.Serve(l)
 	return sv, func() client {
 		conn, err := net.Dial("tcp", l.Addr().String())
@@ -217,7 +217,7 @@
 			l := &queueListener{waiting: []net.Conn{far}, closed: make(chan struct{})}
 			defer close(l.closed)
 			d := anyDatabase{"removed": code.UnknownDatabase, "added": code.NotRunOldPlan, "early": code.NotRunStopping}
-			sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, d, wire{}, newReader, func(caller.Caller, *share.Share) idleRunner { return idleRunner{} })
+			sv := server.New("h", 1, zap.NewNop(), inlineWorkers{}, func() time.Duration { return time.Second }, d, wire{}, newReader, func(caller.Caller, *draw.Draw) idleRunner { return idleRunner{} })
 			go sv.Serve(l)
 			is.Equal(client{near, bufio.NewReader(near)}.ask("START "+name+" u"), want)
 		})
@@ -255,7 +255,7 @@
 	t.Cleanup(func() { _ = l.Close() })
 	p := pool.New(zap.NewNop(), workers)
 	now := func() time.Duration { return time.Second }
-	newRunner := func(caller.Caller, *share.Share) rowRunner { return rowRunner{strings.Repeat("x", 1<<20)} }
+	newRunner := func(caller.Caller, *draw.Draw) rowRunner { return rowRunner{strings.Repeat("x", 1<<20)} }
 	sv := server.New("h", 1000, zap.NewNop(), p, now, anyDatabase{}, wire{}, newReader, newRunner, server.WithBudget(b), server.WithProgressTimeout(timeout))
 	go sv.Serve(l)
 	return l.Addr().String()
--- a/connection/server/session.go
+++ b/connection/server/session.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
-	"github.com/pistachiotray/pistachiotray/connection/share"
+	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
@@ -34,7 +34,7 @@
 	id     string
 	runner runner
 	// share is the memory that the session holds of the process's budget.
-	share *share.Share
+	share *draw.Draw
 	// sender sends answers.
 	sender *sender
 	// running counts the statement that runs, until its answer was sent.
@@ -64,7 +64,7 @@
 	defer func() { _ = s.conn.Close() }()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	s.share = share.New(s.server.budget, func() { _ = s.conn.Close(); stop() }, share.WithProgress(s.noteProgress))
+	s.share = draw.New(s.server.budget, func() { _ = s.conn.Close(); stop() }, draw.WithProgress(s.noteProgress))
 	defer s.share.Leave()
 	r := s.server.newReader(s.conn, s.share)
 	if !s.start(ctx, r) {
