--- a/connection/server/server_test.go
+++ b/connection/server/server_test.go
@@ -247,6 +247,13 @@
 
 // startRowServer starts a server with a pool of workers and a budget, and returns its address.
 func startRowServer(t *testing.T, workers int, b *budget.Budget, timeout time.Duration) string {
+	t.Helper()
+	_, address := newRowServer(t, workers, b, timeout)
+	return address
+}
+
+// newRowServer does what startRowServer does, and returns the server, too.
+func newRowServer(t *testing.T, workers int, b *budget.Budget, timeout time.Duration) (*server.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -258,7 +265,7 @@
 	newRunner := func(caller.Caller, *draw.Draw) rowRunner { return rowRunner{strings.Repeat("x", 1<<20)} }
 	sv := server.New("h", 1000, zap.NewNop(), p, now, anyDatabase{}, wire{}, newReader, newRunner, server.WithBudget(b), server.WithProgressTimeout(timeout))
 	go sv.Serve(l)
-	return l.Addr().String()
+	return sv, l.Addr().String()
 }
 
 // openSession opens a session and returns its connection.
@@ -339,7 +346,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := budget.New(zap.NewNop(), 4<<20, budget.WithWait(50*time.Millisecond))
-			address := startRowServer(t, 2, b, 100*time.Millisecond)
+			sv, address := newRowServer(t, 2, b, 100*time.Millisecond)
 			var clients []client
 			for range 6 {
 				c := openSession(t, address)
@@ -350,9 +357,13 @@
 			for _, c := range clients {
 				_ = c.conn.Close()
 			}
-			for end := time.Now().Add(10 * time.Second); used(b) != 0 && time.Now().Before(end); {
+			// A session that still runs may draw again after it returned all.
+			for end := time.Now().Add(10 * time.Second); sv.CallerCount() != 0 && time.Now().Before(end); {
 				time.Sleep(5 * time.Millisecond)
 			}
+			if sv.CallerCount() != 0 {
+				t.Errorf("%d sessions did not end", sv.CallerCount())
+			}
 			if used(b) != 0 {
 				t.Errorf("%d bytes were not returned", used(b))
 			}
