--- a/process/allot/allotments_test.go
+++ b/process/allot/allotments_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -49,6 +50,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
+		// Claims that are on their way when a test ends must end, too.
+		var running sync.WaitGroup
+		defer running.Wait()
 		defer stop()
 		began := time.Now()
 		now := func() time.Duration { return time.Hour + time.Since(began) }
@@ -60,7 +64,7 @@
 			infos = append(infos, h)
 			al := allot.New(log, h, n, now)
 			n.hosts[h.Host], hosts = al, append(hosts, al)
-			go al.Run(ctx)
+			running.Go(func() { al.Run(ctx) })
 		}
 		for i, al := range hosts {
 			al.SetAssignment(assign.New(infos[i], nil).WithHosts(infos...))
@@ -131,8 +135,10 @@
 		now := func() time.Duration { return time.Hour + time.Since(started) }
 		al := allot.New(zap.New(core), gossip.New("host-0", "10.0.0.1:1", "zone", 0), &network{}, now)
 		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
 		defer stop()
-		go al.Run(ctx)
+		running.Go(func() { al.Run(ctx) })
 		al.Adopt(plan.New(1).WithCustomers(bakery))
 		for _, wait := range []time.Duration{time.Second, 250 * time.Millisecond} {
 			began := time.Now()
