--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -49,8 +49,6 @@
 	// that are admitted and run a little later.
 	gapPart   = 0.3
 	stockPart = 0.6
-	// evenPart is the part of the burst that is spread over the window as a rate.
-	evenPart = 1.0
 )
 
 // holding is what a host may hold of a customer's limit until a time.
--- a/process/quota/budget.go
+++ b/process/quota/budget.go
@@ -10,11 +10,11 @@
 	patient bool
 }
 
-// budget returns the budget for a customer. What hosts inherited may be continued at once, up
+// budget returns the budget for a customer whose limit is even. What hosts inherited may be continued at once, up
 // to the share of all followers: another coordinator counts it until it expires, and when it
 // does, no longer counts these hosts.
 func (c *Coordinator) budget(limit cust.Customer, inherited holding) budget {
-	stock := max(limit.Burst+c.spare(limit)*stockPart, 1)
+	stock := max(c.spare(limit)*stockPart, 1)
 	extra := c.extraRate(limit) * c.extraShare
 	if c.majority {
 		extra = c.majorRate(limit)
@@ -30,12 +30,12 @@
 // and its rate times the window in each window, so that with its rate alone a sixth of what
 // it may run would be refused while its demand is high for long.
 func (c *Coordinator) even(limit cust.Customer) cust.Customer {
-	return limit.WithLimit(limit.Rate+limit.Burst*evenPart/c.window, limit.Burst*(1-evenPart))
+	return limit.WithLimit(limit.Rate+limit.Burst/c.window, 0)
 }
 
 // spare returns by how much a customer's limit, spread over the window, may be exceeded in it.
 func (c *Coordinator) spare(limit cust.Customer) float64 {
-	return (limit.Rate*c.window+limit.Burst)*c.overage + c.slack
+	return limit.Rate*c.window*c.overage + c.slack
 }
 
 // extraRate returns how many tokens per second may be handed out on the account of hosts
