--- a/process/allot/allotments.go
+++ b/process/allot/allotments.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/pistachiotray/pistachiotray/process/allow"
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/award"
 	"github.com/pistachiotray/pistachiotray/process/bucket"
@@ -167,6 +168,14 @@
 	return ok, after
 }
 
+// Peek returns what this host has of a customer's limit, and what Admit would decide about an
+// operation now, without waiting. It counts nothing and sends no claim.
+func (al *Allotments) Peek(customer string) allow.Allowance {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.buckets.Peek(al.now(), customer)
+}
+
 // await tries again with each answer to a claim, until there is a token or it is clear that
 // there is none. The caller holds mu, which is released while await waits.
 func (al *Allotments) await(ctx context.Context, customer string, after time.Duration) (bool, time.Duration) {
