--- a/process/conns/pool.go
+++ b/process/conns/pool.go
@@ -172,7 +172,7 @@
 			return cn, nil
 		}
 	}
-	if !p.freeInTime(ctx, w) {
+	if !p.freeInTime(w) {
 		p.countsOf(c.Customer).refused++
 		p.mu.Unlock()
 		return nil, ErrBusy
@@ -192,27 +192,6 @@
 	}
 }
 
-// freeInTime reports whether a connection is expected to be free before the context ends. For
-// a call without a customer that is after all waiting calls of the same or a more urgent
-// priority have used one. It returns true if no connection is open or the context has no
-// deadline; the caller holds the lock.
-func (p *Pool) freeInTime(ctx context.Context, w *waiter) bool {
-	deadline, ok := ctx.Deadline()
-	if !ok || p.openCount == 0 {
-		return true
-	}
-	if w.Customer() != "" {
-		return p.servedInTime(w)
-	}
-	ahead := 1
-	for _, other := range p.waiting.Order(p.now()) {
-		if other.priority <= w.priority {
-			ahead++
-		}
-	}
-	return time.Duration(ahead)*p.meanUse/time.Duration(p.openCount)+p.meanUse/marginDivisor < time.Until(deadline)
-}
-
 // abandon removes a waiter whose context ended, and returns err. If a
 // connection was granted meanwhile, it is put back.
 func (p *Pool) abandon(w *waiter, err error) error {
--- a/process/conns/room.go
+++ b/process/conns/room.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -85,21 +86,48 @@
 	return !w.excess || !p.strained() || p.now()-w.since >= maxHold || p.openCount+p.openingCount < p.room() && p.mayStart(w)
 }
 
-// servedInTime reports whether a call of a customer is expected to get a connection in time. While
-// the target is strained, calls in excess run one at a time, and none at a lender that does not
-// come first for the customer and has no connection for it; the caller holds the lock.
-func (p *Pool) servedInTime(w *waiter) bool {
-	own := p.connectionsOf(w.Customer())
+// freeInTime reports whether a connection is expected to be free before a call's deadline. It
+// returns true if no connection is open or the call has no deadline; the caller holds the lock.
+func (p *Pool) freeInTime(w *waiter) bool {
+	if w.deadline == math.MaxInt64 || p.openCount == 0 {
+		return true
+	}
+	if w.Customer() != "" {
+		own, all, ok := p.connectionsFor(w)
+		return ok && p.waiting.InTime(p.now(), w, own, all)
+	}
+	return p.sharedWait(w)+p.meanUse/marginDivisor < w.deadline-p.now()
+}
+
+// sharedWait returns how long a call without a customer is expected to wait: until all waiting
+// calls of the same or a more urgent priority, and one more, have used a connection. At least
+// one must be open; the caller holds the lock.
+func (p *Pool) sharedWait(w *waiter) time.Duration {
+	ahead := 1
+	for _, other := range p.waiting.Order(p.now()) {
+		if other.priority <= w.priority {
+			ahead++
+		}
+	}
+	return time.Duration(ahead) * p.meanUse / time.Duration(p.openCount)
+}
+
+// connectionsFor returns on how many connections of its customer, and of all, a call of a customer
+// is served, and false if on none. While the target is strained, calls in excess run one at a
+// time, and none at a lender that does not come first for the customer and has no connection
+// for it; the caller holds the lock.
+func (p *Pool) connectionsFor(w *waiter) (own, all int, ok bool) {
+	own = p.connectionsOf(w.Customer())
 	if !p.strained() {
-		return p.waiting.InTime(p.now(), w, own, p.openCount)
+		return own, p.openCount, true
 	}
 	if p.mayStart(w) && p.mayOpen(w) {
 		if !w.excess && p.canOpen(w.Customer()) {
 			own++
 		}
-		return p.waiting.InTime(p.now(), w, own, p.openCount)
+		return own, p.openCount, true
 	}
-	return (own > 0 || !w.overflow) && p.waiting.InTime(p.now(), w, 1, 0)
+	return 1, 0, own > 0 || !w.overflow
 }
 
 // canOpen reports whether a connection can be opened for a customer, if necessary after an idle
--- a/process/conns/waiter.go
+++ b/process/conns/waiter.go
@@ -39,24 +39,32 @@
 	return func(w *waiter) { w.excess, w.overflow = overflow, overflow }
 }
 
-// newWaiter returns a waiter for a call of Take; the caller holds the lock.
+// newWaiter returns a waiter for a call of Take, and records the call's arrival; the caller
+// holds the lock.
 func (p *Pool) newWaiter(ctx context.Context, c caller.Caller, priority int, options ...func(*waiter)) *waiter {
+	w := p.describe(c, priority, options...)
+	if at, ok := ctx.Deadline(); ok {
+		w.deadline = w.since + time.Until(at)
+	}
+	if p.distinguishes(c.Customer) && !w.excess {
+		w.excess = p.waiting.Arrived(w.since, c.Customer, w.expected)
+	}
+	return w
+}
+
+// describe returns a waiter for a call without a deadline, and records nothing; the caller holds
+// the lock.
+func (p *Pool) describe(c caller.Caller, priority int, options ...func(*waiter)) *waiter {
 	w := &waiter{caller: c, priority: priority, since: p.now(), deadline: math.MaxInt64}
 	for _, o := range options {
 		o(w)
 	}
-	if at, ok := ctx.Deadline(); ok {
-		w.deadline = w.since + time.Until(at)
-	}
 	if !p.distinguishes(c.Customer) {
 		return w
 	}
 	if w.expected = p.customers.usage.Expected(c.Customer, w.keeps); w.expected == 0 {
 		w.expected = p.meanUse
 	}
-	if !w.excess {
-		w.excess = p.waiting.Arrived(w.since, c.Customer, w.expected)
-	}
 	return w
 }
 
--- a/process/turns/profile.go
+++ b/process/turns/profile.go
@@ -96,6 +96,35 @@
 	return max((ps.all.demandAt(now)-p.demandAt(now))/usual, 1)
 }
 
+// creditAt returns how much time of use the calls of a customer may ask for at once. weightSum is
+// the sum of the weights of the known customers, this one included.
+func (ps *profiles) creditAt(now time.Duration, p *profile, weight, weightSum int) time.Duration {
+	allowed := max(usualFactor*p.usualAt(now), ps.all.usualAt(now)*float64(weight)/float64(weightSum))
+	allowed *= ps.growthOfOthers(now, p)
+	credit := p.credit + time.Duration(allowed*float64(now-p.at))
+	return min(credit, max(time.Duration(allowed*float64(burstTime)), minBurst))
+}
+
+// beyond reports whether a call is in excess of a credit.
+func (ps *profiles) beyond(now, credit, expected time.Duration) bool {
+	return credit < expected && ps.all.first != 0 && now-ps.all.first >= learnTime
+}
+
+// exceeds returns what arrived would return, and records nothing.
+func (ps *profiles) exceeds(now time.Duration, customer string, expected time.Duration) bool {
+	weight, ok := ps.weights[customer]
+	if !ok {
+		return false
+	}
+	weightSum := ps.weightSum
+	p, ok := ps.customers[customer]
+	if !ok {
+		p = &profile{first: now, at: now}
+		weightSum += weight
+	}
+	return ps.beyond(now, ps.creditAt(now, p, weight, weightSum), expected)
+}
+
 // arrived records a call of a customer and reports whether it is in excess.
 func (ps *profiles) arrived(now time.Duration, customer string, expected time.Duration) bool {
 	weight, ok := ps.weights[customer]
@@ -108,11 +137,8 @@
 		ps.customers[customer] = p
 		ps.weightSum += weight
 	}
-	allowed := max(usualFactor*p.usualAt(now), ps.all.usualAt(now)*float64(weight)/float64(ps.weightSum))
-	allowed *= ps.growthOfOthers(now, p)
-	p.credit += time.Duration(allowed * float64(now-p.at))
-	p.credit = min(p.credit, max(time.Duration(allowed*float64(burstTime)), minBurst))
-	excess := p.credit < expected && ps.all.first != 0 && now-ps.all.first >= learnTime
+	p.credit = ps.creditAt(now, p, weight, ps.weightSum)
+	excess := ps.beyond(now, p.credit, expected)
 	recorded := 1.0
 	switch {
 	case excess:
--- a/process/turns/turns.go
+++ b/process/turns/turns.go
@@ -109,6 +109,11 @@
 	return t.profiles.arrived(now, customer, expected)
 }
 
+// Exceeds returns what Arrived would return, and records nothing.
+func (t *Turns[C]) Exceeds(now time.Duration, customer string, expected time.Duration) bool {
+	return t.profiles.exceeds(now, customer, expected)
+}
+
 // Started records that a call begins to use a connection, for the time that is expected.
 func (t *Turns[C]) Started(now time.Duration, c C) {
 	t.shares.Charge(c.Customer(), c.Expected())
@@ -198,10 +203,15 @@
 }
 
 // InTime reports whether a call that does not wait yet is expected to be served by its
-// deadline: after the calls of its customer that come before it, on the connections of its
-// customer or on its share of all connections, if that is more. The customers that have calls
-// before it share them.
+// deadline, as Wait predicts it.
 func (t *Turns[C]) InTime(now time.Duration, c C, own, all int) bool {
+	return inTime(now, c, t.Wait(now, c, own, all))
+}
+
+// Wait returns how long a call that does not wait yet is expected to wait: for the calls of its
+// customer that come before it, on the connections of its customer or on its share of all
+// connections, if that is more. The customers that have calls before it share them.
+func (t *Turns[C]) Wait(now time.Duration, c C, own, all int) time.Duration {
 	ahead := newAhead(t.shares)
 	for _, w := range t.waiting {
 		if t.compare(w, c, now) <= 0 {
@@ -209,7 +219,7 @@
 		}
 	}
 	ahead.add(c.Customer(), c.Expected())
-	return inTime(now, c, ahead.wait(c.Customer(), own, all))
+	return ahead.wait(c.Customer(), own, all)
 }
 
 // Late returns the waiting calls that are not expected to be served by their deadline, as
