--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -15,7 +15,6 @@
 	"github.com/pistachiotray/pistachiotray/process/conns"
 	"github.com/pistachiotray/pistachiotray/process/target"
 	"github.com/pistachiotray/pistachiotray/request/code"
-	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
 )
@@ -360,30 +359,3 @@
 	}
 	return failing, reachable
 }
-
-// Pick returns the target for a read of a kind of work: the one with the shortest expected
-// response time or, if hosts share the connections to the targets, one chosen by package spread.
-// The target must include the log position need to serve the read; reached is a
-// time by which the leader had reached that position. Pick never returns a
-// leaving or failing target or one of those in tried. It returns a replica that
-// is expected to refuse the read only if there is no other target, or if it is
-// time to check whether that replica caught up. It returns false if there is no
-// target to try.
-func (rs *ReplicaSet) Pick(kind string, tried map[string]bool, need mark.Mark, reached time.Duration) (target.Target, bool) {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	now := rs.now()
-	refuses := func(ts *targetState) bool { return ts.target.ID != rs.leader && ts.lag.wouldRefuse(need, reached, now) }
-	best := rs.choose(kind, tried, func(ts *targetState) bool { return refuses(ts) && now >= ts.lag.nextProbe })
-	if best != nil {
-		best.lag.nextProbe = now + best.lag.probePause()
-		return best.target, true
-	}
-	if best = rs.choose(kind, tried, func(ts *targetState) bool { return !refuses(ts) }); best == nil {
-		best = rs.choose(kind, tried, func(*targetState) bool { return true })
-	}
-	if best == nil {
-		return target.Target{}, false
-	}
-	return best.target, true
-}
--- a/process/rset/lag.go
+++ b/process/rset/lag.go
@@ -141,22 +141,3 @@
 	}
 	return 0
 }
-
-// cheapest returns the eligible target with the shortest expected response time
-// for a read, or nil if there is none. It excludes leaving and failing targets
-// and those in tried; the caller holds the lock.
-func (rs *ReplicaSet) cheapest(tried map[string]bool, eligible func(*targetState) bool) *targetState {
-	now := rs.now()
-	var best *targetState
-	var lowest time.Duration
-	for id, ts := range rs.states {
-		if tried[id] || ts.target.Leaving || ts.failingSince != 0 || !eligible(ts) {
-			continue
-		}
-		cost := rs.distance(ts.target.Zone) + ts.failures.cost(now) + ts.expectedLatency(now)*time.Duration(1+ts.running/max(ts.target.Slots, 1))
-		if best == nil || cost < lowest || cost == lowest && id < best.target.ID {
-			best, lowest = ts, cost
-		}
-	}
-	return best
-}
--- a/process/rset/load.go
+++ b/process/rset/load.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/rating"
 	"github.com/pistachiotray/pistachiotray/process/spread"
+	"github.com/pistachiotray/pistachiotray/request/mark"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 )
 
@@ -50,49 +51,48 @@
 	AgeMs       int64
 }
 
-// choose returns the eligible target for a read, or nil if there is none. It excludes leaving
-// and failing targets and those in tried; the caller holds the lock.
-func (rs *ReplicaSet) choose(kind string, tried map[string]bool, eligible func(*targetState) bool) *targetState {
-	if !rs.shared() {
-		return rs.cheapest(tried, eligible)
-	}
-	now := rs.now()
-	var found []*targetState
-	for id, ts := range rs.states {
-		if !tried[id] && !ts.target.Leaving && ts.failingSince == 0 && eligible(ts) {
-			found = append(found, ts)
-		}
-	}
-	if len(found) == 0 {
-		return nil
-	}
-	rs.logLoads(now, kind)
-	if len(found) == 1 {
-		return found[0]
+// loads returns what is known of the loads of some targets and keeps it for the next choice; it
+// sorts the targets by their IDs. The caller holds the lock.
+func (rs *ReplicaSet) loads(now time.Duration, targets []*targetState) []spread.Load {
+	sortByID(targets)
+	loads := make([]spread.Load, len(targets))
+	for i, ts := range targets {
+		own := 0
+		ts.load, own = rs.load(now, ts)
+		loads[i] = ts.load.WithOwn(own)
 	}
-	return found[spread.Choose(now, rs.expectedTime(kind), rs.loads(now, found), rs.random)]
+	return loads
 }
 
-// loads returns what is known of the loads of some targets, and sorts these by their IDs; the
-// caller holds the lock.
-func (rs *ReplicaSet) loads(now time.Duration, targets []*targetState) []spread.Load {
-	slices.SortFunc(targets, func(a, b *targetState) int { return cmp.Compare(a.target.ID, b.target.ID) })
+// peekLoads returns what loads does, and keeps nothing; the caller holds the lock.
+func (rs *ReplicaSet) peekLoads(now time.Duration, targets []*targetState) []spread.Load {
+	sortByID(targets)
 	loads := make([]spread.Load, len(targets))
 	for i, ts := range targets {
-		ts.load = ts.load.WithTarget(ts.target.Slots, rs.distance(ts.target.Zone), len(ts.lenders))
-		own := ts.running
-		if ts.direct {
-			// What this host and its borrowers have running is in the pool's counts.
-			own = 0
-			if age, ok := ts.load.Age(now); !ok || age >= countPause {
-				ts.load = ts.load.WithReport(now, ts.outstanding())
-			}
-		}
-		loads[i] = ts.load.WithOwn(own)
+		load, own := rs.load(now, ts)
+		loads[i] = load.WithOwn(own)
 	}
 	return loads
 }
 
+// load returns what is known of the load of a target, and how many of the statements there are
+// this host's; the caller holds the lock.
+func (rs *ReplicaSet) load(now time.Duration, ts *targetState) (spread.Load, int) {
+	load := ts.load.WithTarget(ts.target.Slots, rs.distance(ts.target.Zone), len(ts.lenders))
+	if !ts.direct {
+		return load, ts.running
+	}
+	// What this host and its borrowers have running is in the pool's counts.
+	if age, ok := load.Age(now); !ok || age >= countPause {
+		load = load.WithReport(now, ts.outstanding())
+	}
+	return load, 0
+}
+
+func sortByID(targets []*targetState) {
+	slices.SortFunc(targets, func(a, b *targetState) int { return cmp.Compare(a.target.ID, b.target.ID) })
+}
+
 // outstanding returns how many statements and lent connections are at the target, or wait for
 // it, on this host's own connections; the caller holds the lock.
 func (ts *targetState) outstanding() int {
@@ -158,22 +158,28 @@
 	}
 }
 
-// lenderIndex returns the index of the lender to ask first for a target: the first one by hash
-// or, if that has more work than the second one, one of the two by their loads. A lender that is
-// not known counts as idle, so that it is asked. The caller holds the lock.
+// lenderIndex returns the index of the lender to ask first for a target; the caller holds the
+// lock.
 func (rs *ReplicaSet) lenderIndex(ts *targetState) int {
-	now := rs.now()
+	share := rs.firstLenderShare(rs.now(), ts)
+	if share >= 1 || share > 0 && rs.random.Float64() < share {
+		return ts.firstLender
+	}
+	return ts.secondLender
+}
+
+// firstLenderShare returns the probability with which the first lender by hash is asked first and
+// not the second one: 1, unless it has more work than that one, and then by their loads. A
+// lender that is not known counts as idle, so that it is asked. The caller holds the lock.
+func (rs *ReplicaSet) firstLenderShare(now time.Duration, ts *targetState) float64 {
 	first, second := ts.lenderLoads[ts.lenders[ts.firstLender].Host], ts.lenderLoads[ts.lenders[ts.secondLender].Host]
 	if first.Steady(now) < second.Steady(now)+lenderSlack {
-		return ts.firstLender
+		return 1
 	}
 	if second.ID == "" {
-		return ts.secondLender
+		return 0
 	}
-	if spread.Choose(now, defaultWork, []spread.Load{first, second}, rs.random) == 0 {
-		return ts.firstLender
-	}
-	return ts.secondLender
+	return spread.Shares(now, defaultWork, []spread.Load{first, second})[0]
 }
 
 // noteTime learns from the time that a batch of a known kind took at a target.
@@ -210,31 +216,35 @@
 	return defaultWork
 }
 
+// loader returns the loads of some targets, and sorts these by their IDs.
+type loader func(now time.Duration, targets []*targetState) []spread.Load
+
 // Explain returns how each target is rated for a read of a kind of work that may run at any of
 // them, ordered by their IDs.
 func (rs *ReplicaSet) Explain(kind string) []rating.Rating {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return rs.explain(rs.now(), kind)
+	now := rs.now()
+	found, _ := rs.candidates(now, nil, mark.Mark{}, 0)
+	return rs.explain(now, kind, found, rs.peekLoads)
 }
 
-// explain returns what Explain does; the caller holds the lock.
-func (rs *ReplicaSet) explain(now time.Duration, kind string) []rating.Rating {
-	var usable, unusable []*targetState
+// explain returns how each target is rated for a read that goes to one of those found; the caller
+// holds the lock.
+func (rs *ReplicaSet) explain(now time.Duration, kind string, found []*targetState, loads loader) []rating.Rating {
+	ratings := rs.rate(now, kind, found, loads)
 	for _, ts := range rs.states {
-		if ts.target.Leaving || ts.failingSince != 0 {
-			unusable = append(unusable, ts)
+		if slices.Contains(found, ts) {
 			continue
 		}
-		usable = append(usable, ts)
-	}
-	ratings := rs.rate(now, kind, usable)
-	for i, ts := range unusable {
-		reason := "it does not answer"
-		if ts.target.Leaving {
+		reason := "it lags"
+		switch {
+		case ts.target.Leaving:
 			reason = "it is leaving"
+		case ts.failingSince != 0:
+			reason = "it does not answer"
 		}
-		ratings = append(ratings, rs.rate(now, kind, unusable[i:i+1])[0].WithUnusable(reason))
+		ratings = append(ratings, rs.rate(now, kind, []*targetState{ts}, loads)[0].WithUnusable(reason))
 	}
 	for i, r := range ratings {
 		ratings[i] = r.WithLeads(r.ID == rs.leader)
@@ -243,11 +253,13 @@
 	return ratings
 }
 
-// rate returns the ratings of usable targets; the caller holds the lock.
-func (rs *ReplicaSet) rate(now time.Duration, kind string, targets []*targetState) []rating.Rating {
+// rate returns the ratings of targets of which one gets a read; the caller holds the lock.
+func (rs *ReplicaSet) rate(now time.Duration, kind string, targets []*targetState, loads loader) []rating.Rating {
 	if rs.shared() {
-		return spread.Ratings(now, rs.expectedTime(kind), rs.loads(now, targets))
+		return spread.Ratings(now, rs.expectedTime(kind), loads(now, targets))
 	}
+	// Without shared connections, the cheapest target gets each read.
+	best := rs.cheapest(now, targets)
 	ratings := make([]rating.Rating, len(targets))
 	for i, ts := range targets {
 		work := ts.expectedLatency(now)
@@ -255,13 +267,8 @@
 			ID: ts.target.ID, Work: work, Wait: work * time.Duration(ts.running/max(ts.target.Slots, 1)), Retry: ts.failures.cost(now), Way: rs.distance(ts.target.Zone),
 			Outstanding: float64(ts.running), Own: ts.running, Slots: ts.target.Slots, Slowness: 1, FailureRate: ts.failures.rateAt(now), ReportAge: -1,
 		}
-	}
-	// Without shared connections, the cheapest target gets each read.
-	if best := rs.cheapest(nil, func(*targetState) bool { return true }); best != nil {
-		for i := range ratings {
-			if ratings[i].ID == best.target.ID {
-				ratings[i].Share = 1
-			}
+		if ts == best {
+			ratings[i].Share = 1
 		}
 	}
 	return ratings
@@ -274,7 +281,8 @@
 		return
 	}
 	rs.loadsLoggedAt = now
-	ratings := rs.explain(now, kind)
+	found, _ := rs.candidates(now, nil, mark.Mark{}, 0)
+	ratings := rs.explain(now, kind, found, rs.loads)
 	entries := make([]rated, len(ratings))
 	for i, r := range ratings {
 		entries[i] = rated{
