--- a/connection/runner/single.go
+++ b/connection/runner/single.go
@@ -20,17 +20,9 @@
 	"github.com/pistachiotray/pistachiotray/version/waits"
 )
 
-const (
-	// retryPause is the pause before a statement that did not run is tried again. It
-	// is a few round trips within a zone, in which a slot may become free.
-	retryPause = 20 * time.Millisecond
-	// minConnWait is the minimum time for which a statement may wait for a connection,
-	// however long ago it arrived.
-	minConnWait = 30 * time.Millisecond
-	// ageMargin is subtracted from a route's maximum age, since the arrival time is
-	// recorded a little after the caller sent its statement.
-	ageMargin = 10 * time.Millisecond
-)
+// retryPause is the pause before a statement that did not run is tried again. It is a few
+// round trips within a zone, in which a slot may become free.
+const retryPause = 20 * time.Millisecond
 
 // errNoTarget is returned when a read has tried every usable target of its group.
 var errNoTarget = errors.New("no usable target left to try")
@@ -57,10 +49,9 @@
 }
 
 // batch returns a batch of stages for the session. The batch may wait for a
-// connection until maxWait has passed since the statement's arrival, and for at least
-// minConnWait.
+// connection as long as package waits allows.
 func (r *Runner) batch(group *rset.ReplicaSet, rt route.Route, arrived time.Duration, stages ...[]stmt.Stmt) batch.Batch {
-	wait := max(maxWait(group, rt)-(r.now()-arrived), minConnWait)
+	wait := waits.New(rt).Remaining(group.Shared(), r.now()-arrived)
 	return batch.New(r.caller, stages...).WithPriority(rt.Priority).WithWait(wait)
 }
 
@@ -292,7 +283,7 @@
 // determines the position: readTarget then returns the maximum age of the data, and as
 // position that of the session's own commits.
 func (r *Runner) readTarget(ctx context.Context, ts *targetSearch, rt route.Route, arrived time.Duration) (target.Target, mark.Mark, time.Duration, error) {
-	_, _, _, known := ts.group.CoveringMark(arrived - rt.MaxAge + ageMargin)
+	_, _, _, known := ts.group.CoveringMark(arrived - rt.DataAge())
 	if !known && !ts.ownPosition && ts.watermarkAfter == 0 && ts.group.Shared() {
 		var floor mark.Mark
 		if rt.Kind == route.ReadYourWrites {
@@ -301,7 +292,7 @@
 		t, ok := ts.group.Pick(ts.kind, ts.tried, floor, r.caller.FloorAt)
 		if ok && !ts.group.ConnectsTo(t.ID) {
 			ts.tried[t.ID] = true
-			return t, floor, rt.MaxAge - ageMargin, nil
+			return t, floor, rt.DataAge(), nil
 		}
 	}
 	t, position, err := r.freshTarget(ctx, ts, rt, arrived)
@@ -323,7 +314,7 @@
 // maximum age and, for a route with read-your-writes, all commits of the session. If
 // no watermark covers these commits, requiredPosition waits for one.
 func (r *Runner) requiredPosition(ctx context.Context, ts *targetSearch, rt route.Route, arrived time.Duration) (mark.Mark, time.Duration, error) {
-	since := max(arrived-rt.MaxAge+ageMargin, ts.watermarkAfter)
+	since := max(arrived-rt.DataAge(), ts.watermarkAfter)
 	m, coveredUntil, newest, ok := ts.group.CoveringMark(since)
 	for !ok {
 		if err := r.awaitWatermark(ctx, ts.group, rt, since); err != nil {
--- a/process/borrow/borrower.go
+++ b/process/borrow/borrower.go
@@ -178,7 +178,7 @@
 	var lost error
 	for i := range hosts {
 		h := hosts[(first+i)%len(hosts)]
-		if br.isSkipped(h.Host) {
+		if br.Skipped(h.Host) {
 			continue
 		}
 		failed := br.tryHost(ctx, h, ask)
@@ -208,9 +208,9 @@
 	return errors.Is(err, remote.ErrRefused) || errors.Is(err, ErrUnreachable)
 }
 
-// isSkipped reports whether a host is currently skipped because it could not be
+// Skipped reports whether a host is currently skipped because it could not be
 // reached.
-func (br *Borrower) isSkipped(host string) bool {
+func (br *Borrower) Skipped(host string) bool {
 	br.mu.Lock()
 	defer br.mu.Unlock()
 	return br.now() < br.skipped.End(host)
@@ -238,7 +238,7 @@
 			return cmp.Or(lost, err)
 		}
 		lost = cmp.Or(lost, err)
-		if !reused || ctx.Err() != nil || br.isSkipped(h.Host) {
+		if !reused || ctx.Err() != nil || br.Skipped(h.Host) {
 			return lost
 		}
 	}
--- a/process/rset/load.go
+++ b/process/rset/load.go
@@ -35,6 +35,12 @@
 	loadLogPause = time.Minute
 )
 
+// The reasons why a target that answers is not chosen.
+const (
+	lags      = "it lags behind what the read must see"
+	notLeader = "it does not lead"
+)
+
 // rated is the log entry of one target's rating. Times are in milliseconds, and AgeMs, the age of
 // the last report of its load, is -1 if there was none.
 type rated struct {
@@ -226,18 +232,18 @@
 	defer rs.mu.Unlock()
 	now := rs.now()
 	found, _ := rs.candidates(now, nil, mark.Mark{}, 0)
-	return rs.explain(now, kind, found, rs.peekLoads)
+	return rs.explain(now, kind, found, lags, rs.peekLoads)
 }
 
-// explain returns how each target is rated for a read that goes to one of those found; the caller
-// holds the lock.
-func (rs *ReplicaSet) explain(now time.Duration, kind string, found []*targetState, loads loader) []rating.Rating {
+// explain returns how each target is rated for a request that goes to one of those found. Others are
+// not chosen for the given reason, unless they are leaving or failing; the caller holds the lock.
+func (rs *ReplicaSet) explain(now time.Duration, kind string, found []*targetState, otherwise string, loads loader) []rating.Rating {
 	ratings := rs.rate(now, kind, found, loads)
 	for _, ts := range rs.states {
 		if slices.Contains(found, ts) {
 			continue
 		}
-		reason := "it lags"
+		reason := otherwise
 		switch {
 		case ts.target.Leaving:
 			reason = "it is leaving"
@@ -282,7 +288,7 @@
 	}
 	rs.loadsLoggedAt = now
 	found, _ := rs.candidates(now, nil, mark.Mark{}, 0)
-	ratings := rs.explain(now, kind, found, rs.loads)
+	ratings := rs.explain(now, kind, found, lags, rs.loads)
 	entries := make([]rated, len(ratings))
 	for i, r := range ratings {
 		entries[i] = rated{
--- a/process/rset/problem.go
+++ b/process/rset/problem.go
@@ -85,6 +85,11 @@
 func (rs *ReplicaSet) LeaderOverdue() bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	return rs.leaderOverdue(rs.now())
+}
+
+// leaderOverdue returns what LeaderOverdue does; the caller holds the lock.
+func (rs *ReplicaSet) leaderOverdue(now time.Duration) bool {
 	since := rs.leaderlessSince
 	if ts, ok := rs.states[rs.leader]; ok {
 		since = ts.failingSince
@@ -92,7 +97,7 @@
 			return true
 		}
 	}
-	return since != 0 && rs.now()-since > overdueAfter
+	return since != 0 && now-since > overdueAfter
 }
 
 // LeaderServes reports whether the leader is known, gets new work and answers
--- a/version/route/route.go
+++ b/version/route/route.go
@@ -16,6 +16,10 @@
 	ReadYourWrites
 )
 
+// ageMargin is subtracted from a route's maximum age, since the arrival time is recorded a little
+// after the caller sent its statement.
+const ageMargin = 10 * time.Millisecond
+
 // Route maps the name of a database to the group that serves it. A Route is
 // immutable.
 type Route struct {
@@ -68,3 +72,8 @@
 	r.Priority = priority
 	return r
 }
+
+// DataAge returns how old the data of a read may be, counted from when its arrival is recorded.
+func (r Route) DataAge() time.Duration {
+	return r.MaxAge - ageMargin
+}
--- a/version/waits/waits.go
+++ b/version/waits/waits.go
@@ -17,6 +17,9 @@
 	// around a change of the leader, and whoever waits is served then. The rest of
 	// the timeout is for the run.
 	timeoutPercent = 80
+	// minRemaining is the minimum time for which a statement may wait for a connection,
+	// however long ago it arrived.
+	minRemaining = 30 * time.Millisecond
 )
 
 // Waits are the limits for the statements of a route. They are immutable.
@@ -41,6 +44,12 @@
 	return max(w.timeout*timeoutPercent/100, w.early())
 }
 
+// Remaining returns how long a statement that arrived a time ago may still wait for a connection
+// to a target: until ForConnection has passed, and for at least minRemaining.
+func (w Waits) Remaining(shared bool, since time.Duration) time.Duration {
+	return max(w.ForConnection(shared)-since, minRemaining)
+}
+
 // ForLeader returns how long a statement may wait for a leader that is not expected
 // soon.
 func (w Waits) ForLeader() time.Duration {
