--- a/cmd/pistachiotray/status.go
+++ b/cmd/pistachiotray/status.go
@@ -118,32 +118,6 @@
 	return lines
 }
 
-func explainCommand() *cobra.Command {
-	var r remote
-	c := &cobra.Command{
-		Use: "explain SESSION|REQUEST|GROUP", Short: "Show recent decisions about a session, a request or a group",
-		Long:    "Explain prints the recent decisions that a host has kept. Give the operator address of the host that owns the session's group.",
-		Example: "  pistachiotray explain fittings --operator 127.0.0.1:6434", Args: cobra.ExactArgs(1),
-	}
-	r.addOperatorFlags(c)
-	r.addCommonFlags(c)
-	c.RunE = func(c *cobra.Command, arguments []string) error {
-		return r.run(c, func(ctx context.Context) error {
-			var all []string
-			for _, address := range r.operators {
-				var lines []string
-				if err := r.queryHost(ctx, address, &lines, "explain", arguments[0]); err != nil {
-					return errors.Wrap(err, address)
-				}
-				all = append(all, lines...)
-			}
-			slices.Sort(all)
-			return r.print(c, all, all...)
-		})
-	}
-	return c
-}
-
 // commandResult is a host's answer to drain or switch.
 type commandResult struct {
 	Done   bool
--- a/process/lookup/lookup.go
+++ b/process/lookup/lookup.go
@@ -84,14 +84,14 @@
 // lack a route or a key that was added since: it is read again before either is unknown.
 func (l *Lookup) Check(ctx context.Context, database, key string) (c code.Code, reason string) {
 	c, reason = l.inPlan(ctx, database, key)
-	if !unknown(c) || l.current() {
+	if !unknown(c) || l.Current() {
 		return c, reason
 	}
 	if err := l.awaitRefresh(ctx); err != nil {
 		return code.NotRunOldPlan, database
 	}
 	c, reason = l.inPlan(ctx, database, key)
-	if unknown(c) && !l.current() {
+	if unknown(c) && !l.Current() {
 		c = code.NotRunOldPlan
 	}
 	return c, reason
@@ -125,8 +125,8 @@
 	return code.Done, ""
 }
 
-// current reports whether the plan is as new as it is in operation.
-func (l *Lookup) current() bool {
+// Current reports whether the plan is as new as it is in operation.
+func (l *Lookup) Current() bool {
 	return l.now()-l.mirror.FreshAt(l.table) <= l.follower.MaxAge(l.table)
 }
 
--- a/version/cust/customer.go
+++ b/version/cust/customer.go
@@ -40,6 +40,12 @@
 	return c
 }
 
+// WithoutKeys returns the customer without the keys of its callers, to show it.
+func (c Customer) WithoutKeys() Customer {
+	c.keys = nil
+	return c
+}
+
 // Limited reports whether the customer's operations are limited.
 func (c Customer) Limited() bool {
 	return c.Rate > 0
