--- a/cmd/pistachiotray/explain.go
+++ b/cmd/pistachiotray/explain.go
@@ -14,7 +14,7 @@
 const explainUsage = `Explain prints the recent decisions that a host of serve has kept. Give the
 operator address of the host that owns the session's group.
 
-With --host, it asks a host of proxy where it would send a single statement of a
+With --metrics, it asks a host of proxy where it would send a single statement of a
 new session now, and why, or with which result it would refuse it. The statement
 is neither sent nor counted. The address is that of the host's metrics. Give the
 name of the customer, never its key. Figures are what that host knows, times are in
@@ -30,8 +30,9 @@
   waiting   the calls that wait for one of them
   wait      the predicted wait for one, or that the request would be refused`
 
-// request is the request that explain asks about with --host.
+// request is the request that explain asks about with --metrics.
 type request struct {
+	// hosts are the metrics addresses of the hosts to ask.
 	hosts    []string
 	customer string
 	read     bool
@@ -42,25 +43,25 @@
 	var r remote
 	var q request
 	c := &cobra.Command{
-		Use: "explain SESSION|REQUEST|GROUP, or explain DATABASE --host ADDRESS", Short: "Show recent decisions, or where a request would go now and why",
+		Use: "explain SESSION|REQUEST|GROUP, or explain DATABASE --metrics ADDRESS", Short: "Show recent decisions, or where a request would go now and why",
 		Long:    explainUsage,
-		Example: "  pistachiotray explain fittings --operator 127.0.0.1:6434\n  pistachiotray explain orders --host 10.1.0.8:7440 --customer bakery --write", Args: cobra.ExactArgs(1),
+		Example: "  pistachiotray explain fittings --operator 127.0.0.1:6434\n  pistachiotray explain orders --metrics 10.1.0.8:7440 --customer bakery --write", Args: cobra.ExactArgs(1),
 	}
 	r.addOperatorFlags(c)
 	r.addCommonFlags(c)
-	c.Flags().StringSliceVar(&q.hosts, "host", nil, "metrics address of a host of proxy; may be given again")
+	c.Flags().StringSliceVar(&q.hosts, "metrics", nil, "metrics address of a host of proxy; may be given again")
 	c.Flags().StringVar(&q.customer, "customer", "", "name of the customer for whom the request works")
 	c.Flags().BoolVar(&q.read, "read", false, "the request reads, which is the default")
 	c.Flags().BoolVar(&q.write, "write", false, "the request writes")
 	c.MarkFlagsMutuallyExclusive("read", "write")
-	c.MarkFlagsMutuallyExclusive("host", "operator")
+	c.MarkFlagsMutuallyExclusive("metrics", "operator")
 	c.RunE = func(c *cobra.Command, arguments []string) error {
 		return r.run(c, func(ctx context.Context) error {
 			if len(q.hosts) > 0 {
 				return r.explainRequest(ctx, c, arguments[0], q)
 			}
 			if q.customer != "" || q.read || q.write {
-				return errors.New("--customer, --read and --write need --host")
+				return errors.New("--customer, --read and --write need --metrics")
 			}
 			return r.explainDecisions(ctx, c, arguments[0])
 		})
