--- a/connection/expln/text.go
+++ b/connection/expln/text.go
@@ -138,7 +138,7 @@
 	if t.Check {
 		notes = append(notes, "checked whether it caught up")
 	}
-	if t.Connections.Excess {
+	if t.Connections.Excess && t.OwnShare > 0 {
 		notes = append(notes, "in excess of the customer's usual load")
 	}
 	return strings.Join(notes, ", ")
--- a/process/supply/supply.go
+++ b/process/supply/supply.go
@@ -23,7 +23,8 @@
 	Immediate bool
 	Wait      time.Duration
 	Refused   bool
-	// Excess means that the call is in excess of its customer's usual load.
+	// Excess means that the call counts as in excess of its customer's usual load. It always
+	// does at a lender that does not come first for the customer.
 	Excess bool
 }
 
