--- a/cmd/pistachiotray/shape_test.go
+++ b/cmd/pistachiotray/shape_test.go
@@ -19,6 +19,7 @@
 	"process/owner", "process/gossip", "process/swim", "process/health",
 	"process/delta", "process/ranks", "process/assign", "process/usage", "process/stride", "process/strain", "process/turns", "version/waits",
 	"process/quota", "process/bucket", "process/claim", "process/award", "process/share", "version/cust",
+	"process/allow", "process/supply", "process/lender", "process/choice", "process/gview", "process/dryrun", "process/rating",
 }
 
 // forbiddenImports are the packages that decision packages must not import,
