--- a/process/dryrun/result_test.go
+++ b/process/dryrun/result_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -261,3 +262,40 @@
 		is.Equal(h.explain("orders", dryrun.WithCustomer("cafe")).Code, code.Done)
 	})
 }
+
+// Requests must be explained beside those that run, without a race or a deadlock between the locks
+// of groups, pools and limits, which this test finds with -race.
+func TestBesideRequests(t *testing.T) {
+	is := is.New(t)
+	h := newHost(20)
+	h.slow = 0
+	ctx, stop := context.WithCancel(t.Context())
+	var background, requests sync.WaitGroup
+	background.Go(func() { h.allotments.Run(ctx) })
+	for i := range 8 {
+		customer := []string{"bakery", "cafe"}[i%2]
+		requests.Go(func() {
+			for range 200 {
+				h.allotments.Admit(t.Context(), bakery)
+				if err := h.run(t.Context(), []string{"t1", "t2"}[i/4], customer); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+		requests.Go(func() {
+			for range 200 {
+				h.explain("stock", dryrun.WithCustomer(customer))
+				h.explain("orders", dryrun.WithCustomer(customer), dryrun.WithWrites(true))
+			}
+		})
+	}
+	requests.Wait()
+	stop()
+	background.Wait()
+	r := h.explain("stock", dryrun.WithCustomer("cafe"))
+	is.Equal(r.Code, code.Done)
+	for _, c := range r.View.Members {
+		is.Equal(c.Supply.Open, c.Supply.Idle)
+	}
+	h.set.Update(nil, target.Target{}, 1)
+}
--- a/process/rset/load.go
+++ b/process/rset/load.go
@@ -37,8 +37,8 @@
 
 // The reasons why a target that answers is not chosen.
 const (
-	lags      = "it lags behind what the read must see"
-	notLeader = "it does not lead"
+	reasonLags      = "it lags behind what the read must see"
+	reasonNotLeader = "it does not lead"
 )
 
 // rated is the log entry of one target's rating. Times are in milliseconds, and AgeMs, the age of
@@ -232,7 +232,7 @@
 	defer rs.mu.Unlock()
 	now := rs.now()
 	found, _ := rs.candidates(now, nil, mark.Mark{}, 0)
-	return rs.explain(now, kind, found, lags, rs.peekLoads)
+	return rs.explain(now, kind, found, reasonLags, rs.peekLoads)
 }
 
 // explain returns how each target is rated for a request that goes to one of those found. Others are
@@ -288,7 +288,7 @@
 	}
 	rs.loadsLoggedAt = now
 	found, _ := rs.candidates(now, nil, mark.Mark{}, 0)
-	ratings := rs.explain(now, kind, found, lags, rs.loads)
+	ratings := rs.explain(now, kind, found, reasonLags, rs.loads)
 	entries := make([]rated, len(ratings))
 	for i, r := range ratings {
 		entries[i] = rated{
--- a/process/rset/preview.go
+++ b/process/rset/preview.go
@@ -56,7 +56,7 @@
 	v := gview.New(rs.Name).WithLeader(rs.leader, usable, rs.leaderOverdue(now), writes && ok && rs.mayBeReplaced(rs.leader)).
 		WithAccess(atLeader, shared, waits.New(rt).Remaining(shared, 0))
 	var found []*targetState
-	check, reason := false, notLeader
+	check, reason := false, reasonNotLeader
 	switch {
 	case !atLeader:
 		need, reached, known := rs.watermarks.Covering(now - rt.DataAge())
@@ -66,7 +66,7 @@
 		}
 		v = v.WithPosition(need, known, age)
 		found, check = rs.candidates(now, nil, need, reached)
-		reason = lags
+		reason = reasonLags
 	case usable:
 		found = []*targetState{leader}
 	}
