--- a/process/allot/allotments.go
+++ b/process/allot/allotments.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,8 @@
 	plan       plan.Plan
 	limited    bool
 	assignment assign.Assignment
+	// leaving is set once this host is about to stop.
+	leaving bool
 	// changed is closed and replaced with each answer to a claim.
 	changed chan struct{}
 	waiting int
@@ -115,6 +118,9 @@
 		names[i] = h.Host
 	}
 	al.mu.Lock()
+	if al.leaving {
+		names = slices.DeleteFunc(names, func(name string) bool { return name == al.self })
+	}
 	al.assignment = a
 	al.buckets.SetHosts(names)
 	if al.limited {
@@ -129,11 +135,39 @@
 // Award answers a host's claim to its shares.
 func (al *Allotments) Award(c claim.Claim) award.Award {
 	al.mu.Lock()
-	p := al.plan
+	p, follows := al.plan, al.buckets.Follows()
 	al.mu.Unlock()
+	if c.Host == al.self {
+		follows = ""
+	}
 	al.coordMu.Lock()
 	defer al.coordMu.Unlock()
-	return al.coordinator.Award(al.now(), c, p)
+	return al.coordinator.Award(al.now(), c, p, follows)
+}
+
+// Leave makes another host the coordinator, because this one is about to stop.
+func (al *Allotments) Leave() {
+	al.mu.Lock()
+	al.leaving = true
+	a := al.assignment
+	al.mu.Unlock()
+	al.SetAssignment(a)
+}
+
+// takeOver makes this host's coordinator go on with the accounts in the answer to a claim that was
+// sent at a time. It reports false if there are none, or this host has followers.
+func (al *Allotments) takeOver(sent time.Duration, answer award.Award) bool {
+	if answer.Books == nil {
+		return false
+	}
+	al.mu.Lock()
+	p := al.plan
+	al.mu.Unlock()
+	al.coordMu.Lock()
+	taken := al.coordinator.Take(al.now(), sent, *answer.Books, p)
+	al.coordMu.Unlock()
+	al.log.Info("accounts of the limits received", zap.Bool("Taken", taken), zap.Int("Followers", len(answer.Books.Claims)), zap.Uint64("Plan", p.Version))
+	return taken
 }
 
 // claimSoon wakes Run to send a claim.
--- a/process/allot/run.go
+++ b/process/allot/run.go
@@ -71,15 +71,19 @@
 // claim sends one claim and takes note of the answer. It reports false if another claim
 // should follow at once.
 func (al *Allotments) claim(ctx context.Context) bool {
+	al.coordMu.Lock()
+	ready := al.coordinator.Ready(al.now())
+	al.coordMu.Unlock()
 	al.mu.Lock()
 	sent := al.now()
 	before := al.buckets.Coordinator()
-	to, c, ok := al.buckets.Claim(sent)
+	to, c, ok := al.buckets.Claim(sent, ready)
 	al.mu.Unlock()
 	if !ok {
 		return true
 	}
 	answer, err := al.ask(ctx, to, c)
+	taken := err == nil && al.takeOver(sent, answer)
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	now := al.now()
@@ -88,6 +92,9 @@
 	} else {
 		al.buckets.Accept(now, sent, to, answer)
 	}
+	if taken {
+		al.buckets.TakeOver()
+	}
 	if after := al.buckets.Coordinator(); after != before && al.limiter.Allow() {
 		al.log.Info("coordinator of the limits changed", zap.String("From", before), zap.String("To", after), zap.Uint64("Plan", al.plan.Version))
 	}
--- a/process/award/award.go
+++ b/process/award/award.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/pistachiotray/pistachiotray/process/books"
 	"github.com/pistachiotray/pistachiotray/process/share"
 )
 
@@ -26,6 +27,9 @@
 	IntervalMs int64
 	LifetimeMs int64
 	AccountMs  int64
+	// Books are the coordinator's accounts, if it gives them to the host, which coordinates
+	// from then on.
+	Books *books.Books
 	// Shares replaces the shares of the host.
 	Shares []share.Share
 }
@@ -46,3 +50,9 @@
 	a.Confirmed, a.Keep, a.Shares = true, keep, shares
 	return a
 }
+
+// WithBooks returns the award with the coordinator's accounts.
+func (a Award) WithBooks(b books.Books) Award {
+	a.Books = &b
+	return a
+}
--- a/process/award/encode.go
+++ b/process/award/encode.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/pistachiotray/pistachiotray/process/books"
 	"github.com/pistachiotray/pistachiotray/process/share"
 )
 
@@ -14,6 +15,7 @@
 const (
 	confirmedBit = 1
 	keepBit      = 2
+	booksBit     = 4
 )
 
 // errMalformed is returned for bytes that are no award.
@@ -28,11 +30,20 @@
 	if a.Keep {
 		bits |= keepBit
 	}
+	if a.Books != nil {
+		bits |= booksBit
+	}
 	b := binary.AppendUvarint([]byte{bits}, uint64(len(a.Coordinator)))
 	b = append(b, a.Coordinator...)
 	for _, v := range []uint64{a.Era, uint64(a.At), uint64(a.IntervalMs), uint64(a.LifetimeMs), uint64(a.AccountMs)} {
 		b = binary.AppendUvarint(b, v)
 	}
+	if a.Books != nil {
+		var err error
+		if b, err = a.Books.Append(b); err != nil {
+			return nil, errors.Wrap(err, "award")
+		}
+	}
 	for _, s := range a.Shares {
 		b = s.AppendAwarded(b)
 	}
@@ -62,6 +73,13 @@
 		Era: values[0], At: time.Duration(values[1]), Coordinator: coordinator, Confirmed: bits&confirmedBit != 0, Keep: bits&keepBit != 0,
 		IntervalMs: int64(values[2]), LifetimeMs: int64(values[3]), AccountMs: int64(values[4]),
 	}
+	if bits&booksBit != 0 {
+		bk, rest, err := books.Parse(b)
+		if err != nil {
+			return errors.Wrap(err, "award")
+		}
+		a.Books, b = &bk, rest
+	}
 	for len(b) > 0 {
 		s, rest, err := share.Parse(b)
 		if err != nil {
--- a/process/bucket/bucket.go
+++ b/process/bucket/bucket.go
@@ -41,8 +41,8 @@
 	asked     float64
 	countedAt time.Duration
 	demand    float64
-	// urgent means that operations wait for tokens.
-	urgent bool
+	// waiting is how many operations found no token since the last claim or award.
+	waiting int
 	// named is the number of the last claim that named the customer, and fresh means that
 	// the last award did.
 	named uint64
@@ -103,8 +103,8 @@
 	if e.until > now {
 		left = (e.until - now + time.Millisecond - 1).Milliseconds()
 	}
-	s := share.New(customer).WithDemand(b.demand, b.urgent).WithBucket(e.rate, e.burst, b.tokens).WithLeft(left).WithReturned(b.returned)
-	b.urgent = false
+	s := share.New(customer).WithDemand(b.demand, b.waiting).WithBucket(e.rate, e.burst, b.tokens).WithLeft(left).WithReturned(b.returned)
+	b.waiting = 0
 	return s
 }
 
@@ -123,6 +123,8 @@
 	}
 	b.tokens += s.Tokens
 	b.limited, b.fresh, b.awardedAt = s.Limited, true, now
+	// The operations that wait try again now.
+	b.waiting = 0
 	b.refill(now)
 }
 
--- a/process/bucket/buckets.go
+++ b/process/bucket/buckets.go
@@ -45,11 +45,13 @@
 	current  string
 	advised  string
 	failures int
-	era      uint64
-	echo     time.Duration
-	echoAt   time.Duration
-	interval time.Duration
-	account  time.Duration
+	// consulted is set once another host was asked who coordinates.
+	consulted bool
+	era       uint64
+	echo      time.Duration
+	echoAt    time.Duration
+	interval  time.Duration
+	account   time.Duration
 	// wholeAt is when the last claim was sent that told about all customers, to the
 	// coordinator wholeEra.
 	wholeAt  time.Duration
@@ -107,6 +109,12 @@
 	if working {
 		return bs.advised
 	}
+	switch {
+	case bs.consults():
+		return bs.order[1]
+	case bs.current == "" && slices.Contains(bs.order, bs.advised) && bs.eligible(bs.advised, now):
+		return bs.advised
+	}
 	for _, h := range bs.order {
 		if h != bs.current && bs.eligible(h, now) {
 			return h
@@ -115,6 +123,12 @@
 	return bs.current
 }
 
+// consults reports whether the next claim only asks another host who coordinates. A host that
+// has just started and comes first in the order may take over from the coordinator.
+func (bs *Buckets) consults() bool {
+	return bs.current == "" && !bs.consulted && len(bs.order) > 1 && bs.order[0] == bs.self
+}
+
 // eligible reports whether this host may begin to follow a coordinator. It does not return
 // to one that may still count it, since that one may have handed out something in between.
 func (bs *Buckets) eligible(host string, now time.Duration) bool {
@@ -122,15 +136,16 @@
 }
 
 // Claim returns the next claim and the host to which to send it. It returns false if no
-// host is known that could coordinate. Every claim must be followed by Accept or Fail
-// before the next one.
-func (bs *Buckets) Claim(now time.Duration) (string, claim.Claim, bool) {
+// host is known that could coordinate. ready means that this host can take over the accounts of the
+// coordinator, which it does not if it is about to stop. Every claim must be followed by Accept or
+// Fail before the next one.
+func (bs *Buckets) Claim(now time.Duration, ready bool) (string, claim.Claim, bool) {
 	to := bs.destination(now)
 	if to == "" {
 		return "", claim.Claim{}, false
 	}
 	bs.number++
-	c := claim.New(bs.self, bs.start, bs.number).WithKnown(len(bs.order))
+	c := claim.New(bs.self, bs.start, bs.number).WithKnown(len(bs.order)).WithReady(ready && slices.Contains(bs.order, bs.self))
 	if to != bs.current {
 		return to, c, true
 	}
@@ -170,12 +185,12 @@
 func (bs *Buckets) shares(now time.Duration, partial bool) []share.Share {
 	shares := make([]share.Share, 0, len(bs.buckets))
 	for _, customer := range slices.Sorted(maps.Keys(bs.buckets)) {
-		if partial && !bs.buckets[customer].urgent {
+		if partial && bs.buckets[customer].waiting == 0 {
 			continue
 		}
 		s := bs.buckets[customer].claim(now, customer)
 		bs.buckets[customer].named = bs.number
-		if s.LeftMs == 0 && s.Demand == 0 && !s.Urgent {
+		if s.LeftMs == 0 && s.Demand == 0 && s.Waiting == 0 {
 			delete(bs.buckets, customer)
 			continue
 		}
@@ -186,6 +201,7 @@
 
 // Fail takes note that a host did not answer a claim.
 func (bs *Buckets) Fail(now time.Duration, to string) {
+	bs.consulted = true
 	if to == bs.current {
 		bs.failures++
 	}
@@ -198,6 +214,11 @@
 func (bs *Buckets) Accept(now, sent time.Duration, to string, a award.Award) {
 	bs.skipped.Clear(to)
 	bs.advised = a.Coordinator
+	if bs.consults() && to == bs.order[1] && a.Coordinator != "" && a.Coordinator != to {
+		bs.consulted = true
+		return
+	}
+	bs.consulted = true
 	if to != bs.current || a.Era != bs.era {
 		bs.move(now, to, a.Era)
 	}
@@ -223,9 +244,29 @@
 	}
 }
 
+// TakeOver makes this host follow itself, which has taken over the accounts of the coordinator
+// that it followed. The era and the shares stay the same.
+func (bs *Buckets) TakeOver() {
+	bs.current, bs.advised = bs.self, bs.self
+}
+
+// Follows returns the other host that this one follows, empty if there is none or it did not
+// answer the last claim.
+func (bs *Buckets) Follows() string {
+	if bs.current == bs.self || bs.failures > 0 {
+		return ""
+	}
+	return bs.current
+}
+
 // move makes this host follow another coordinator. Shares from the one before remain until
-// they expire or the new one replaces them.
+// they expire or the new one replaces them. If the era is the same, the one before has given
+// its accounts to the new one, and nothing else changes.
 func (bs *Buckets) move(now time.Duration, to string, era uint64) {
+	if era == bs.era {
+		bs.current = to
+		return
+	}
 	if bs.current != "" && bs.current != to {
 		bs.left[bs.current] = bs.accounts[bs.era]
 	}
--- a/process/bucket/try.go
+++ b/process/bucket/try.go
@@ -26,7 +26,7 @@
 		}
 		return false, false, false, after
 	}
-	b.urgent = true
+	b.waiting++
 	return false, true, true, bs.interval
 }
 
--- a/process/claim/claim.go
+++ b/process/claim/claim.go
@@ -36,6 +36,9 @@
 	// Partial means that the claim tells only about the customers in Shares. Otherwise the
 	// host has no part of any other customer's limit.
 	Partial bool
+	// Ready means that the host has no followers, so that it can take over the accounts of
+	// the coordinator.
+	Ready bool
 	// Shares holds the customers with demand or tokens.
 	Shares []share.Share
 }
@@ -78,6 +81,12 @@
 	return c
 }
 
+// WithReady returns the claim with Ready set to ready.
+func (c Claim) WithReady(ready bool) Claim {
+	c.Ready = ready
+	return c
+}
+
 // WithShares returns the claim with shares.
 func (c Claim) WithShares(shares ...share.Share) Claim {
 	c.Shares = shares
--- a/process/claim/encode.go
+++ b/process/claim/encode.go
@@ -10,8 +10,11 @@
 	"github.com/pistachiotray/pistachiotray/process/share"
 )
 
-// partialBit is set in the first byte of a partial claim.
-const partialBit = 1
+// The bits of the first byte of an encoded claim.
+const (
+	partialBit = 1
+	readyBit   = 2
+)
 
 // errMalformed is returned for bytes that are no claim.
 var errMalformed = errors.New("malformed claim")
@@ -22,6 +25,9 @@
 	if c.Partial {
 		bits |= partialBit
 	}
+	if c.Ready {
+		bits |= readyBit
+	}
 	b := binary.AppendUvarint([]byte{bits}, uint64(len(c.Host)))
 	b = append(b, c.Host...)
 	for _, v := range []uint64{c.Start, c.Number, c.Era, uint64(c.Echo), uint64(c.HeldMs), uint64(c.Known), uint64(c.CleanMs), uint64(c.ExtraMs), uint64(c.FreshMs)} {
@@ -38,7 +44,7 @@
 	if len(b) == 0 {
 		return errMalformed
 	}
-	partial := b[0]&partialBit != 0
+	bits := b[0]
 	b = b[1:]
 	n, size := binary.Uvarint(b)
 	if size <= 0 || n > uint64(len(b)-size) {
@@ -54,7 +60,8 @@
 	}
 	*c = Claim{
 		Host: host, Start: values[0], Number: values[1], Era: values[2], Echo: time.Duration(values[3]),
-		HeldMs: int64(values[4]), Known: int(values[5]), CleanMs: int64(values[6]), ExtraMs: int64(values[7]), FreshMs: int64(values[8]), Partial: partial,
+		HeldMs: int64(values[4]), Known: int(values[5]), CleanMs: int64(values[6]), ExtraMs: int64(values[7]), FreshMs: int64(values[8]),
+		Partial: bits&partialBit != 0, Ready: bits&readyBit != 0,
 	}
 	for len(b) > 0 {
 		s, rest, err := share.Parse(b)
--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -28,7 +28,7 @@
 	// reserve is the part of the stock that only hosts get which have operations waiting,
 	// unless one host has all the demand.
 	reserve = 0.25
-	// steadyRate is the part of a rate below which a change is not worth it.
+	// steadyRate is the part of a rate below which a lower one is not worth it.
 	steadyRate = 0.15
 	// hysteresis is how far a bucket may exceed its target before it loses tokens.
 	hysteresis = 1.25
@@ -269,7 +269,7 @@
 // grant decides a host's new part of the limit.
 func (a *account) grant(e *entry, now, until time.Duration, b budget, s share.Share) share.Share {
 	limited := a.demand >= saturation*b.rate && a.tokens < scarceStock*b.stock && !b.patient
-	if e.demand < minDemand && !s.Urgent {
+	if e.demand < minDemand && s.Waiting == 0 {
 		e.granted = holding{until: until}
 		return share.New(s.Customer).WithLimited(limited)
 	}
@@ -289,7 +289,7 @@
 		target = max(target, kept.burst)
 	}
 	free := max(a.tokens, 0)
-	if !limited && !s.Urgent {
+	if !limited && s.Waiting == 0 {
 		free = max(a.tokens-reserve*(1-weight)*b.stock, 0)
 	}
 	tokens := max(min(a.draw(e, weight, target, limited, s), free), 0)
@@ -302,12 +302,12 @@
 		// The rates use less of a lower demand, so that more is free where it varies.
 		use := min(a.demand/max(b.rate, minDemand), 1)
 		rate = rateShare * min(a.demand, b.rate) * use * weight
-		if math.Abs(rate-s.Rate) < steadyRate*s.Rate {
+		if rate < s.Rate && s.Rate-rate < steadyRate*s.Rate {
 			// Both the old and the new rate count until the host confirms the new one.
 			rate = s.Rate
 		}
 		rate = min(max(rate, kept.rate), b.rate-(a.rates-e.rate))
-		burst = max(target, min(s.Tokens, target*hysteresis))
+		burst = max(target, min(s.Tokens, target*hysteresis), s.Tokens+tokens)
 	}
 	room := b.stock - (a.most - e.most)
 	if a.held(now) <= b.stock {
@@ -327,8 +327,8 @@
 	if !limited {
 		e.due = 0
 		switch {
-		case s.Urgent:
-			return max(target, 1) - s.Tokens
+		case s.Waiting > 0:
+			return max(target, float64(s.Waiting)) - s.Tokens
 		case target < 1:
 			// Parts of a token can't be used.
 			return math.Round(target) - s.Tokens
@@ -337,12 +337,12 @@
 	}
 	part := max(a.tokens, 0) * weight * drawFactor
 	if target >= 1 {
-		if s.Urgent {
+		if s.Waiting > 0 {
 			part = max(part, 1-s.Tokens)
 		}
 		return min(part, target-s.Tokens)
 	}
-	if s.Urgent {
+	if s.Waiting > 0 {
 		// The host did not know that the customer is limited.
 		return 1 - s.Tokens
 	}
--- a/process/quota/coordinator.go
+++ b/process/quota/coordinator.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pistachiotray/pistachiotray/process/award"
+	"github.com/pistachiotray/pistachiotray/process/books"
 	"github.com/pistachiotray/pistachiotray/process/claim"
 	"github.com/pistachiotray/pistachiotray/version/cust"
 )
@@ -32,6 +33,12 @@
 	// refuses them, from when all known hosts follow it. After a restart of all hosts the
 	// callers come back at once, and the buckets are empty.
 	startTime = time.Second
+	// handoverTime is how long a coordinator that should be replaced waits for the next one
+	// to take over its accounts: two claims of it.
+	handoverTime = time.Second
+	// settleTime is for how long a coordinator that has taken over stays, although its list
+	// of hosts, which may be late, names another one.
+	settleTime = 3 * time.Second
 )
 
 // limits looks up the customers of the plan in force.
@@ -40,18 +47,38 @@
 	CustomerNamed(name string) (cust.Customer, bool)
 }
 
-// Coordinator answers the claims of hosts with their shares of the customers' limits. Its
-// times are those of the caller's clock. It is not safe for concurrent use.
+// Coordinator answers the claims of hosts with their shares of the customers' limits. The
+// times of its methods are those of the caller's clock. It is not safe for concurrent use.
 type Coordinator struct {
-	era                    uint64
 	window, overage, slack float64
-	first                  string
-	listed                 int
-	known                  []knownCount
-	followers              map[string]*follower
-	accounts               map[string]*account
-	lastAt                 time.Duration
-	integratedAt           time.Duration
+	// ownEra is the last era of this process. era is the era of the accounts, which may be
+	// that of another coordinator that gave them away, and shift the time on that one's
+	// clock less the time on the caller's.
+	ownEra, era uint64
+	shift       time.Duration
+	// first is the host that should coordinate, since firstSince by the caller's clock.
+	first      string
+	firstSince time.Duration
+	listed     int
+	// known holds the numbers of known hosts, by the caller's clock.
+	known []knownCount
+	// settledAt is when what the list of hosts says counts again after accounts were taken
+	// over, by the caller's clock.
+	settledAt time.Duration
+	// given are the accounts that were given away last, to givenTo at givenAt, by the
+	// caller's clock.
+	given   books.Books
+	givenTo string
+	givenAt time.Duration
+
+	// The fields below are the accounts, whose times are those of the era's clock.
+
+	followers    map[string]*follower
+	accounts     map[string]*account
+	lastAt       time.Duration
+	integratedAt time.Duration
+	// confirmedAt is when a claim was last confirmed, 0 if none was.
+	confirmedAt time.Duration
 	// cleanShare is the share of the known hosts that only this coordinator counts, and
 	// extraShare the share of those that one other coordinator may count.
 	cleanShare, extraShare float64
@@ -103,7 +130,7 @@
 		overage = 0.1
 		slack   = 20
 	)
-	c := &Coordinator{era: era, window: window, overage: overage, slack: slack, followers: map[string]*follower{}, accounts: map[string]*account{}}
+	c := &Coordinator{ownEra: era, era: era, window: window, overage: overage, slack: slack, followers: map[string]*follower{}, accounts: map[string]*account{}}
 	for _, o := range options {
 		o(c)
 	}
@@ -126,12 +153,15 @@
 
 // SetHosts sets the names of the live hosts. Before the first call no limit is handed out.
 func (c *Coordinator) SetHosts(now time.Duration, live []string) {
-	c.first = ""
+	first := ""
 	for _, h := range live {
-		if c.first == "" || Order(h) < Order(c.first) {
-			c.first = h
+		if first == "" || Order(h) < Order(first) {
+			first = h
 		}
 	}
+	if first != c.first {
+		c.first, c.firstSince = first, now
+	}
 	// The number before counts from now on, however long ago it was noted.
 	c.noteKnown(now, c.listed)
 	c.listed = len(live)
@@ -160,20 +190,46 @@
 	return scale(interval), scale(lifetime), scale(followTime)
 }
 
-// Award answers a claim. Limits are those of the plan in force.
-func (c *Coordinator) Award(now time.Duration, cl claim.Claim, plan limits) award.Award {
+// Award answers a claim. Limits are those of the plan in force. follows is the other host that
+// this one follows as its coordinator, empty if there is none or it does not answer; for a claim
+// of this host it is empty, too.
+func (c *Coordinator) Award(now time.Duration, cl claim.Claim, plan limits, follows string) award.Award {
 	c.noteKnown(now, cl.Known)
-	every, valid, follows := c.times()
-	c.lastAt = max(now, c.lastAt+1)
-	answer := award.New(c.era, c.lastAt, c.first).WithTimes(every, valid, follows+valid)
-	c.integrate(now)
-	f, ok := c.follow(now, cl, follows)
+	every, valid, counts := c.times()
+	at := now + c.shift
+	c.lastAt = max(at, c.lastAt+1)
+	answer := award.New(c.era, c.lastAt, c.advice(now, cl.Host, follows)).WithTimes(every, valid, counts+valid)
+	c.integrate(at)
+	if a, ok := c.afterHandover(now, cl, answer); ok {
+		return a
+	}
+	if c.waits(now, cl.Host, follows) {
+		return answer
+	}
+	f, ok := c.follow(at, cl, counts)
 	if !ok {
 		return answer
 	}
-	c.share(now)
-	c.forget(now, plan)
-	return answer.WithShares(!c.whole, c.divide(now, now+valid, f, cl, plan)...)
+	c.confirmedAt = at
+	c.share(at)
+	c.forget(at, plan)
+	answer = answer.WithShares(!c.whole, c.divide(at, at+valid, f, cl, plan)...)
+	if cl.Ready && cl.Host == c.first {
+		answer = answer.WithBooks(c.give(now, cl.Host, plan))
+	}
+	return answer
+}
+
+// advice returns who should coordinate. While this coordinator has followers and should be
+// replaced, they stay for handoverTime, so that the next one can take over the accounts.
+func (c *Coordinator) advice(now time.Duration, asking, follows string) string {
+	switch {
+	case c.waits(now, asking, follows):
+		return follows
+	case c.acting(now) && (now-c.firstSince < handoverTime || now < c.settledAt):
+		return ""
+	}
+	return c.first
 }
 
 // follow takes note of a confirmed claim. It reports false for a claim that is not
--- a/process/share/encode.go
+++ b/process/share/encode.go
@@ -13,7 +13,7 @@
 
 // The bits of the first byte of an encoded share.
 const (
-	urgentBit  = 1
+	waitingBit = 1
 	limitedBit = 2
 )
 
@@ -35,8 +35,8 @@
 // append appends the share with its tokens rounded by a function.
 func (s Share) append(b []byte, round func(float64) float64) []byte {
 	var bits byte
-	if s.Urgent {
-		bits |= urgentBit
+	if s.Waiting > 0 {
+		bits |= waitingBit
 	}
 	if s.Limited {
 		bits |= limitedBit
@@ -47,7 +47,11 @@
 	for _, v := range []float64{math.Floor(s.Rate / unit), math.Floor(s.Burst / unit), round(s.Tokens / unit), math.Floor(s.Returned / unit), math.Round(s.Demand / unit)} {
 		b = binary.AppendUvarint(b, uint64(max(v, 0)))
 	}
-	return binary.AppendUvarint(b, uint64(max(s.LeftMs, 0)))
+	b = binary.AppendUvarint(b, uint64(max(s.LeftMs, 0)))
+	if s.Waiting > 0 {
+		b = binary.AppendUvarint(b, uint64(s.Waiting))
+	}
+	return b
 }
 
 // Parse decodes a share at the beginning of b and returns the bytes behind it.
@@ -55,7 +59,8 @@
 	if len(b) == 0 {
 		return Share{}, nil, errMalformed
 	}
-	s := Share{Urgent: b[0]&urgentBit != 0, Limited: b[0]&limitedBit != 0}
+	waits := b[0]&waitingBit != 0
+	s := Share{Limited: b[0]&limitedBit != 0}
 	n, size := binary.Uvarint(b[1:])
 	if size <= 0 || n > uint64(len(b)-1-size) {
 		return Share{}, nil, errMalformed
@@ -73,6 +78,13 @@
 	if size <= 0 || left > math.MaxInt64 {
 		return Share{}, nil, errMalformed
 	}
-	s.LeftMs = int64(left)
-	return s, b[size:], nil
+	s.LeftMs, b = int64(left), b[size:]
+	if waits {
+		waiting, size := binary.Uvarint(b)
+		if size <= 0 || waiting > math.MaxInt32 {
+			return Share{}, nil, errMalformed
+		}
+		s.Waiting, b = int(waiting), b[size:]
+	}
+	return s, b, nil
 }
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -19,10 +19,10 @@
 	Returned float64
 	// LeftMs is for how long the share remains valid, in a claim, in milliseconds.
 	LeftMs int64
-	// Demand is how many operations per second callers ask for, in a claim, and Urgent
-	// means that operations wait for tokens.
-	Demand float64
-	Urgent bool
+	// Demand is how many operations per second callers ask for, and Waiting how many
+	// operations wait for tokens, in a claim.
+	Demand  float64
+	Waiting int
 	// Limited means that the customer has reached its limit over all hosts, in an award,
 	// so that asking again before the next interval is useless.
 	Limited bool
@@ -33,9 +33,9 @@
 	return Share{Customer: customer}
 }
 
-// WithDemand returns the share with a demand.
-func (s Share) WithDemand(perSecond float64, urgent bool) Share {
-	s.Demand, s.Urgent = perSecond, urgent
+// WithDemand returns the share with a demand and a number of waiting operations.
+func (s Share) WithDemand(perSecond float64, waiting int) Share {
+	s.Demand, s.Waiting = perSecond, waiting
 	return s
 }
 
