--- a/cmd/pistachiotray/shape_test.go
+++ b/cmd/pistachiotray/shape_test.go
@@ -18,7 +18,7 @@
 	"process/report", "process/quorum", "process/elect", "process/timing", "process/queue", "process/group",
 	"process/owner", "process/gossip", "process/swim", "process/health",
 	"process/delta", "process/ranks", "process/assign", "process/usage", "process/stride", "process/strain", "process/turns", "version/waits",
-	"process/quota", "process/bucket", "process/claim", "process/award", "process/share", "version/cust",
+	"process/quota", "process/bucket", "process/claim", "process/award", "process/share", "process/books", "version/cust",
 }
 
 // forbiddenImports are the packages that decision packages must not import,
