Hosts: a mark for hosts that the coordinator of the limits does not hear

A host that is gone for good keeps its registration, and costs its share of the limits. HostInfo.Unheard tells the limits of such a host. Nothing else looks at it: lenders, ranks and places are decided by names and zones, and the messages of serve name the fields that they carry.

--- a/process/assign/assignment_test.go
+++ b/process/assign/assignment_test.go
@@ -125,3 +125,21 @@
 		}
 	}
 }
+
+// A host marked as unheard may be alive, and may have acknowledged commits, so that the mark must
+// change nothing about who connects to targets and who is asked.
+func TestUnheardHostsCountLikeOthers(t *testing.T) {
+	is := is.New(t)
+	tg := target.New("t", "g", "", "a1")
+	as := newAssignment("h0", 80)
+	lenders, _ := as.Lenders(tg, 58)
+	h := lenders[0]
+	marked := as.WithHost(h.WithUnheard(true))
+	is.Equal(len(marked.Live()), len(as.Live()))
+	is.Equal(marked.LiveCount(), as.LiveCount())
+	is.Equal(marked.Rank(tg), as.Rank(tg))
+	after, _ := marked.Lenders(tg, 58)
+	is.Equal(after[0].WithUnheard(false), h)
+	is.Equal(after[1:], lenders[1:])
+	is.Equal(marked.CustomerShare(tg, []string{"a", "b"}, after, 58), as.CustomerShare(tg, []string{"a", "b"}, lenders, 58))
+}
--- a/process/gossip/hostinfo.go
+++ b/process/gossip/hostinfo.go
@@ -30,6 +30,11 @@
 	Incarnation uint64
 	// State is Alive, Suspect, Dead or Left.
 	State int
+	// Unheard means that the coordinator of the limits has heard nothing of the host for
+	// some time. Such a host does not count as a known host for the limits, and is
+	// treated like any other in all other respects. The messages between hosts don't
+	// carry it.
+	Unheard bool
 }
 
 // New returns the HostInfo of a host in state Alive.
@@ -49,6 +54,12 @@
 	return i
 }
 
+// WithUnheard returns a copy with Unheard set to unheard.
+func (i HostInfo) WithUnheard(unheard bool) HostInfo {
+	i.Unheard = unheard
+	return i
+}
+
 // Supersedes reports whether i is newer than other: it has a higher
 // incarnation, or the same incarnation and a later state.
 func (i HostInfo) Supersedes(other HostInfo) bool {
