Registrations: mark a silent host in its row, and remove one's own mark

MarkUnheard writes the row as last read with the mark, under the condition that it is unchanged, which takes one call to the store. A write that a restored store answered in another era is reported as failed. A row that a full listing lacks is not written.

A marked host finds that its row differs from what it wrote and writes it again, with a log line of its own. A mark that arrived while the host's own write was not answered yet would have stayed; it is compared after the answer now.

A host that reaches the store but not the coordinator would be marked again each second.

--- a/process/enroll/registry.go
+++ b/process/enroll/registry.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/skips"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/wrap"
@@ -39,8 +40,14 @@
 	Address string
 	Zone    string
 	Leaving bool
+	// Unheard is set by the coordinator of the limits (see gossip.HostInfo).
+	Unheard bool `json:",omitempty"`
 }
 
+// errRestored is returned when the store was restored from a copy between the reading and
+// the writing of a row.
+var errRestored = errors.New("the store was restored from a copy since the row was read")
+
 // table is the table store.
 type table interface {
 	// Get returns one row and the store's time. The row has version 0 if the store
@@ -56,7 +63,8 @@
 type Registry struct {
 	log   *zap.Logger
 	store table
-	// mu guards assignment and ownRow. onChange is called with mu held.
+	// mu guards assignment, ownRow, leaving, registered, rows and returned. onChange is called
+	// with mu held.
 	mu sync.Mutex
 	// assignment holds the known hosts.
 	assignment assign.Assignment
@@ -69,6 +77,12 @@
 	// once it was written.
 	leaving    bool
 	registered bool
+	// rows holds the rows of the other hosts that the store has, as last read or marked.
+	rows map[string]record.Row
+	// returned holds the hosts that removed a mark, which are not marked again for a time. Its
+	// times are those since started.
+	returned *skips.Skips
+	started  time.Time
 	// lost has a value while this host's row is missing or differs from what was
 	// written.
 	lost chan struct{}
@@ -81,7 +95,10 @@
 // New returns a registry that knows only this host. Apply calls onChange with
 // the known hosts after each full listing and each change. regions maps each zone to its region.
 func New(log *zap.Logger, t table, self gossip.HostInfo, regions map[string]string, onChange func(assign.Assignment)) *Registry {
-	return &Registry{log: log, store: t, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil), lost: make(chan struct{}, 1), listed: make(chan struct{})}
+	return &Registry{
+		log: log, store: t, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil),
+		rows: map[string]record.Row{}, returned: skips.New(), started: time.Now(), lost: make(chan struct{}, 1), listed: make(chan struct{}),
+	}
 }
 
 // Register writes this host's row, with Leaving set to leaving. It retries until it
@@ -98,8 +115,8 @@
 	rg.write(ctx, leaving)
 }
 
-// Maintain writes this host's row again whenever the store lost what Register wrote,
-// until the context ends.
+// Maintain writes this host's row again whenever the store lost what Register wrote, or
+// another host marked it as unheard, until the context ends.
 func (rg *Registry) Maintain(ctx context.Context) {
 	for {
 		select {
@@ -108,12 +125,19 @@
 			return
 		}
 		rg.mu.Lock()
-		registered, leaving := rg.registered, rg.leaving
+		wrong, leaving, version := rg.ownRowWrong(), rg.leaving, rg.ownRow.Version
+		var own registration
+		marked := version > 0 && json.Unmarshal(rg.ownRow.Value, &own) == nil && own.Unheard
 		rg.mu.Unlock()
-		if registered {
+		if !wrong {
+			continue
+		}
+		if marked {
+			rg.log.Warn("this host was marked as unheard", zap.Bool("Leaving", leaving), zap.Uint64("Version", version))
+		} else {
 			rg.log.Warn("host registration lost by the store", zap.Bool("Leaving", leaving))
-			rg.write(ctx, leaving)
 		}
+		rg.write(ctx, leaving)
 	}
 }
 
@@ -193,31 +217,110 @@
 
 // value returns the value of this host's row.
 func (rg *Registry) value(leaving bool) ([]byte, error) {
-	value, err := json.Marshal(registration{Address: rg.self.Address, Zone: rg.self.Zone, Leaving: leaving})
-	return value, wrap.If(err, "encode host registration")
+	return encode(registration{Address: rg.self.Address, Zone: rg.self.Zone, Leaving: leaving})
 }
 
 // noteOwnRow records this host's row as read or written, unless a later one is known,
 // and wakes Maintain if it is not as it has to be; the caller holds the lock.
 func (rg *Registry) noteOwnRow(r record.Row) {
-	if r.Stamp().Compare(rg.ownRow.Stamp()) <= 0 {
-		return
+	if r.Stamp().Compare(rg.ownRow.Stamp()) > 0 {
+		if r.Gone {
+			r = record.New(r.Key, nil).WithEra(r.Era)
+		}
+		rg.ownRow = r
 	}
-	if r.Gone {
-		r = record.New(r.Key, nil).WithEra(r.Era)
+	if rg.ownRowWrong() {
+		select {
+		case rg.lost <- struct{}{}:
+		default:
+		}
 	}
-	rg.ownRow = r
+}
+
+// ownRowWrong reports whether this host's row is missing or differs from what Register wrote;
+// the caller holds the lock.
+func (rg *Registry) ownRowWrong() bool {
 	value, err := rg.value(rg.leaving)
 	if err != nil {
 		rg.log.Error("host registration not encoded", zap.String("Error", err.Error()))
-		return
+		return false
 	}
-	if rg.registered && (r.Version == 0 || string(r.Value) != string(value)) {
-		select {
-		case rg.lost <- struct{}{}:
-		default:
+	return rg.registered && (rg.ownRow.Version == 0 || string(rg.ownRow.Value) != string(value))
+}
+
+// MarkUnheard marks another host as unheard in its row, on the condition that the row is
+// unchanged since it was read. It returns nil without a write if there is nothing to mark: the
+// host is unknown, leaving, this host, marked already, or removed a mark recently. It uses the
+// row as last read, so that a mark takes a single call to the store.
+func (rg *Registry) MarkUnheard(ctx context.Context, host string) error {
+	rg.mu.Lock()
+	r, ok := rg.rows[host]
+	waits := time.Since(rg.started) < rg.returned.End(host)
+	rg.mu.Unlock()
+	if !ok || waits {
+		return nil
+	}
+	var e registration
+	if err := decode(r.Value, &e); err != nil {
+		return err
+	}
+	if e.Leaving || e.Unheard {
+		return nil
+	}
+	e.Unheard = true
+	value, err := encode(e)
+	if err != nil {
+		return err
+	}
+	at, err := rg.store.CompareAndSwap(ctx, Table, record.New(host, value).WithVersion(r.Version))
+	if err != nil {
+		return errors.Wrap(err, "mark host registration")
+	}
+	if at.Era != r.Era {
+		// A restored store gives versions out again, so the condition may have held for
+		// another row. A host whose row was overwritten writes it again.
+		return errors.Wrap(errRestored, "mark host registration")
+	}
+	rg.log.Info("host marked as unheard", zap.String("Peer", host), zap.Uint64("Version", at.Version))
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	if known, ok := rg.rows[host]; ok && known.Stamp().Compare(at) < 0 {
+		rg.rows[host] = record.New(host, value).WithVersion(at.Version).WithEra(at.Era)
+	}
+	return nil
+}
+
+// forgetUnlisted removes the rows of other hosts that a full listing lacks; the caller holds the
+// lock.
+func (rg *Registry) forgetUnlisted(listing []record.Row) {
+	listed := make(map[string]record.Row, len(listing))
+	for _, r := range listing {
+		if before, ok := rg.rows[r.Key]; ok {
+			listed[r.Key] = before
 		}
 	}
+	rg.rows = listed
+}
+
+// noteRow records the row of another host, and whether that host removed a mark since the last
+// row; the caller holds the lock. A host that reaches the store but not the coordinator would
+// otherwise be marked each second and write its row each time. So the time for which it is not
+// marked again doubles each time, unless the last time was long ago.
+func (rg *Registry) noteRow(r record.Row, unheard bool) {
+	before, known := rg.rows[r.Key]
+	rg.rows[r.Key] = r
+	if unheard || !known || before.Era != r.Era || string(before.Value) == string(r.Value) {
+		return
+	}
+	var e registration
+	if decode(before.Value, &e) != nil || !e.Unheard {
+		return
+	}
+	now := time.Since(rg.started)
+	if now-rg.returned.End(r.Key) > skips.MaxLength {
+		rg.returned.Clear(r.Key)
+	}
+	rg.returned.Unreachable(r.Key, now)
 }
 
 // Apply updates the known hosts with rows of the table, either changed rows or a
@@ -229,6 +332,9 @@
 	defer rg.listedOnce.Do(func() { close(rg.listed) })
 	var updated []gossip.HostInfo
 	changed, ownListed := false, false
+	if whole {
+		rg.forgetUnlisted(rows)
+	}
 	for _, r := range rows {
 		if r.Key == rg.self.Host {
 			ownListed = true
@@ -236,16 +342,20 @@
 			continue
 		}
 		if r.Gone {
+			delete(rg.rows, r.Key)
+			rg.returned.Clear(r.Key)
 			rg.assignment = rg.assignment.WithoutHost(r.Key)
 			changed = true
 			continue
 		}
 		var e registration
 		if err := decode(r.Value, &e); err != nil {
+			delete(rg.rows, r.Key)
 			rg.log.Warn("invalid host registration ignored", zap.String("Peer", r.Key), zap.String("Error", err.Error()))
 			continue
 		}
-		info := gossip.New(r.Key, e.Address, e.Zone, r.Version)
+		rg.noteRow(r, e.Unheard)
+		info := gossip.New(r.Key, e.Address, e.Zone, r.Version).WithUnheard(e.Unheard)
 		if e.Leaving {
 			info = info.WithState(gossip.Left)
 		}
@@ -262,6 +372,12 @@
 	}
 }
 
+// encode encodes the value of a host's row.
+func encode(e registration) ([]byte, error) {
+	value, err := json.Marshal(e)
+	return value, wrap.If(err, "encode host registration")
+}
+
 // decode decodes the value of a host's row. It fails if other hosts can't connect to the
 // host's address.
 func decode(value []byte, e *registration) error {
--- a/process/enroll/registry_test.go
+++ b/process/enroll/registry_test.go
@@ -136,6 +136,7 @@
 func FuzzApply(f *testing.F) {
 	f.Add([]byte(`{"Address":"10.0.0.2:7000","Zone":"a","Leaving":false}`))
 	f.Add([]byte(`{"Address":"10.0.0.2:70000"}`))
+	f.Add([]byte(`{"Address":"10.0.0.2:7000","Zone":"a","Leaving":false,"Unheard":true}`))
 	f.Add([]byte(`{"Address":"10.0.0.2:0","Zone":[[[[`))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		var known assign.Assignment
