--- a/process/allot/allotments.go
+++ b/process/allot/allotments.go
@@ -53,6 +53,9 @@
 	self    string
 	// wake has a value when a claim should be sent soon.
 	wake chan struct{}
+	// needed is closed once a customer has a limit.
+	needed     chan struct{}
+	neededOnce sync.Once
 
 	// mu guards the fields below.
 	mu         sync.Mutex
@@ -75,7 +78,7 @@
 func New(log *zap.Logger, self gossip.HostInfo, a asker, now func() time.Duration, options ...func(*quota.Coordinator)) *Allotments {
 	return &Allotments{
 		log: log, limiter: rate.NewLimiter(logRate, logBurst), asker: a, now: now, self: self.Host,
-		wake: make(chan struct{}, 1), changed: make(chan struct{}), counts: map[string]*counts{},
+		wake: make(chan struct{}, 1), needed: make(chan struct{}), changed: make(chan struct{}), counts: map[string]*counts{},
 		buckets: bucket.New(self.Host, rand.Uint64(), now()), coordinator: quota.New(rand.Uint64(), options...),
 	}
 }
@@ -103,16 +106,20 @@
 		al.limited = al.limited || c.Limited()
 	}
 	if al.limited {
+		al.neededOnce.Do(func() { close(al.needed) })
 		al.claimSoon()
 	}
 }
 
-// SetAssignment sets the known hosts. Before the first call no share is claimed.
+// SetAssignment sets the known hosts. Before the first call no share is claimed. Other hosts
+// that are marked as unheard don't count. They may claim shares like any other host.
 func (al *Allotments) SetAssignment(a assign.Assignment) {
 	hosts := a.Live()
-	names := make([]string, len(hosts))
-	for i, h := range hosts {
-		names[i] = h.Host
+	names := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		if !h.Unheard || h.Host == al.self {
+			names = append(names, h.Host)
+		}
 	}
 	al.mu.Lock()
 	al.assignment = a
@@ -136,6 +143,26 @@
 	return al.coordinator.Award(al.now(), c, p)
 }
 
+// Silent returns a host that this host has not heard, as the coordinator, for so long that it
+// should be marked as unheard. It reports false if there is none. Until a customer has a limit
+// for the first time, it waits.
+func (al *Allotments) Silent(ctx context.Context) (host string, ok bool) {
+	select {
+	case <-al.needed:
+	case <-ctx.Done():
+		return "", false
+	}
+	al.mu.Lock()
+	limited := al.limited
+	al.mu.Unlock()
+	if !limited {
+		return "", false
+	}
+	al.coordMu.Lock()
+	defer al.coordMu.Unlock()
+	return al.coordinator.Silent(al.now())
+}
+
 // claimSoon wakes Run to send a claim.
 func (al *Allotments) claimSoon() {
 	select {
--- a/process/allot/allotments_test.go
+++ b/process/allot/allotments_test.go
@@ -37,12 +37,13 @@
 
 func (n *network) Quota(ctx context.Context, c claim.Claim, h gossip.HostInfo) (award.Award, error) {
 	n.claims.Add(1)
-	if n.down.Load() {
+	al, ok := n.hosts[h.Host]
+	if n.down.Load() || !ok {
 		<-ctx.Done()
 		return award.Award{}, errors.Wrap(ctx.Err(), "no answer")
 	}
 	time.Sleep(5 * time.Millisecond)
-	return n.hosts[h.Host].Award(c), nil
+	return al.Award(c), nil
 }
 
 // withHosts runs a test with the shares of three hosts that know each other.
@@ -105,6 +106,76 @@
 	is.Equal(testing.AllocsPerRun(100, func() { al.Admit(context.Background(), open) }), 0.0)
 }
 
+// Without limits, the marker of silent hosts must only wait, and must end with its context.
+func TestNoHostIsSilentWithoutLimits(t *testing.T) {
+	withHosts(t, zap.NewNop(), func(t *testing.T, _ *network, hosts []*allot.Allotments) {
+		is := is.New(t)
+		ctx, stop := context.WithTimeout(t.Context(), time.Hour)
+		defer stop()
+		began := time.Now()
+		hosts[0].Adopt(plan.New(1).WithCustomers(open))
+		_, ok := hosts[0].Silent(ctx)
+		is.True(!ok)
+		is.Equal(time.Since(began), time.Hour)
+		hosts[0].Adopt(plan.New(2).WithCustomers(bakery))
+		_, ok = hosts[0].Silent(t.Context())
+		is.True(!ok) // there is no list of hosts that never claimed
+		hosts[0].Adopt(plan.New(3).WithCustomers(open))
+		_, ok = hosts[0].Silent(t.Context())
+		is.True(!ok)
+		is.Equal(time.Since(began), time.Hour)
+	})
+}
+
+// admittedAfterStart returns how many operations of a customer run in the first 2 s after three
+// hosts have started, with more demand than the limit. A fourth host is registered but gone.
+func admittedAfterStart(t *testing.T, gone gossip.HostInfo) int64 {
+	var admitted atomic.Int64
+	withHosts(t, zap.NewNop(), func(t *testing.T, n *network, hosts []*allot.Allotments) {
+		infos := []gossip.HostInfo{gone}
+		for i := range hosts {
+			infos = append(infos, gossip.New(fmt.Sprintf("host-%d", i), "10.0.0.1:1", "zone", 0))
+		}
+		ctx, stop := context.WithTimeout(t.Context(), 2*time.Second)
+		defer stop()
+		var running sync.WaitGroup
+		defer running.Wait()
+		for i, al := range hosts {
+			al.SetAssignment(assign.New(infos[i+1], nil).WithHosts(infos...))
+			al.Adopt(plan.New(1).WithCustomers(bakery))
+		}
+		for ctx.Err() == nil {
+			for _, al := range hosts {
+				running.Go(func() { admitted.Add(int64(admit(ctx, al, bakery, 1))) })
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	return admitted.Load()
+}
+
+// A host that is gone for good must not cost the others their limits after a restart of all of
+// them, once it is marked. 120 operations per second may run, and what the gone host costs is
+// most of the first 2.9 s.
+func TestMarkedHostsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	gone := gossip.New("gone", "10.0.0.1:1", "zone", 0)
+	without, with := admittedAfterStart(t, gone), admittedAfterStart(t, gone.WithUnheard(true))
+	is.True(with >= 120)
+	is.True(without < with/2)
+}
+
+// A host that was marked while it was cut off must get shares before its row is written again.
+func TestMarkedHostCountsItself(t *testing.T) {
+	withHosts(t, zap.NewNop(), func(t *testing.T, _ *network, hosts []*allot.Allotments) {
+		is := is.New(t)
+		hosts[0].SetAssignment(assign.New(gossip.New("host-0", "10.0.0.1:1", "zone", 0).WithUnheard(true), nil))
+		hosts[0].Adopt(plan.New(1).WithCustomers(bakery))
+		time.Sleep(5 * time.Second)
+		is.Equal(admit(t.Context(), hosts[0], bakery, 1), 1)
+	})
+}
+
 // The first use of a customer must wait for a share, not be refused.
 func TestFirstUseWaits(t *testing.T) {
 	withHosts(t, zap.NewNop(), func(t *testing.T, n *network, hosts []*allot.Allotments) {
