--- a/process/enroll/mark_test.go
+++ b/process/enroll/mark_test.go
@@ -207,6 +207,27 @@
 	})
 }
 
+// A store that is restored from a copy may bring back a mark, in a version that was given out
+// before. The host must remove it again.
+func TestMarkThatARestoredStoreBringsBackIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newRowStore()
+		h2, _ := newHost(s, zap.NewNop(), "h2")
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go h2.Maintain(ctx)
+		h2.Register(ctx, false, true)
+		h2.Register(ctx, true, true)
+		h2.Register(ctx, false, true)
+		s.era, s.version = 2, 0
+		s.put("h2", marked)
+		s.list(h2)
+		synctest.Wait()
+		is.Equal(s.value("h2"), row)
+	})
+}
+
 // A mark that arrives before the answer to the host's own write must not stay.
 func TestMarkDuringTheRegistrationIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
