--- a/process/allot/allotments_test.go
+++ b/process/allot/allotments_test.go
@@ -131,7 +131,7 @@
 // hosts have started, with more demand than the limit. A fourth host is registered but gone.
 func admittedAfterStart(t *testing.T, gone gossip.HostInfo) int64 {
 	var admitted atomic.Int64
-	withHosts(t, zap.NewNop(), func(t *testing.T, n *network, hosts []*allot.Allotments) {
+	withHosts(t, zap.NewNop(), func(t *testing.T, _ *network, hosts []*allot.Allotments) {
 		infos := []gossip.HostInfo{gone}
 		for i := range hosts {
 			infos = append(infos, gossip.New(fmt.Sprintf("host-%d", i), "10.0.0.1:1", "zone", 0))
