--- a/process/quota/silent.go
+++ b/process/quota/silent.go
@@ -12,7 +12,8 @@
 	// is mostly back by then, and nothing that it got from this coordinator is valid any more.
 	silentTime = 5 * time.Second
 	// maxMarked is the part of the hosts that may be marked. The shares that marked hosts may hand out
-	// to themselves stay within gapPart of the overage.
+	// to themselves stay within gapPart of the overage. If more are silent, they are probably
+	// cut off, and none is marked.
 	maxMarked = 0.03
 )
 
@@ -24,9 +25,6 @@
 	if !c.acting(now) || !c.majority || at-c.majoritySince < silentTime || at-c.confirmedAt >= interval {
 		return "", false
 	}
-	if all := len(c.listed) + len(c.marked); float64(len(c.marked)+1) > maxMarked*float64(all) {
-		return "", false
-	}
 	var silent []string
 	for _, name := range slices.Sorted(maps.Keys(c.listed)) {
 		f, follows := c.followers[name]
@@ -34,7 +32,7 @@
 			silent = append(silent, name)
 		}
 	}
-	if len(silent) == 0 {
+	if away := len(silent) + len(c.marked); len(silent) == 0 || float64(away) > maxMarked*float64(len(c.listed)+len(c.marked)) {
 		return "", false
 	}
 	next := slices.IndexFunc(silent, func(name string) bool { return name > c.lastSilent })
--- a/process/quota/silent_test.go
+++ b/process/quota/silent_test.go
@@ -58,12 +58,14 @@
 // Marked hosts may have shares of their own, so that only as many may be marked as the overage allows.
 func TestFewHostsAreMarked(t *testing.T) {
 	is := is.New(t)
-	m := newMajority(3)
+	m := newMajority(2)
 	m.coordinator.SetHosts(0, m.names[1:], m.names[0])
 	m.follow(0, 6*time.Second)
 	_, ok := m.coordinator.Silent(6 * time.Second)
 	is.True(ok) // 2 of 80
-	m.coordinator.SetHosts(6*time.Second, m.names[2:], m.names[:2]...)
+	m = newMajority(3)
+	m.coordinator.SetHosts(0, m.names[2:], m.names[:2]...)
+	m.follow(0, 6*time.Second)
 	m.follow(6*time.Second, 7*time.Second)
 	_, ok = m.coordinator.Silent(7 * time.Second)
 	is.True(!ok)
