--- a/process/bucket/peek_test.go
+++ b/process/bucket/peek_test.go
@@ -31,7 +31,7 @@
 		is.Equal([]any{told.Admitted, told.Waits, told.Retry}, []any{ok, wait, after})
 	}
 	is.True(!bs.Peek(at, customer).Admitted)
-	_, c, _ := bs.Claim(at)
+	_, c, _ := bs.Claim(at, false)
 	for _, s := range c.Shares {
 		is.Equal(s.Customer, customer) // none was added for a customer that was only looked at
 	}
--- a/process/bucket/try.go
+++ b/process/bucket/try.go
@@ -25,7 +25,8 @@
 		b.tokens = max(b.tokens-1, 0)
 		ask = !b.limited && b.tokens < lowPart*e.burst
 	case wait:
-		b.urgent, ask = true, true
+		b.waiting++
+		ask = true
 	}
 	return ok, wait, ask, after
 }
