Intake: one accounting for long messages in the readers of frames, lines and compressed messages

connection/frame, platform/lines and connection/huff each counted what they drew for a long message, and frame and huff had the same loop that draws memory as the bytes arrive. connection/intake holds both. lines keeps its own way to grow: it does not know the length of a message, and draws the old and the new buffer while it copies. The readers take an Intake instead of an account, since the interface of the account is declared once, where it is used.

frame tells a draw that failed from a read that failed by budget.ErrExhausted, as platform/node does; all failed draws return it.

--- a/connection/frame/bench_test.go
+++ b/connection/frame/bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/frame"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
 	"github.com/pistachiotray/pistachiotray/process/budget"
 )
 
@@ -20,7 +21,7 @@
 	share := draw.New(budget.New(zap.NewNop(), 1<<20), func() {})
 	defer share.Leave()
 	input := bytes.NewReader(nil)
-	r := frame.New(input, 1<<20, frame.WithAccount(share))
+	r := frame.New(input, 1<<20, frame.WithIntake(intake.New(share)))
 	b.ReportAllocs()
 	for b.Loop() {
 		input.Reset(message)
--- a/connection/frame/reader.go
+++ b/connection/frame/reader.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/pistachiotray/pistachiotray/connection/intake"
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/fault"
 )
@@ -21,32 +23,18 @@
 	bufferBytes = 8 << 10
 )
 
-// account pays for the memory of frames that are longer than the read buffer.
-type account interface {
-	// Begin notes that a long frame begins, and Finish that it is complete or failed.
-	Begin()
-	Finish()
-	// Progress is called before each wait for more of a long frame.
-	Progress()
-	// Draw draws memory before it is used.
-	Draw(n int) error
-}
-
 // Reader reads frames from a connection.
 type Reader struct {
 	buffer *bufio.Reader
 	limit  int
-	// account pays for long frames. It is nil for the frames of targets, which are read into
-	// memory of their announced length at once.
-	account account
-	// drawn is the memory that was drawn since the last call of Drawn.
-	drawn int
+	// intake accounts for long frames. It has no account for the frames of targets, which are
+	// read into memory of their announced length at once.
+	intake intake.Intake
 }
 
-// WithAccount returns an option that sets the account that pays for long frames. Whoever reads
-// the frames returns what Drawn returns.
-func WithAccount(a account) func(*Reader) {
-	return func(r *Reader) { r.account = a }
+// WithIntake returns an option that sets what accounts for long frames.
+func WithIntake(in intake.Intake) func(*Reader) {
+	return func(r *Reader) { r.intake = in }
 }
 
 // New returns a reader of frames. limit is the maximum length of a frame in bytes,
@@ -62,9 +50,7 @@
 // Drawn returns how much memory was drawn for frames since the last call, 0 for frames that fit
 // into the read buffer.
 func (r *Reader) Drawn() int {
-	n := r.drawn
-	r.drawn = 0
-	return n
+	return r.intake.Drawn()
 }
 
 // Append reads one frame and appends it, header included, to p. It returns the frame's
@@ -84,7 +70,7 @@
 		return 0, p, fault.New(code.MessageTooLarge, "a message is longer than the limit")
 	}
 	start := len(p)
-	if r.account != nil && length+1 > bufferBytes {
+	if r.intake.HasAccount() && length+1 > bufferBytes {
 		p, err = r.appendLong(p, int(length)+1)
 		return kind, p, err
 	}
@@ -98,24 +84,14 @@
 // appendLong reads n bytes and appends them to p. It uses memory as they arrive, not when their
 // number is announced.
 func (r *Reader) appendLong(p []byte, n int) ([]byte, error) {
-	r.account.Begin()
-	defer r.account.Finish()
-	start := len(p)
-	for end := start + n; len(p) < end; {
-		if len(p) == cap(p) {
-			larger := min(max(2*cap(p), len(p)+bufferBytes), end)
-			if err := r.account.Draw(larger - cap(p)); err != nil {
-				return p[:start], fault.New(code.NotRunOverload, "no memory for the message")
-			}
-			r.drawn += larger - cap(p)
-			p = append(make([]byte, 0, larger), p...)
-		}
-		r.account.Progress()
-		m, err := r.buffer.Read(p[len(p):min(cap(p), end)])
-		p = p[:len(p)+m]
-		if err != nil {
-			return p[:start], errors.Wrap(err, "Reader.Append")
-		}
+	r.intake.Begin()
+	defer r.intake.Finish()
+	p, err := r.intake.Append(p, r.buffer, n, bufferBytes)
+	if errors.Is(err, budget.ErrExhausted) {
+		return p, fault.New(code.NotRunOverload, "no memory for the message")
+	}
+	if err != nil {
+		return p, errors.Wrap(err, "Reader.Append")
 	}
 	return p, nil
 }
--- a/connection/front/client.go
+++ b/connection/front/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/frame"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
 	"github.com/pistachiotray/pistachiotray/connection/sess"
 	"github.com/pistachiotray/pistachiotray/connection/token"
 	"github.com/pistachiotray/pistachiotray/request/answer"
@@ -62,7 +63,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c := &client{front: f, conn: conn, batches: make(chan batch, 1), ctx: ctx, stop: stop}
 	c.share = draw.New(f.budget, func() { _ = conn.Close(); stop() }, draw.WithProgress(c.noteProgress))
-	c.reader = frame.New(conn, f.messageLimit, frame.WithAccount(c.share))
+	c.reader = frame.New(conn, f.messageLimit, frame.WithIntake(intake.New(c.share)))
 	return c
 }
 
--- a/connection/front/startup.go
+++ b/connection/front/startup.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/pistachiotray/pistachiotray/connection/frame"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
 	"github.com/pistachiotray/pistachiotray/connection/sess"
 	"github.com/pistachiotray/pistachiotray/connection/token"
 	"github.com/pistachiotray/pistachiotray/request/code"
@@ -112,7 +113,7 @@
 	}
 	t := tls.Server(c.conn, c.front.tls)
 	c.conn = t
-	c.reader = frame.New(t, c.front.messageLimit, frame.WithAccount(c.share))
+	c.reader = frame.New(t, c.front.messageLimit, frame.WithIntake(intake.New(c.share)))
 	return nil
 }
 
--- a/connection/huff/bench_test.go
+++ b/connection/huff/bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/huff"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
 	"github.com/pistachiotray/pistachiotray/process/budget"
 )
 
@@ -25,7 +26,7 @@
 			message := make([]byte, length)
 			share := draw.New(budget.New(zap.NewNop(), 4<<20), func() {})
 			defer share.Leave()
-			s := huff.New(&wire, huff.WithAccount(share))
+			s := huff.New(&wire, huff.WithIntake(intake.New(share)))
 			b.ReportAllocs()
 			for b.Loop() {
 				wire.Reset()
--- a/connection/huff/stream.go
+++ b/connection/huff/stream.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/klauspost/compress/huff0"
 
-	"github.com/pistachiotray/pistachiotray/connection/draw"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
 )
 
 const (
@@ -39,17 +39,6 @@
 // memory, since connections are many and mostly idle.
 var scratchPool = sync.Pool{New: func() any { return &huff0.Scratch{} }}
 
-// account pays for the memory of long messages.
-type account interface {
-	// Begin notes that a long message begins, and Finish that it is complete or failed.
-	Begin()
-	Finish()
-	// Progress is called before each wait for more of a long message.
-	Progress()
-	// Draw draws memory before it is used.
-	Draw(n int) error
-}
-
 // Stream writes and reads frames. A frame begins with a varint: the length of the
 // message shifted left by one bit, with the lowest bit set if the message is
 // compressed. In a frame with a compressed message, a second varint follows with the
@@ -62,21 +51,18 @@
 	buf []byte
 	// unread is the rest of the last message read.
 	unread []byte
-	// account pays for long messages, and drawn is the memory that was drawn since the last
-	// call of Drawn.
-	account account
-	drawn   int
+	// intake accounts for long messages.
+	intake intake.Intake
 }
 
-// WithAccount returns an option that sets the account that pays for long messages. Whoever reads
-// the messages returns what Drawn returns.
-func WithAccount(a account) func(*Stream) {
-	return func(s *Stream) { s.account = a }
+// WithIntake returns an option that sets what accounts for long messages.
+func WithIntake(in intake.Intake) func(*Stream) {
+	return func(s *Stream) { s.intake = in }
 }
 
 // New returns a Stream over conn.
 func New(conn io.ReadWriter, options ...func(*Stream)) *Stream {
-	s := &Stream{writer: conn, reader: bufio.NewReader(conn), account: (*draw.Draw)(nil)}
+	s := &Stream{writer: conn, reader: bufio.NewReader(conn)}
 	for _, o := range options {
 		o(s)
 	}
@@ -85,9 +71,7 @@
 
 // Drawn returns how much memory was drawn for messages since the last call.
 func (s *Stream) Drawn() int {
-	n := s.drawn
-	s.drawn = 0
-	return n
+	return s.intake.Drawn()
 }
 
 // Write sends bytes as one frame.
@@ -181,38 +165,19 @@
 	return b, nil
 }
 
-// readLong reads n bytes, which draw from the account as they arrive, and then as much again for
-// each copy that their decoding makes.
+// readLong reads n bytes, which draw memory as they arrive, and then as much again for each copy
+// that their decoding makes.
 func (s *Stream) readLong(n int) ([]byte, error) {
-	s.account.Begin()
-	defer s.account.Finish()
-	var b []byte
-	for len(b) < n {
-		size := min(max(2*len(b), keptBytes), n)
-		if err := s.draw(size - len(b)); err != nil {
-			return nil, err
-		}
-		larger := make([]byte, size)
-		copy(larger, b)
-		for at := len(b); at < size; {
-			s.account.Progress()
-			m, err := s.reader.Read(larger[at:])
-			if err != nil {
-				return nil, errors.Wrap(err, "Stream.Read")
-			}
-			at += m
-		}
-		b = larger
+	s.intake.Begin()
+	defer s.intake.Finish()
+	b, err := s.intake.Append(nil, s.reader, n, keptBytes)
+	if err == nil {
+		err = s.intake.Draw(decodingCopies * n)
 	}
-	return b, s.draw(decodingCopies * n)
-}
-
-func (s *Stream) draw(n int) error {
-	if err := s.account.Draw(n); err != nil {
-		return errors.Wrap(err, "Stream.Read")
+	if err != nil {
+		return nil, errors.Wrap(err, "Stream.Read")
 	}
-	s.drawn += n
-	return nil
+	return b, nil
 }
 
 // decompress returns a message that had size bytes before compression.
--- a/connection/relay/relay.go
+++ b/connection/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/conn"
 	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/huff"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
 	"github.com/pistachiotray/pistachiotray/connection/pack"
 	"github.com/pistachiotray/pistachiotray/connection/parcel"
 	"github.com/pistachiotray/pistachiotray/process/award"
@@ -137,7 +138,7 @@
 	defer b.drop()
 	sh := draw.New(r.budget, func() { _ = c.Close() }, draw.WithProgress(func() { _ = c.SetReadDeadline(time.Now().Add(progressTimeout)) }))
 	defer sh.Leave()
-	compressed := huff.New(c, huff.WithAccount(sh))
+	compressed := huff.New(c, huff.WithIntake(intake.New(sh)))
 	incoming := &guard{reader: compressed}
 	decoder, encoder := gob.NewDecoder(incoming), gob.NewEncoder(compressed)
 	for {
--- a/connection/server/server_test.go
+++ b/connection/server/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
 	"github.com/pistachiotray/pistachiotray/connection/draw"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
 	"github.com/pistachiotray/pistachiotray/connection/server"
 	"github.com/pistachiotray/pistachiotray/platform/lines"
 	"github.com/pistachiotray/pistachiotray/process/budget"
@@ -29,7 +30,7 @@
 type wire struct{}
 
 func newReader(c net.Conn, s *draw.Draw) *lines.Reader {
-	return lines.New(c, lines.WithAccount(s))
+	return lines.New(c, lines.WithIntake(intake.New(s)))
 }
 
 func (wire) AppendReady(dst []byte) []byte { return lines.AppendReady(dst, reply.Idle, mark.Mark{}) }
