--- a/connection/front/front.go
+++ b/connection/front/front.go
@@ -15,6 +15,7 @@
 
 	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
 	"github.com/pistachiotray/pistachiotray/version/policy"
@@ -266,12 +267,8 @@
 		if n == 0 {
 			return 0
 		}
-		timer := time.NewTimer(pollInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep.For(ctx, pollInterval) {
 			return n
-		case <-timer.C:
 		}
 	}
 }
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/codec"
 	"github.com/pistachiotray/pistachiotray/connection/wirepb"
 	"github.com/pistachiotray/pistachiotray/connection/wirepb/wirepbconnect"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
 	"github.com/pistachiotray/pistachiotray/request/fault"
@@ -190,12 +191,7 @@
 		if time.Since(began) > maxRedialPause {
 			pause.Reset()
 		}
-		timer := time.NewTimer(pause.NextBackOff())
-		select {
-		case <-l.ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		sleep.For(l.ctx, pause.NextBackOff())
 	}
 }
 
--- a/process/audit/trail.go
+++ b/process/audit/trail.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 const (
@@ -118,16 +120,7 @@
 }
 
 func (t *Trail) flushLoop() {
-	tick := time.NewTicker(flushInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-t.stop:
-			return
-		case <-tick.C:
-			t.Flush(context.Background())
-		}
-	}
+	sleep.Every(t.stop, flushInterval, func() { t.Flush(context.Background()) })
 }
 
 // Flush writes the next batch of waiting records. If the write fails or its
--- a/process/config/config.go
+++ b/process/config/config.go
@@ -17,6 +17,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/cloud"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/wrap"
 	"github.com/pistachiotray/pistachiotray/version/bundle"
 	"github.com/pistachiotray/pistachiotray/version/policy"
@@ -188,7 +189,7 @@
 		if err := c.poll(); err != nil && c.ctx.Err() == nil {
 			c.log.Info("newest version not read", zap.Error(err))
 		}
-		c.sleep(c.pollInterval/2 + rand.N(c.pollInterval))
+		sleep.For(c.ctx, c.pollInterval/2+rand.N(c.pollInterval))
 	}
 }
 
@@ -252,16 +253,6 @@
 	return ObjectName(b.Version, b.Publication)
 }
 
-// sleep waits for d or until Close.
-func (c *Config) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
-}
-
 // fetchLoop fetches the newest version whenever its number increases, and
 // retries until a version at least as new is in force.
 func (c *Config) fetchLoop() {
@@ -273,7 +264,7 @@
 		}
 		for c.ctx.Err() == nil && c.newest.Load() > c.Policy().Version() {
 			if !c.fetch(c.newest.Load()) {
-				c.sleep(retryPause)
+				sleep.For(c.ctx, retryPause)
 			}
 		}
 	}
--- a/process/engine/session.go
+++ b/process/engine/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiotray/pistachiotray/process/group"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 // Leave handles a session that its caller ended. It ends the session at the owner
@@ -119,12 +120,8 @@
 		if n == 0 {
 			return 0
 		}
-		timer := time.NewTimer(tickInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep.For(ctx, tickInterval) {
 			return n
-		case <-timer.C:
 		}
 	}
 }
--- a/process/engine/trim.go
+++ b/process/engine/trim.go
@@ -8,6 +8,7 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/adapt"
 	"github.com/pistachiotray/pistachiotray/process/group"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/request/call"
 	"github.com/pistachiotray/pistachiotray/version/class"
 )
@@ -25,16 +26,7 @@
 
 // trimLoop removes old idempotency keys every trimInterval until the engine stops.
 func (e *Engine) trimLoop() {
-	t := time.NewTicker(trimInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-e.stop:
-			return
-		case <-t.C:
-			e.TrimKeys(e.now().Add(-keyRetention))
-		}
-	}
+	sleep.Every(e.stop, trimInterval, func() { e.TrimKeys(e.now().Add(-keyRetention)) })
 }
 
 // TrimKeys starts the removal of the idempotency keys created before a time, for the
--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiotray/pistachiotray/connection/link"
 	"github.com/pistachiotray/pistachiotray/connection/wirepb"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/swim"
 	"github.com/pistachiotray/pistachiotray/request/fault"
 )
@@ -227,19 +228,12 @@
 // known, probes the seeds.
 func (f *Fleet) listLoop() {
 	const interval = 5 * time.Second
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-f.stop:
-			return
-		case <-t.C:
-			ctx, stop := context.WithTimeout(context.Background(), interval)
-			f.loadHosts(ctx)
-			f.probeSeeds(ctx)
-			stop()
-		}
-	}
+	sleep.Every(f.stop, interval, func() {
+		ctx, stop := context.WithTimeout(context.Background(), interval)
+		defer stop()
+		f.loadHosts(ctx)
+		f.probeSeeds(ctx)
+	})
 }
 
 // Hosts returns the info of all known hosts: this one first, the others sorted
--- a/process/fleet/probe.go
+++ b/process/fleet/probe.go
@@ -8,19 +8,11 @@
 
 	"github.com/pistachiotray/pistachiotray/connection/wirepb"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 func (f *Fleet) probeLoop() {
-	t := time.NewTicker(f.probeInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-f.stop:
-			return
-		case <-t.C:
-			f.probeNext()
-		}
-	}
+	sleep.Every(f.stop, f.probeInterval, f.probeNext)
 }
 
 // probeNext applies the expired timeouts of suspected, dead and left hosts, and
--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiotray/pistachiotray/process/ranks"
 	"github.com/pistachiotray/pistachiotray/process/rescue"
 	"github.com/pistachiotray/pistachiotray/process/skips"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 const (
@@ -349,13 +350,7 @@
 
 // pause waits until the channel is closed, but no longer than d.
 func (f *Follower) pause(ctx context.Context, changed <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(max(d, minPause))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-changed:
-	case <-ctx.Done():
-	}
+	sleep.Until(ctx, changed, max(d, minPause))
 }
 
 // storeDue reports whether this host has to read a table from the store, and otherwise
--- a/process/host/host.go
+++ b/process/host/host.go
@@ -29,6 +29,7 @@
 	"github.com/pistachiotray/pistachiotray/process/guard"
 	"github.com/pistachiotray/pistachiotray/process/pool"
 	"github.com/pistachiotray/pistachiotray/process/recent"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 )
 
 const (
@@ -171,21 +172,14 @@
 // that this host owns. If the platform fails and this host has no list yet,
 // loadLoop imports the list of another host.
 func (h *Host) loadLoop() {
-	t := time.NewTicker(loadInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-h.stop:
-			return
-		case <-t.C:
-			ctx, stop := context.WithTimeout(context.Background(), loadTimeout)
-			if h.groups.Load(ctx) != nil {
-				h.importGroups(ctx)
-			}
-			h.activateGroups()
-			stop()
+	sleep.Every(h.stop, loadInterval, func() {
+		ctx, stop := context.WithTimeout(context.Background(), loadTimeout)
+		defer stop()
+		if h.groups.Load(ctx) != nil {
+			h.importGroups(ctx)
 		}
-	}
+		h.activateGroups()
+	})
 }
 
 // importGroups gets the list of groups from another host if this one has none,
--- a/process/promo/promoter.go
+++ b/process/promo/promoter.go
@@ -299,13 +299,7 @@
 // pause waits for d, or until there is a new reason to doubt the leader: callers wait until
 // it is trusted again.
 func (p *Promoter) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-p.group.LeaderDoubted():
-	case <-ctx.Done():
-	}
+	sleep.Until(ctx, p.group.LeaderDoubted(), d)
 }
 
 // replace claims the lease and replaces the leader. It returns true if this
--- a/process/topo/topology.go
+++ b/process/topo/topology.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiotray/pistachiotray/process/record"
 	"github.com/pistachiotray/pistachiotray/process/roster"
 	"github.com/pistachiotray/pistachiotray/process/rset"
+	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/version/plan"
 )
@@ -175,16 +176,7 @@
 
 // KeepTrimmed regularly calls Trim until the context ends.
 func (t *Topology) KeepTrimmed(ctx context.Context, limit time.Duration) {
-	ticker := time.NewTicker(trimInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			t.Trim(limit)
-		case <-ctx.Done():
-			return
-		}
-	}
+	sleep.Every(ctx.Done(), trimInterval, func() { t.Trim(limit) })
 }
 
 // Trim closes connections that have been idle for longer than d. The time is
