--- a/process/group/confirm.go
+++ b/process/group/confirm.go
@@ -55,15 +55,21 @@
 	g.queue.SetMargin(time.Duration(g.confirmMean + marginDeviations*g.confirmDeviation))
 }
 
+// takePending removes the call that waits under an id and returns it, or nil if there is none.
+func (g *Group) takePending(id string) *job {
+	j := g.pending[id]
+	delete(g.pending, id)
+	return j
+}
+
 // entryConfirmed handles the confirmation of the log position that a call waited
 // for. It releases the call's answer or a chunk of it, or ends a call whose
 // idempotency key was resolved.
 func (g *Group) entryConfirmed(id string) {
-	j, ok := g.pending[id]
-	if !ok {
+	j := g.takePending(id)
+	if j == nil {
 		return
 	}
-	delete(g.pending, id)
 	switch {
 	case j.waitFor == waitChunk:
 		g.effects.Resume(j.call.ID)
@@ -77,11 +83,10 @@
 // entryLost ends or retries a call whose entry is not in the log of the new term.
 // The entry can never become visible, so a write in it counts as not run.
 func (g *Group) entryLost(now time.Time, id string) {
-	j, ok := g.pending[id]
-	if !ok {
+	j := g.takePending(id)
+	if j == nil {
 		return
 	}
-	delete(g.pending, id)
 	switch {
 	case j.waitFor == waitChunk:
 		g.effects.Interrupt(g.slotOf(j.call.ID), j.call.ID)
@@ -97,11 +102,10 @@
 // entry survived. It refuses the call, runs it again, or queues a lookup of its
 // idempotency key.
 func (g *Group) entryUndetermined(now time.Time, id string) {
-	j, ok := g.pending[id]
-	if !ok {
+	j := g.takePending(id)
+	if j == nil {
 		return
 	}
-	delete(g.pending, id)
 	if j.inTx && j.call.Key != "" && j.call.Ends {
 		j.mayHaveRun = true
 		g.resolveByKey(now, j)
@@ -120,11 +124,10 @@
 // the index if that position is not known. A chunk waits for the confirmation of
 // the index.
 func (g *Group) readIndexTaken(now time.Time, id string, index mark.Mark) {
-	j, ok := g.pending[id]
-	if !ok {
+	j := g.takePending(id)
+	if j == nil {
 		return
 	}
-	delete(g.pending, id)
 	if j.waitFor == waitFloor {
 		j.call = j.call.WithFloor(j.call.Floor.Max(index)).WithFreshFloor(false)
 		g.enqueue(now, j)
