--- a/connection/frame/frame_test.go
+++ b/connection/frame/frame_test.go
@@ -5,10 +5,15 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/connection/draw"
 	"github.com/pistachiotray/pistachiotray/connection/frame"
+	"github.com/pistachiotray/pistachiotray/connection/intake"
+	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/request/code"
 )
 
@@ -55,3 +60,30 @@
 		}
 	})
 }
+
+// A long frame that gets no memory must be refused as overload, with what was drawn for its start,
+// and one that ends early must not be.
+func TestLongFrames(t *testing.T) {
+	cases := map[string]struct {
+		limit int64
+		sent  int
+		want  bool
+	}{
+		"no memory":  {limit: 20 << 10, sent: 100 << 10, want: true},
+		"ends early": {limit: 1 << 20, sent: 50 << 10, want: false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			share := draw.New(budget.New(zap.NewNop(), c.limit, budget.WithWait(time.Millisecond)), func() {})
+			defer share.Leave()
+			message := append([]byte{'Q', 0, 1, 0x90, 0}, make([]byte, c.sent)...)
+			r := frame.New(bytes.NewReader(message), 1<<20, frame.WithIntake(intake.New(share)))
+			_, p, err := r.Append([]byte("before"))
+			is.True(err != nil)
+			is.Equal(string(p), "before")
+			is.Equal(errors.Is(err, code.NotRunOverload), c.want)
+			is.True(r.Drawn() > 0)
+		})
+	}
+}
