Assign: shares of customers' lenders use all of a target's connections

Cause: each lender rounded its share down, so that 60 of 62 connections were used; the lenders with the largest remainders had the most customers without a connection. With one customer, the three other main lenders had one connection more than was counted for them: 36 of 33. Change: what is left over goes to the lenders with the largest remainders, and one connection is reserved for each lender that comes first for no customer.

--- a/process/assign/assignment.go
+++ b/process/assign/assignment.go
@@ -250,18 +250,33 @@
 }
 
 // CustomerShare returns this host's share of the connections that a target accepts, by the
-// number of customers that it comes first for. A lender that comes first for none has
-// one, for the other lenders' customers and its own statements. The shares of all lenders are
-// together at most the given number of connections.
+// number of customers that it comes first for. The connections left over by rounding down go to
+// the lenders with the largest remainders, one each. A lender that comes first for no customer
+// has one, for the other lenders' customers and its own statements. The shares of all lenders
+// are together at most the given number of connections.
 func (as Assignment) CustomerShare(t target.Target, customers []string, lenders []gossip.HostInfo, connections int) int {
-	first := 0
+	first := map[string]int{}
 	for _, c := range customers {
-		if ordered := as.CustomerLenders(t, c, lenders); len(ordered) > 0 && ordered[0].Host == as.self {
-			first++
+		if ordered := as.CustomerLenders(t, c, lenders); len(ordered) > 0 {
+			first[ordered[0].Host]++
 		}
 	}
-	shared := connections - (len(lenders) - mainLenders(len(lenders)))
-	return max(shared*first/max(len(customers), 1), 1)
+	if first[as.self] == 0 {
+		return 1
+	}
+	shared := max(connections-(len(lenders)-len(first)), 0)
+	share, remainder := shared*first[as.self]/len(customers), shared*first[as.self]%len(customers)
+	leftOver, before := shared, 0
+	for host, n := range first {
+		leftOver -= shared * n / len(customers)
+		if r := shared * n % len(customers); r > remainder || r == remainder && host < as.self {
+			before++
+		}
+	}
+	if before < leftOver {
+		share++
+	}
+	return max(share, 1)
 }
 
 // customerWeight returns the weight of a host for a customer's connections to a target in
--- a/process/assign/assignment_test.go
+++ b/process/assign/assignment_test.go
@@ -125,3 +125,26 @@
 		}
 	}
 }
+
+// Connections left over by rounding must not stay unused: of 62, two did, so that two customers
+// more had none of their own and opened one for nearly every statement.
+func TestCustomerSharesUseAllConnections(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{1, 3, 40, 82} {
+		var customers []string
+		for i := range count {
+			customers = append(customers, fmt.Sprintf("customer-%d", i))
+		}
+		for i := range 40 {
+			tg := target.New(fmt.Sprintf("t%d", i), "g", "", "a1")
+			lenders, _ := newAssignment("h0", 80).Lenders(tg, 66)
+			for _, connections := range []int{33, 66} {
+				sum := 0
+				for _, h := range lenders {
+					sum += newAssignment(h.Host, 80).CustomerShare(tg, customers, lenders, connections)
+				}
+				is.Equal(sum, connections)
+			}
+		}
+	}
+}
