Conns: the number of a customer's connections is decided by steady averages

Cause: the value of a further connection was calculated from the averages of the last few uses and openings, and rounded to a whole number of uses.

--- a/process/conns/customers.go
+++ b/process/conns/customers.go
@@ -22,8 +22,11 @@
 	// patience is the same for a connection that would be used less often than the one
 	// that makes room.
 	patience = 10
-	// openWeight is the weight of a new measurement in the average duration of opening.
-	openWeight = 0.1
+	// openWeight is the weight of a new measurement in the average duration of opening, and
+	// usualOpenWeight in the one that tells how many connections a customer needs. With 0.1
+	// for both, this number changed several times a minute.
+	openWeight      = 0.1
+	usualOpenWeight = 0.02
 	// reviewPause is after what time it is decided again whether another connection should
 	// be opened for calls that wait.
 	reviewPause = 15 * time.Millisecond
@@ -63,8 +66,10 @@
 	quotaFrom    time.Duration
 	// starting is set until the first quota applies.
 	starting bool
-	// meanOpen is the average duration of opening a connection.
-	meanOpen time.Duration
+	// meanOpen is the recent average duration of opening a connection, and usualOpen the
+	// average over a longer time.
+	meanOpen  time.Duration
+	usualOpen time.Duration
 	// lastSwitch is when a connection was last closed although calls of its customer
 	// waited, and lateCheck when the waiting calls were last checked.
 	lastSwitch time.Duration
@@ -95,12 +100,13 @@
 	return customer != "" || p.customers.known()
 }
 
-// noteOpened updates the average duration of opening a connection.
+// noteOpened updates the average durations of opening a connection.
 func (cs *customers) noteOpened(took time.Duration) {
 	if cs.meanOpen == 0 {
-		cs.meanOpen = took
+		cs.meanOpen, cs.usualOpen = took, took
 	}
 	cs.meanOpen += time.Duration(openWeight * float64(took-cs.meanOpen))
+	cs.usualOpen += time.Duration(usualOpenWeight * float64(took-cs.usualOpen))
 }
 
 // quotaAt returns the quota that applies at a time.
@@ -214,55 +220,6 @@
 	return n
 }
 
-// worthOpening reports whether another connection should be opened for a call that is the nth
-// waiting one of its customer. If a connection of the customer that is in use is expected back
-// sooner than opening another is worth, the call waits
-// for it; the caller holds the lock.
-func (p *Pool) worthOpening(w *waiter, n int) bool {
-	customer := w.Customer()
-	inUse := p.inUseOf(customer)
-	if inUse+p.opening[customer] == 0 || p.customers.meanOpen == 0 {
-		return true
-	}
-	wait := p.expectedReturn(customer, inUse) * time.Duration(2*n-1) / time.Duration(2*(inUse+p.opening[customer]))
-	if wait < openPrice*p.customers.meanOpen {
-		return false
-	}
-	if wait >= patience*p.customers.meanOpen || p.openCount+p.openingCount < p.room() {
-		return true
-	}
-	i := p.leastUsed(func(cn *conn.Conn) bool { return cn.Customer != customer })
-	further := inUse + p.opening[customer] + 1
-	return i < 0 || p.value(customer, further) > p.value(p.idle[i].Customer, p.openOf(p.idle[i].Customer))
-}
-
-// expectedReturn returns the mean duration of the present uses of a customer's connections,
-// by kind of work; the caller holds the lock.
-func (p *Pool) expectedReturn(customer string, inUse int) time.Duration {
-	if inUse == 0 {
-		return p.customers.usage.Expected(customer, false)
-	}
-	var sum time.Duration
-	for cn, u := range p.inUse {
-		if cn.Customer == customer {
-			sum += p.customers.usage.Expected(customer, u.keeps)
-		}
-	}
-	return sum / time.Duration(inUse)
-}
-
-// value returns how many connections per second a customer would have to open without its nth
-// connection, counted from 1: without the first one, each use opens one; without a further
-// one, the uses do that for which the wait would be long. The caller holds the lock.
-func (p *Pool) value(customer string, n int) float64 {
-	busy := n - 1
-	if mean := p.customers.usage.Expected(customer, false); n > 1 && mean > 0 {
-		// With n-1 connections, the kth waiting call waits for (k-1/2)/(n-1) uses.
-		busy += int(float64(openPrice*p.customers.meanOpen)/float64(mean)*float64(n-1) + 0.5)
-	}
-	return p.customers.usage.Rate(customer, busy, p.now())
-}
-
 // leastUsed returns the index of the idle connection that is expected to be used least, of
 // those that may be closed, or -1 if there is none. Of several, it is the one that has been
 // idle for longest; the caller holds the lock.
--- a/process/usage/usage.go
+++ b/process/usage/usage.go
@@ -14,6 +14,9 @@
 	// meanWeight is the weight of a new measurement in the mean duration of uses, if there
 	// were many before.
 	meanWeight = 0.05
+	// usualWeight is the same for the mean by which the number of a customer's connections
+	// is decided. With 0.05, that number changed several times a minute.
+	usualWeight = 0.005
 	// maxSamples bounds the number of measurements that is kept.
 	maxSamples = 1000
 	// maxCustomers is the number of customers above which those are forgotten that have
@@ -32,6 +35,8 @@
 	count float64
 	at    time.Duration
 	means [kinds]mean
+	// usual is the average duration of uses of any kind over a longer time than means.
+	usual mean
 }
 
 // mean is a moving average.
@@ -40,9 +45,10 @@
 	samples int
 }
 
-func (m *mean) add(d time.Duration) {
+// add adds a measurement. Its weight is at least the given one, and larger while there are few.
+func (m *mean) add(d time.Duration, weight float64) {
 	m.samples = min(m.samples+1, maxSamples)
-	m.value += time.Duration(max(1/float64(m.samples), meanWeight) * float64(d-m.value))
+	m.value += time.Duration(max(1/float64(m.samples), weight) * float64(d-m.value))
 }
 
 // Usage holds the estimates for each customer. It is not safe for concurrent use, and its
@@ -66,8 +72,10 @@
 
 // Ended records the duration of a use. keeps tells whether the work keeps the connection.
 func (u *Usage) Ended(customer string, keeps bool, took, now time.Duration) {
-	u.entryOf(customer, now).means[kindOf(keeps)].add(took)
-	u.all[kindOf(keeps)].add(took)
+	e := u.entryOf(customer, now)
+	e.means[kindOf(keeps)].add(took, meanWeight)
+	e.usual.add(took, usualWeight)
+	u.all[kindOf(keeps)].add(took, meanWeight)
 }
 
 // Expected returns the expected duration of a use, by the customer's earlier uses of the
@@ -83,20 +91,31 @@
 
 // Rate returns how many uses per second of a customer's connections are expected to begin
 // while a number of them or more are in use. That number has a Poisson distribution if the
-// uses are independent.
-func (u *Usage) Rate(customer string, inUse int, now time.Duration) float64 {
+// uses are independent. Rate is interpolated between whole numbers, so that a small change of
+// inUse changes the result by little.
+func (u *Usage) Rate(customer string, inUse float64, now time.Duration) float64 {
 	e, ok := u.customers[customer]
 	if !ok {
 		return 0
 	}
 	rate := e.weighted(now) / memory.Seconds()
-	load := rate * e.meanUse().Seconds()
+	load := rate * e.usual.value.Seconds()
+	whole, part := math.Modf(inUse)
 	fewer, term := 0.0, math.Exp(-load)
-	for i := range inUse {
+	for i := range int(whole) {
 		fewer += term
 		term *= load / float64(i+1)
 	}
-	return rate * max(1-fewer, 0)
+	return rate * max(1-fewer-part*term, 0)
+}
+
+// Usual returns the mean duration of a customer's uses of any kind over a longer time than
+// Expected, or 0 if there were none.
+func (u *Usage) Usual(customer string) time.Duration {
+	if e, ok := u.customers[customer]; ok {
+		return e.usual.value
+	}
+	return 0
 }
 
 // weighted returns the weighted number of uses at a time.
@@ -104,17 +123,6 @@
 	return e.count * math.Exp(-float64(now-e.at)/float64(memory))
 }
 
-// meanUse returns the mean duration of uses of either kind.
-func (e *entry) meanUse() time.Duration {
-	var sum time.Duration
-	samples := 0
-	for _, m := range e.means {
-		sum += m.value * time.Duration(m.samples)
-		samples += m.samples
-	}
-	return sum / time.Duration(max(samples, 1))
-}
-
 // entryOf returns the entry of a customer, which it adds if needed.
 func (u *Usage) entryOf(customer string, now time.Duration) *entry {
 	e, ok := u.customers[customer]
--- a/process/usage/usage_test.go
+++ b/process/usage/usage_test.go
@@ -49,3 +49,32 @@
 	}
 	is.Equal(u.Rate("0", 0, time.Hour), 0.0)
 }
+
+// The number of connections that a customer needs must not change with each few long or short
+// uses, or they are closed and opened again: the rate of uses for which the wait is long rose and
+// fell tenfold within seconds.
+func TestFewUsesChangeLittle(t *testing.T) {
+	is := is.New(t)
+	u := usage.New()
+	now := time.Hour
+	use := func(count int, took time.Duration) {
+		for range count {
+			now += 100 * time.Millisecond
+			u.Started("bakery", now)
+			u.Ended("bakery", false, took, now)
+		}
+	}
+	for range 500 {
+		use(1, 20*time.Millisecond)
+		use(1, 50*time.Millisecond)
+	}
+	rate := func() float64 { return u.Rate("bakery", float64(60*time.Millisecond)/float64(u.Usual("bakery")), now) }
+	before := rate()
+	use(10, 20*time.Millisecond)
+	short := rate()
+	use(20, 50*time.Millisecond)
+	long := rate()
+	t.Logf("%.3f, then %.3f and %.3f", before, short, long)
+	is.True(short > before/1.5)
+	is.True(long < before*1.5)
+}
