Conns: a further connection is opened only if it is worth more than those kept

Cause: a further connection of a customer was opened if it was worth more than the least used idle one of others. That one is closed for each call of a customer without a connection, and so was the further one, a moment later. Change: it must be worth more than the second least used. The new test opens 12 connections for a customer that needs one with the earlier rule.

--- a/process/conns/customer_test.go
+++ b/process/conns/customer_test.go
@@ -231,3 +231,53 @@
 		is.Equal(len(got), 0)
 	})
 }
+
+// Customers without a connection use one in turn. A customer that needs a further connection only
+// now and then must not take that one, as it is closed again for the next of them: the largest
+// customers opened up to 70 connections in ten minutes that way.
+func TestFurtherConnectionsAreKeptOrNotOpened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := &openings{count: map[string]int{}}
+		p := conns.New(32, clock(), func(ctx context.Context, customer string) (*conn.Conn, error) {
+			time.Sleep(targetOpenTime)
+			return o.open(ctx, customer)
+		})
+		p.SetCustomers(map[string]int{"bakery": 1, "cafe": 1, "dairy": 1, "deli": 1}, 3)
+		time.Sleep(5 * time.Second)
+		var all sync.WaitGroup
+		use := func(customer string, n int) {
+			for range n {
+				all.Go(func() {
+					cn, err := p.Take(t.Context(), callerOf(customer), 0)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					time.Sleep(30 * time.Millisecond)
+					p.Put(cn)
+				})
+			}
+		}
+		for i := range 2000 { // five per second
+			switch {
+			case i%200 == 0:
+				use("dairy", 1)
+			case i%200 == 100:
+				use("deli", 1)
+			}
+			if i%5 == 1 {
+				use("cafe", 1)
+			}
+			use("bakery", 1)
+			if i%50 == 49 {
+				use("bakery", 2)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		all.Wait()
+		t.Log(o.count)
+		is.Equal(o.count["bakery"], 1)
+		is.Equal(o.count["cafe"], 1)
+	})
+}
--- a/process/conns/worth.go
+++ b/process/conns/worth.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"math"
 	"time"
 
 	"github.com/pistachiotray/pistachiotray/connection/conn"
@@ -22,9 +23,41 @@
 	if wait >= patience*p.customers.meanOpen || p.openCount+p.openingCount < p.room() {
 		return true
 	}
-	i := p.leastUsed(func(cn *conn.Conn) bool { return cn.Customer != customer })
-	further := inUse + p.opening[customer] + 1
-	return i < 0 || p.value(customer, further) > p.value(p.idle[i].Customer, p.openOf(p.idle[i].Customer))
+	if p.leastUsed(func(cn *conn.Conn) bool { return cn.Customer != customer }) < 0 {
+		return true
+	}
+	return p.value(customer, inUse+p.opening[customer]+1) > p.leastKept(customer)
+}
+
+// leastKept returns the second smallest value of the connections of other customers, or the
+// smallest if there is one connection. The one with the smallest value is closed for each call
+// of a customer without a connection, so that a new connection of less value than the second
+// would be closed next and opened again soon. The caller holds the lock.
+func (p *Pool) leastKept(customer string) float64 {
+	open := map[string]int{}
+	for _, cn := range p.idle {
+		open[cn.Customer]++
+	}
+	for cn := range p.inUse {
+		open[cn.Customer]++
+	}
+	least, second := math.Inf(1), math.Inf(1)
+	for other, n := range open {
+		if other == customer {
+			continue
+		}
+		for ; n > 0; n-- {
+			v := p.value(other, n)
+			if v >= second {
+				break // the customer's earlier connections have larger values
+			}
+			least, second = min(v, least), min(max(v, least), second)
+		}
+	}
+	if math.IsInf(second, 1) {
+		return least
+	}
+	return second
 }
 
 // expectedReturn returns the mean duration of the present uses of a customer's connections,
