Limits: hosts that were cut off from each other follow one coordinator again although the first host is lost

The hosts of both sides were told to follow the host that comes first, which was lost for good but still registered, so that each side kept its coordinator, without a majority. They now move to the first host in the order that they reach.

--- a/process/bucket/buckets.go
+++ b/process/bucket/buckets.go
@@ -102,14 +102,9 @@
 
 // destination returns the host to which the next claim is sent, empty if there is none.
 func (bs *Buckets) destination(now time.Duration) string {
-	working := bs.current != "" && bs.failures < maxFailures
-	if working && (bs.advised == "" || bs.advised == bs.current || !slices.Contains(bs.order, bs.advised) || !bs.eligible(bs.advised, now)) {
-		return bs.current
-	}
-	if working {
-		return bs.advised
-	}
 	switch {
+	case bs.current != "" && bs.failures < maxFailures:
+		return bs.better(now)
 	case bs.consults():
 		return bs.order[1]
 	case bs.current == "" && slices.Contains(bs.order, bs.advised) && bs.eligible(bs.advised, now):
@@ -123,6 +118,24 @@
 	return bs.current
 }
 
+// better returns the host to which this one moves from a coordinator that answers: the one that
+// should coordinate or, if that can't be reached, the first in the order that can. Otherwise hosts
+// that were cut off from each other would keep two coordinators as long as a lost host comes first.
+func (bs *Buckets) better(now time.Duration) string {
+	if bs.advised == "" || bs.advised == bs.current || !slices.Contains(bs.order, bs.advised) {
+		return bs.current
+	}
+	if bs.eligible(bs.advised, now) {
+		return bs.advised
+	}
+	for _, h := range bs.order {
+		if h == bs.current || bs.eligible(h, now) {
+			return h
+		}
+	}
+	return bs.current
+}
+
 // consults reports whether the next claim only asks another host who coordinates. A host that
 // has just started and comes first in the order may take over from the coordinator.
 func (bs *Buckets) consults() bool {
--- a/process/quota/failure_test.go
+++ b/process/quota/failure_test.go
@@ -88,6 +88,25 @@
 	is.True(f.excess(bakery, 0) <= 0)
 }
 
+// Two coordinators of two halves must become one again although the host that comes first was lost for good,
+// or each would go on without a majority.
+func TestTwoCoordinatorsWithoutTheFirstHost(t *testing.T) {
+	is := is.NewRelaxed(t)
+	f := overload(9, 20)
+	f.after(5*time.Second, func() { f.restart(f.some(1, true), time.Hour) })
+	f.after(10*time.Second, func() { f.cutOff(f.some(10, false), 10*time.Second, false) })
+	f.runUntil(40 * time.Second)
+	coordinators := map[string]bool{}
+	for _, h := range f.hosts {
+		if h.up {
+			coordinators[h.buckets.Coordinator()] = true
+		}
+	}
+	is.Equal(len(coordinators), 1)
+	is.True(f.part(30*time.Second, 40*time.Second) >= 0.9)
+	is.True(f.excess(bakery, 0) <= 0)
+}
+
 // When all hosts restart at once, the first coordinator that has heard from all hands out the
 // whole limit at once, and nothing twice.
 func TestAllHostsRestart(t *testing.T) {
