--- a/process/allot/allotments.go
+++ b/process/allot/allotments.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/pistachiotray/pistachiotray/process/allow"
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/award"
 	"github.com/pistachiotray/pistachiotray/process/bucket"
@@ -53,6 +55,9 @@
 	self    string
 	// wake has a value when a claim should be sent soon.
 	wake chan struct{}
+	// needed is closed once a customer has a limit.
+	needed     chan struct{}
+	neededOnce sync.Once
 
 	// mu guards the fields below.
 	mu         sync.Mutex
@@ -60,6 +65,8 @@
 	plan       plan.Plan
 	limited    bool
 	assignment assign.Assignment
+	// leaving is set once this host is about to stop.
+	leaving bool
 	// changed is closed and replaced with each answer to a claim.
 	changed chan struct{}
 	waiting int
@@ -75,7 +82,7 @@
 func New(log *zap.Logger, self gossip.HostInfo, a asker, now func() time.Duration, options ...func(*quota.Coordinator)) *Allotments {
 	return &Allotments{
 		log: log, limiter: rate.NewLimiter(logRate, logBurst), asker: a, now: now, self: self.Host,
-		wake: make(chan struct{}, 1), changed: make(chan struct{}), counts: map[string]*counts{},
+		wake: make(chan struct{}, 1), needed: make(chan struct{}), changed: make(chan struct{}), counts: map[string]*counts{},
 		buckets: bucket.New(self.Host, rand.Uint64(), now()), coordinator: quota.New(rand.Uint64(), options...),
 	}
 }
@@ -103,18 +110,28 @@
 		al.limited = al.limited || c.Limited()
 	}
 	if al.limited {
+		al.neededOnce.Do(func() { close(al.needed) })
 		al.claimSoon()
 	}
 }
 
-// SetAssignment sets the known hosts. Before the first call no share is claimed.
+// SetAssignment sets the known hosts. Before the first call no share is claimed. Other hosts
+// that are marked as unheard don't count. They may claim shares like any other host.
 func (al *Allotments) SetAssignment(a assign.Assignment) {
 	hosts := a.Live()
-	names := make([]string, len(hosts))
-	for i, h := range hosts {
-		names[i] = h.Host
+	names := make([]string, 0, len(hosts))
+	var marked []string
+	for _, h := range hosts {
+		if h.Unheard && h.Host != al.self {
+			marked = append(marked, h.Host)
+			continue
+		}
+		names = append(names, h.Host)
 	}
 	al.mu.Lock()
+	if al.leaving {
+		names = slices.DeleteFunc(names, func(name string) bool { return name == al.self })
+	}
 	al.assignment = a
 	al.buckets.SetHosts(names)
 	if al.limited {
@@ -123,17 +140,65 @@
 	al.mu.Unlock()
 	al.coordMu.Lock()
 	defer al.coordMu.Unlock()
-	al.coordinator.SetHosts(al.now(), names)
+	al.coordinator.SetHosts(al.now(), names, marked...)
 }
 
 // Award answers a host's claim to its shares.
 func (al *Allotments) Award(c claim.Claim) award.Award {
+	al.mu.Lock()
+	p, follows := al.plan, al.buckets.Follows()
+	al.mu.Unlock()
+	if c.Host == al.self {
+		follows = ""
+	}
+	al.coordMu.Lock()
+	defer al.coordMu.Unlock()
+	return al.coordinator.Award(al.now(), c, p, follows)
+}
+
+// Leave makes another host the coordinator, because this one is about to stop.
+func (al *Allotments) Leave() {
+	al.mu.Lock()
+	al.leaving = true
+	a := al.assignment
+	al.mu.Unlock()
+	al.SetAssignment(a)
+}
+
+// takeOver makes this host's coordinator go on with the accounts in the answer to a claim that was
+// sent at a time. It reports false if there are none, or this host has followers.
+func (al *Allotments) takeOver(sent time.Duration, answer award.Award) bool {
+	if answer.Books == nil {
+		return false
+	}
 	al.mu.Lock()
 	p := al.plan
 	al.mu.Unlock()
 	al.coordMu.Lock()
+	taken := al.coordinator.Take(al.now(), sent, *answer.Books, p)
+	al.coordMu.Unlock()
+	al.log.Info("accounts of the limits received", zap.Bool("Taken", taken), zap.Int("Followers", len(answer.Books.Claims)), zap.Uint64("Plan", p.Version))
+	return taken
+}
+
+// Silent returns a host that this host has not heard, as the coordinator, for so long that it
+// should be marked as unheard. It reports false if there is none. Until a customer has a limit
+// for the first time, it waits.
+func (al *Allotments) Silent(ctx context.Context) (host string, ok bool) {
+	select {
+	case <-al.needed:
+	case <-ctx.Done():
+		return "", false
+	}
+	al.mu.Lock()
+	limited := al.limited
+	al.mu.Unlock()
+	if !limited {
+		return "", false
+	}
+	al.coordMu.Lock()
 	defer al.coordMu.Unlock()
-	return al.coordinator.Award(al.now(), c, p)
+	return al.coordinator.Silent(al.now())
 }
 
 // claimSoon wakes Run to send a claim.
@@ -167,6 +232,14 @@
 	return ok, after
 }
 
+// Peek returns what this host has of a customer's limit, and what Admit would decide about an
+// operation now, without waiting. It counts nothing and sends no claim.
+func (al *Allotments) Peek(customer string) allow.Allowance {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.buckets.Peek(al.now(), customer)
+}
+
 // await tries again with each answer to a claim, until there is a token or it is clear that
 // there is none. The caller holds mu, which is released while await waits.
 func (al *Allotments) await(ctx context.Context, customer string, after time.Duration) (bool, time.Duration) {
--- a/process/quota/failure_test.go
+++ b/process/quota/failure_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -98,6 +99,30 @@
 	is.True(f.excess(bakery, 0) <= 0)
 }
 
+// When all hosts restart at once after one was lost for good, the whole limit must be handed out as soon as
+// the others are back, which takes up to 1.4 s. A coordinator that waited for the lost one had no share for 2.9 s.
+func TestAllHostsRestartWithoutALostOne(t *testing.T) {
+	is := is.NewRelaxed(t)
+	f := newFleet(40, 8, bakery)
+	f.runUntil(5 * time.Second)
+	lost := f.some(1, false)
+	f.demand(bakery.Name, time.Minute, func(time.Duration) float64 { return 9 * bakery.Rate }, func() *simHost {
+		for {
+			if h := f.anywhere(40)(); h != lost[0] {
+				return h
+			}
+		}
+	})
+	f.after(2*time.Second, func() { f.restart(lost, time.Hour) })
+	f.after(20*time.Second, func() {
+		f.restart(slices.DeleteFunc(slices.Clone(f.hosts), func(h *simHost) bool { return h == lost[0] }), 500*time.Millisecond)
+	})
+	f.runUntil(40 * time.Second)
+	t.Logf("%.2f of the limit", f.part(26500*time.Millisecond, 28500*time.Millisecond))
+	is.True(f.part(26500*time.Millisecond, 28500*time.Millisecond) >= 0.9)
+	is.True(f.excess(bakery, 0) <= 0)
+}
+
 // A planned restart of the coordinator must cost a customer below its limit nearly nothing.
 func TestPlannedChangeOfCoordinator(t *testing.T) {
 	is := is.NewRelaxed(t)
@@ -138,8 +163,8 @@
 func (f *follower) claim(now time.Duration, known int, clean time.Duration) share.Share {
 	f.number++
 	c := claim.New(f.name, 1, f.number).WithKnown(known).WithEcho(f.era, f.echo, 0).WithAccounts(clean, 0).
-		WithShares(share.New(bakery.Name).WithDemand(100, true))
-	a := f.coordinator.Award(now, c, plan.New(1).WithCustomers(bakery))
+		WithShares(share.New(bakery.Name).WithDemand(100, 1))
+	a := f.coordinator.Award(now, c, plan.New(1).WithCustomers(bakery), "")
 	f.era, f.echo = a.Era, a.At
 	if len(a.Shares) == 0 {
 		return share.Share{}
@@ -222,7 +247,7 @@
 		c := quota.New(1)
 		names := make([]string, hosts)
 		c.SetHosts(0, names)
-		a := c.Award(0, claim.New("a", 1, 1).WithKnown(hosts), plan.New(1))
+		a := c.Award(0, claim.New("a", 1, 1).WithKnown(hosts), plan.New(1), "")
 		is.Equal(a.IntervalMs, interval)
 		is.Equal(a.LifetimeMs, 4*interval)
 		is.True(a.AccountMs > a.LifetimeMs)
--- a/process/quota/simulation_test.go
+++ b/process/quota/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -86,6 +87,9 @@
 	hosts  []*simHost
 	index  map[string]*simHost
 	side   []int
+	// left are the hosts that are about to stop, and marked those that are marked as unheard.
+	left   []string
+	marked map[string]bool
 	// wholeLimit makes every coordinator hand out the whole limit to every host.
 	wholeLimit bool
 	ran        map[string][]time.Duration
@@ -96,7 +100,7 @@
 
 func newFleet(n int, seed uint64, customers ...cust.Customer) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 7)), index: map[string]*simHost{}, side: make([]int, n),
+		random: rand.New(rand.NewPCG(seed, 7)), index: map[string]*simHost{}, marked: map[string]bool{}, side: make([]int, n),
 		ran: map[string][]time.Duration{}, refused: map[string]int{}, offered: map[string]int{},
 	}
 	for i := range n {
@@ -107,9 +111,29 @@
 	for _, h := range f.hosts {
 		f.start(h)
 	}
+	f.after(time.Second, f.mark)
 	return f
 }
 
+// mark lets each coordinator mark a silent host, and hosts that run remove their own mark,
+// unless they are cut off from the others and so from the store. It does so each second.
+func (f *fleet) mark() {
+	f.after(time.Second, f.mark)
+	for i, h := range f.hosts {
+		if !h.up || f.now < h.frozenUntil || f.side[i] != 0 {
+			continue
+		}
+		changed := f.marked[h.name]
+		delete(f.marked, h.name)
+		if silent, ok := h.coordinator.Silent(f.now + h.offset); ok {
+			changed, f.marked[silent] = true, true
+		}
+		if changed {
+			f.announceChanges()
+		}
+	}
+}
+
 func (f *fleet) after(d time.Duration, run func()) {
 	f.seq++
 	heap.Push(&f.queue, event{f.now + d, f.seq, run})
@@ -136,7 +160,7 @@
 	h.buckets = bucket.New(h.name, f.random.Uint64(), clock)
 	h.coordinator = quota.New(f.random.Uint64(), quota.WithBound(window, overage, slack))
 	life := h.life
-	f.after(f.uniform(300*time.Millisecond), func() { f.list(h, life, f.names()) })
+	f.after(f.uniform(300*time.Millisecond), func() { f.list(h, life, f.names(), f.marks(h)) })
 	f.after(f.uniform(500*time.Millisecond), func() { f.tick(h, life) })
 }
 
@@ -148,24 +172,37 @@
 	return names
 }
 
-// list tells a host the names of the live hosts.
-func (f *fleet) list(h *simHost, life int, live []string) {
+// marks returns the names of the marked hosts for a host, which always counts itself.
+func (f *fleet) marks(h *simHost) []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(f.marked)), func(n string) bool { return n == h.name })
+}
+
+// list tells a host the names of the live hosts, and those that are marked.
+func (f *fleet) list(h *simHost, life int, live, marked []string) {
 	if h.life != life || !h.up {
 		return
 	}
-	if f.wakeLater(h, func() { f.list(h, life, live) }) {
+	if f.wakeLater(h, func() { f.list(h, life, live, marked) }) {
 		return
 	}
-	h.buckets.SetHosts(live)
-	h.coordinator.SetHosts(f.now+h.offset, live)
+	counted := slices.DeleteFunc(slices.Clone(live), func(n string) bool { return slices.Contains(marked, n) })
+	h.buckets.SetHosts(counted)
+	h.coordinator.SetHosts(f.now+h.offset, counted, marked...)
 }
 
 // announce changes the list of live hosts, which each host learns a little later.
 func (f *fleet) announce(without ...string) {
-	live := slices.DeleteFunc(f.names(), func(n string) bool { return slices.Contains(without, n) })
-	for _, h := range f.hosts {
-		life := h.life
-		f.after(f.uniform(1500*time.Millisecond), func() { f.list(h, life, live) })
+	f.left = without
+	f.announceChanges()
+}
+
+func (f *fleet) announceChanges() {
+	live := slices.DeleteFunc(f.names(), func(n string) bool { return slices.Contains(f.left, n) })
+	for i, h := range f.hosts {
+		life, marked := h.life, f.marks(h)
+		if f.side[i] == 0 {
+			f.after(f.uniform(1500*time.Millisecond), func() { f.list(h, life, live, marked) })
+		}
 	}
 }
 
@@ -220,7 +257,7 @@
 
 func (f *fleet) send(h *simHost) {
 	sent := f.now + h.offset
-	to, c, ok := h.buckets.Claim(sent)
+	to, c, ok := h.buckets.Claim(sent, h.coordinator.Ready(sent))
 	if !ok {
 		return
 	}
@@ -235,7 +272,11 @@
 		if err {
 			h.buckets.Fail(f.now+h.offset, to)
 		} else {
+			taken := a.Books != nil && h.coordinator.Take(f.now+h.offset, sent, *a.Books, h.plan)
 			h.buckets.Accept(f.now+h.offset, sent, to, a)
+			if taken {
+				h.buckets.TakeOver()
+			}
 		}
 		f.retry(h)
 		h.turns++
@@ -293,7 +334,11 @@
 	if f.wakeLater(h, func() { f.deliver(h, life, c, answer) }) {
 		return
 	}
-	a := h.coordinator.Award(f.now+h.offset, c, h.plan)
+	follows := h.buckets.Follows()
+	if c.Host == h.name {
+		follows = ""
+	}
+	a := h.coordinator.Award(f.now+h.offset, c, h.plan, follows)
 	if f.wholeLimit {
 		for i, s := range a.Shares {
 			limit, _ := h.plan.CustomerNamed(s.Customer)
--- a/process/quota/trouble_test.go
+++ b/process/quota/trouble_test.go
@@ -113,7 +113,7 @@
 	d := 200*time.Millisecond + f.uniform(7*time.Second)
 	count := 1 + f.random.IntN(n/4)
 	coordinator := f.random.IntN(2) == 0
-	kind := f.random.IntN(9)
+	kind := f.random.IntN(11)
 	switch kind {
 	case 0:
 		f.cutOff(f.some(count, coordinator), d, false)
@@ -133,6 +133,15 @@
 		f.restart(f.hosts, 2*time.Second)
 	case 8:
 		f.replace()
+	case 9:
+		// The hosts are marked as unheard, and go on with what they have.
+		f.cutOff(f.some(1+f.random.IntN(2), coordinator), 2*d+6*time.Second, true)
+	case 10:
+		lost := f.some(1+f.random.IntN(2), coordinator)
+		f.cutOff(lost, d+12*time.Second, true)
+		f.after(6*time.Second+f.uniform(6*time.Second), func() {
+			f.restart(slices.DeleteFunc(slices.Clone(f.hosts), func(h *simHost) bool { return slices.Contains(lost, h) }), time.Second)
+		})
 	}
 	return fmt.Sprintf("%v: kind %d, count %d, coordinator %v, %v", f.now, kind, count, coordinator, d)
 }
