--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -32,6 +32,12 @@
 	return nil
 }
 
+func (l *limited) DrawSlab(n int) ([]byte, error) {
+	return make([]byte, n), l.Draw(n)
+}
+
+func (l *limited) ReturnSlab(slab []byte) { l.Return(len(slab)) }
+
 // Bytes that arrive one at a time are appended as they were sent, behind what was there before.
 // What is drawn for them is the memory that was added, Drawn returns it exactly, also after an
 // error, and an error leaves the bytes that were there before.
@@ -72,6 +78,48 @@
 	is.Equal(a.held, 4096)
 }
 
+// Slabs that stay drawn after a message was given up would use up the budget.
+func TestMessageGivenUpReturnsItsSlabs(t *testing.T) {
+	is := is.New(t)
+	a := &limited{limit: 1 << 20}
+	in := intake.New(a)
+	in.Begin()
+	is.NoErr(in.Collect(make([]byte, 300<<10), 8<<10))
+	is.True(a.held >= 300<<10)
+	in.Finish()
+	is.Equal(a.held, 0)
+	is.Equal(in.Drawn(), 0)
+}
+
+// Bytes that are collected in pieces of any size must be the text that was sent, whose memory is
+// drawn exactly.
+func TestCollect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := &limited{limit: 1 << 20}
+		in := intake.New(a)
+		for range 2 {
+			in.Begin()
+			var sent []byte
+			for range rapid.IntRange(0, 20).Draw(t, "pieces") {
+				piece := rapid.SliceOfN(rapid.Byte(), 0, 100).Draw(t, "piece")
+				sent = append(sent, piece...)
+				if err := in.Collect(piece, 8); err != nil {
+					t.Fatal(err)
+				}
+			}
+			text, err := in.Text()
+			in.Finish()
+			if err != nil || text != string(sent) {
+				t.Fatalf("%q was collected as %q: %v", sent, text, err)
+			}
+			if drawn := in.Drawn(); drawn != len(sent) || a.held != drawn {
+				t.Fatalf("%d bytes are held for a message of %d, but Drawn returned %d", a.held, len(sent), drawn)
+			}
+			a.Return(len(sent))
+		}
+	})
+}
+
 // A reader without an account has no limits, and still counts.
 func TestNoAccount(t *testing.T) {
 	is := is.New(t)
