Budget: a draw that waited uses a slab that was returned meanwhile

With a full budget most draws wait for others to return their slabs, and then used new memory. The new test fails without the change.

--- a/process/budget/garbage_test.go
+++ b/process/budget/garbage_test.go
@@ -116,6 +116,29 @@
 	is.Equal(metric(b, "Garbage"), int64(64*kib))
 }
 
+// A draw that waits for others must get their slabs, or a full budget makes garbage.
+func TestSlabsAreUsedAgainAfterAWait(t *testing.T) {
+	is := is.New(t)
+	b := budget.New(zap.NewNop(), 64*kib)
+	first, second := b.Join(func() {}), b.Join(func() {})
+	slab, err := b.DrawSlab(first, 8*kib)
+	is.NoErr(err)
+	is.NoErr(b.Draw(first, 50*kib))
+	again := make(chan []byte)
+	go func() {
+		got, err := b.DrawSlab(second, 8*kib)
+		if err != nil {
+			t.Error(err)
+		}
+		again <- got
+	}()
+	for metric(b, "Waiting") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReturnSlab(first, slab)
+	is.True(&(<-again)[0] == &slab[0])
+}
+
 // Memory that is kept for reuse must not stay occupied when large messages stop.
 func TestUnusedSlabsAreCollected(t *testing.T) {
 	is := is.New(t)
--- a/process/budget/slabs.go
+++ b/process/budget/slabs.go
@@ -21,6 +21,21 @@
 	used bool
 }
 
+// take removes a free slab of n bytes and returns it, nil if there is none.
+func (s *slabs) take(n int) []byte {
+	free := s.free[n]
+	if len(free) == 0 {
+		return nil
+	}
+	last := len(free) - 1
+	slab := free[last]
+	free[last] = nil
+	s.free[n] = free[:last]
+	s.bytes -= int64(n)
+	s.used = true
+	return slab
+}
+
 // DrawSlab draws n bytes as Draw does, and returns the memory, whose content is undefined.
 func (b *Budget) DrawSlab(id uint64, n int) ([]byte, error) {
 	if slab := b.reuse(id, n); slab != nil {
@@ -29,29 +44,35 @@
 	if err := b.Draw(id, n); err != nil {
 		return nil, err
 	}
+	// A taker that made room for this draw may have returned a slab meanwhile.
+	if slab := b.takeSlab(n); slab != nil {
+		return slab, nil
+	}
 	return make([]byte, n), nil
 }
 
-// reuse draws n bytes and returns a slab of this size that was returned. It returns nil if there
-// is none, or if the bytes can't be drawn without waiting. Garbage does not matter, since the slab
-// occupies its memory already.
+// reuse draws n bytes and returns a free slab of this size. It returns nil if there is none, or if
+// the bytes can't be drawn without waiting. Garbage does not matter, since the slab occupies its
+// memory already.
 func (b *Budget) reuse(id uint64, n int) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t, free := b.takers[id], b.slabs.free[n]
-	if t == nil || t.closed || len(free) == 0 || !b.fitsLive(t, int64(n)) {
+	t := b.takers[id]
+	if t == nil || t.closed || !b.fitsLive(t, int64(n)) {
 		return nil
 	}
-	last := len(free) - 1
-	slab := free[last]
-	free[last] = nil
-	b.slabs.free[n] = free[:last]
-	b.slabs.bytes -= int64(n)
-	b.slabs.used = true
-	b.add(t, int64(n))
+	slab := b.slabs.take(n)
+	b.add(t, int64(len(slab)))
 	return slab
 }
 
+// takeSlab returns a free slab of n bytes that were drawn, nil if there is none.
+func (b *Budget) takeSlab(n int) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.slabs.take(n)
+}
+
 // ReturnSlab gives back memory of DrawSlab, which the taker must not use any more. After the taker
 // left, the memory counts as garbage already.
 func (b *Budget) ReturnSlab(id uint64, slab []byte) {
