--- a/process/assign/assignment_test.go
+++ b/process/assign/assignment_test.go
@@ -125,3 +125,44 @@
 		}
 	}
 }
+
+// A host marked as unheard may be alive, and may have acknowledged commits, so that the mark must
+// change nothing about who connects to targets and who is asked.
+func TestUnheardHostsCountLikeOthers(t *testing.T) {
+	is := is.New(t)
+	tg := target.New("t", "g", "", "a1")
+	as := newAssignment("h0", 80)
+	lenders, _ := as.Lenders(tg, 58)
+	h := lenders[0]
+	marked := as.WithHost(h.WithUnheard(true))
+	is.Equal(len(marked.Live()), len(as.Live()))
+	is.Equal(marked.LiveCount(), as.LiveCount())
+	is.Equal(marked.Rank(tg), as.Rank(tg))
+	after, _ := marked.Lenders(tg, 58)
+	is.Equal(after[0].WithUnheard(false), h)
+	is.Equal(after[1:], lenders[1:])
+	is.Equal(marked.CustomerShare(tg, []string{"a", "b"}, after, 58), as.CustomerShare(tg, []string{"a", "b"}, lenders, 58))
+}
+
+// Connections left over by rounding must not stay unused: of 62, two did, so that two customers
+// more had none of their own and opened one for nearly every statement.
+func TestCustomerSharesUseAllConnections(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{1, 3, 40, 82} {
+		var customers []string
+		for i := range count {
+			customers = append(customers, fmt.Sprintf("customer-%d", i))
+		}
+		for i := range 40 {
+			tg := target.New(fmt.Sprintf("t%d", i), "g", "", "a1")
+			lenders, _ := newAssignment("h0", 80).Lenders(tg, 66)
+			for _, connections := range []int{33, 66} {
+				sum := 0
+				for _, h := range lenders {
+					sum += newAssignment(h.Host, 80).CustomerShare(tg, customers, lenders, connections)
+				}
+				is.Equal(sum, connections)
+			}
+		}
+	}
+}
--- a/process/enroll/registry.go
+++ b/process/enroll/registry.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/record"
+	"github.com/pistachiotray/pistachiotray/process/skips"
 	"github.com/pistachiotray/pistachiotray/process/sleep"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
 	"github.com/pistachiotray/pistachiotray/process/wrap"
@@ -39,6 +40,8 @@
 	Address string
 	Zone    string
 	Leaving bool
+	// Unheard is set by the coordinator of the limits (see gossip.HostInfo).
+	Unheard bool `json:",omitempty"`
 }
 
 // table is the table store.
@@ -56,7 +59,8 @@
 type Registry struct {
 	log   *zap.Logger
 	store table
-	// mu guards assignment and ownRow. onChange is called with mu held.
+	// mu guards assignment, ownRow, leaving, registered, rows and returned. onChange is called
+	// with mu held.
 	mu sync.Mutex
 	// assignment holds the known hosts.
 	assignment assign.Assignment
@@ -69,6 +73,12 @@
 	// once it was written.
 	leaving    bool
 	registered bool
+	// rows holds the rows of the other hosts that the store has, as last read or marked.
+	rows map[string]record.Row
+	// returned holds the hosts that removed a mark, which are not marked again for a time. Its
+	// times are those since started.
+	returned *skips.Skips
+	started  time.Time
 	// lost has a value while this host's row is missing or differs from what was
 	// written.
 	lost chan struct{}
@@ -81,7 +91,10 @@
 // New returns a registry that knows only this host. Apply calls onChange with
 // the known hosts after each full listing and each change. regions maps each zone to its region.
 func New(log *zap.Logger, t table, self gossip.HostInfo, regions map[string]string, onChange func(assign.Assignment)) *Registry {
-	return &Registry{log: log, store: t, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil), lost: make(chan struct{}, 1), listed: make(chan struct{})}
+	return &Registry{
+		log: log, store: t, assignment: assign.New(self, regions), self: self, onChange: onChange, ownRow: record.New(self.Host, nil),
+		rows: map[string]record.Row{}, returned: skips.New(), started: time.Now(), lost: make(chan struct{}, 1), listed: make(chan struct{}),
+	}
 }
 
 // Register writes this host's row, with Leaving set to leaving. It retries until it
@@ -98,8 +111,8 @@
 	rg.write(ctx, leaving)
 }
 
-// Maintain writes this host's row again whenever the store lost what Register wrote,
-// until the context ends.
+// Maintain writes this host's row again whenever the store lost what Register wrote, or
+// another host marked it as unheard, until the context ends.
 func (rg *Registry) Maintain(ctx context.Context) {
 	for {
 		select {
@@ -108,12 +121,19 @@
 			return
 		}
 		rg.mu.Lock()
-		registered, leaving := rg.registered, rg.leaving
+		wrong, leaving, version := rg.ownRowWrong(), rg.leaving, rg.ownRow.Version
+		var own registration
+		marked := version > 0 && json.Unmarshal(rg.ownRow.Value, &own) == nil && own.Unheard
 		rg.mu.Unlock()
-		if registered {
+		if !wrong {
+			continue
+		}
+		if marked {
+			rg.log.Warn("this host was marked as unheard", zap.Bool("Leaving", leaving), zap.Uint64("Version", version))
+		} else {
 			rg.log.Warn("host registration lost by the store", zap.Bool("Leaving", leaving))
-			rg.write(ctx, leaving)
 		}
+		rg.write(ctx, leaving)
 	}
 }
 
@@ -193,26 +213,19 @@
 
 // value returns the value of this host's row.
 func (rg *Registry) value(leaving bool) ([]byte, error) {
-	value, err := json.Marshal(registration{Address: rg.self.Address, Zone: rg.self.Zone, Leaving: leaving})
-	return value, wrap.If(err, "encode host registration")
+	return encode(registration{Address: rg.self.Address, Zone: rg.self.Zone, Leaving: leaving})
 }
 
 // noteOwnRow records this host's row as read or written, unless a later one is known,
 // and wakes Maintain if it is not as it has to be; the caller holds the lock.
 func (rg *Registry) noteOwnRow(r record.Row) {
-	if r.Stamp().Compare(rg.ownRow.Stamp()) <= 0 {
-		return
-	}
-	if r.Gone {
-		r = record.New(r.Key, nil).WithEra(r.Era)
-	}
-	rg.ownRow = r
-	value, err := rg.value(rg.leaving)
-	if err != nil {
-		rg.log.Error("host registration not encoded", zap.String("Error", err.Error()))
-		return
+	if r.Stamp().Compare(rg.ownRow.Stamp()) > 0 {
+		if r.Gone {
+			r = record.New(r.Key, nil).WithEra(r.Era)
+		}
+		rg.ownRow = r
 	}
-	if rg.registered && (r.Version == 0 || string(r.Value) != string(value)) {
+	if rg.ownRowWrong() {
 		select {
 		case rg.lost <- struct{}{}:
 		default:
@@ -220,6 +233,17 @@
 	}
 }
 
+// ownRowWrong reports whether this host's row is missing or differs from what Register wrote;
+// the caller holds the lock.
+func (rg *Registry) ownRowWrong() bool {
+	value, err := rg.value(rg.leaving)
+	if err != nil {
+		rg.log.Error("host registration not encoded", zap.String("Error", err.Error()))
+		return false
+	}
+	return rg.registered && (rg.ownRow.Version == 0 || string(rg.ownRow.Value) != string(value))
+}
+
 // Apply updates the known hosts with rows of the table, either changed rows or a
 // full listing, read at a position of the store. A host is removed only if its row is
 // marked as deleted. A host that is merely missing in a full listing stays known.
@@ -229,6 +253,9 @@
 	defer rg.listedOnce.Do(func() { close(rg.listed) })
 	var updated []gossip.HostInfo
 	changed, ownListed := false, false
+	if whole {
+		rg.forgetUnlisted(rows)
+	}
 	for _, r := range rows {
 		if r.Key == rg.self.Host {
 			ownListed = true
@@ -236,16 +263,20 @@
 			continue
 		}
 		if r.Gone {
+			delete(rg.rows, r.Key)
+			rg.returned.Clear(r.Key)
 			rg.assignment = rg.assignment.WithoutHost(r.Key)
 			changed = true
 			continue
 		}
 		var e registration
 		if err := decode(r.Value, &e); err != nil {
+			delete(rg.rows, r.Key)
 			rg.log.Warn("invalid host registration ignored", zap.String("Peer", r.Key), zap.String("Error", err.Error()))
 			continue
 		}
-		info := gossip.New(r.Key, e.Address, e.Zone, r.Version)
+		rg.noteRow(r, e.Unheard)
+		info := gossip.New(r.Key, e.Address, e.Zone, r.Version).WithUnheard(e.Unheard)
 		if e.Leaving {
 			info = info.WithState(gossip.Left)
 		}
@@ -262,6 +293,12 @@
 	}
 }
 
+// encode encodes the value of a host's row.
+func encode(e registration) ([]byte, error) {
+	value, err := json.Marshal(e)
+	return value, wrap.If(err, "encode host registration")
+}
+
 // decode decodes the value of a host's row. It fails if other hosts can't connect to the
 // host's address.
 func decode(value []byte, e *registration) error {
--- a/process/quota/budget.go
+++ b/process/quota/budget.go
@@ -45,7 +45,9 @@
 }
 
 // majorRate returns how many tokens per second a coordinator with a majority may hand out in
-// place of the shares of silent hosts.
+// place of the shares of silent hosts. The shares of marked hosts, which may hand them out to
+// themselves, are handed out already.
 func (c *Coordinator) majorRate(limit cust.Customer) float64 {
-	return min(c.extraRate(limit), limit.Rate*(1-c.cleanShare))
+	taken := limit.Rate * float64(len(c.marked)) / float64(max(c.hosts, 1))
+	return max(min(c.extraRate(limit)-taken, limit.Rate*(1-c.cleanShare)), 0)
 }
--- a/process/quota/coordinator.go
+++ b/process/quota/coordinator.go
@@ -59,7 +59,12 @@
 	// first is the host that should coordinate, since firstSince by the caller's clock.
 	first      string
 	firstSince time.Duration
-	listed     int
+	// listed holds for each known host when it was first listed, and marked the hosts that are
+	// marked as unheard. Both are by the caller's clock.
+	listed map[string]time.Duration
+	marked map[string]bool
+	// lastSilent is the host that Silent returned last.
+	lastSilent string
 	// known holds the numbers of known hosts, by the caller's clock.
 	known []knownCount
 	// settledAt is when what the list of hosts says counts again after accounts were taken
@@ -86,9 +91,10 @@
 	// added up over the time, in seconds.
 	cleanTotal, extraTotal, followTotal float64
 	// majority means that most of the known hosts follow only this coordinator, so that no
-	// other one has a majority. majorTotal adds up the time, in seconds.
-	majority   bool
-	majorTotal float64
+	// other one has a majority, since majoritySince. majorTotal adds up the time, in seconds.
+	majority      bool
+	majoritySince time.Duration
+	majorTotal    float64
 	// hosts is the largest number of known hosts within knownMemory, and whole means that
 	// all of them follow this coordinator.
 	hosts int
@@ -112,6 +118,8 @@
 	// coordinator. Before cleanAt another coordinator may count the host as well, and
 	// before extraAt several others.
 	until, cleanAt, extraAt time.Duration
+	// heardAt is when the last claim came.
+	heardAt time.Duration
 	// inherits means that the claim in hand is the host's first, so that it tells what the
 	// host has from another coordinator.
 	inherits bool
@@ -130,7 +138,7 @@
 		overage = 0.1
 		slack   = 20
 	)
-	c := &Coordinator{ownEra: era, era: era, window: window, overage: overage, slack: slack, followers: map[string]*follower{}, accounts: map[string]*account{}}
+	c := &Coordinator{ownEra: era, era: era, window: window, overage: overage, slack: slack, listed: map[string]time.Duration{}, followers: map[string]*follower{}, accounts: map[string]*account{}}
 	for _, o := range options {
 		o(c)
 	}
@@ -151,8 +159,9 @@
 	return xxhash.Sum64String("quota/" + host)
 }
 
-// SetHosts sets the names of the live hosts. Before the first call no limit is handed out.
-func (c *Coordinator) SetHosts(now time.Duration, live []string) {
+// SetHosts sets the names of the live hosts, and of those that are marked as unheard and don't
+// count, unless they claim. Before the first call no limit is handed out.
+func (c *Coordinator) SetHosts(now time.Duration, live []string, marked ...string) {
 	first := ""
 	for _, h := range live {
 		if first == "" || Order(h) < Order(first) {
@@ -163,9 +172,21 @@
 		c.first, c.firstSince = first, now
 	}
 	// The number before counts from now on, however long ago it was noted.
-	c.noteKnown(now, c.listed)
-	c.listed = len(live)
-	c.noteKnown(now, c.listed)
+	c.noteKnown(now, len(c.listed))
+	listed := make(map[string]time.Duration, len(live))
+	for _, h := range live {
+		at, ok := c.listed[h]
+		if !ok {
+			at = now
+		}
+		listed[h] = at
+	}
+	c.listed = listed
+	c.marked = make(map[string]bool, len(marked))
+	for _, h := range marked {
+		c.marked[h] = true
+	}
+	c.noteKnown(now, len(c.listed))
 }
 
 // noteKnown notes a number of known hosts, of which the largest counts for knownMemory.
@@ -179,6 +200,19 @@
 		}
 	}
 	c.known = append(kept, knownCount{hosts, now})
+	c.hosts = max(c.hosts, len(c.listed)+c.unlisted(now))
+}
+
+// unlisted returns how many hosts follow this coordinator that are not listed. As long as they
+// do, all listed ones and these have to follow.
+func (c *Coordinator) unlisted(now time.Duration) int {
+	n := 0
+	for name, f := range c.followers {
+		if _, ok := c.listed[name]; !ok && f.until >= now+c.shift {
+			n++
+		}
+	}
+	return n
 }
 
 // times returns the interval between two claims, the lifetime of shares and the time for
@@ -254,7 +288,7 @@
 		}
 	}
 	wasClean := !fresh && f.cleanAt <= now && now <= f.until
-	f.start, f.number, f.echo = cl.Start, cl.Number, cl.Echo
+	f.start, f.number, f.echo, f.heardAt = cl.Start, cl.Number, cl.Echo, now
 	// The host sent the claim no earlier than this after it got the award, so that its
 	// promise lasts longer, however late the claim arrives.
 	sent := min(cl.Echo+max(time.Duration(cl.HeldMs)*time.Millisecond, 0), now)
@@ -329,7 +363,11 @@
 		c.cleanShare = min(float64(clean)/float64(c.hosts), 1)
 		c.extraShare = min(float64(extra)/float64(c.hosts), 1-c.cleanShare)
 	}
-	c.majority = 2*clean > c.hosts
+	majority := 2*clean > c.hosts
+	if majority && !c.majority {
+		c.majoritySince = now
+	}
+	c.majority = majority
 }
 
 // begin counts the time since the last of the hosts' processes started, once all known hosts
