--- a/process/books/books.go
+++ b/process/books/books.go
@@ -15,8 +15,8 @@
 	// accounts.
 	Era uint64
 	At  time.Duration
-	// Claims holds for each follower the claim that it could send at that time, with the
-	// most that it can have of each customer's limit.
+	// Claims holds for each follower a claim with the most that it can have of each customer's
+	// limit. Its HeldMs is the time from its Echo to the end of the host's promise.
 	Claims []claim.Claim
 	// Free holds for each customer the tokens that no host has.
 	Free []share.Share
--- a/process/quota/handover.go
+++ b/process/quota/handover.go
@@ -65,12 +65,11 @@
 
 // export returns the accounts at a time of the era's clock.
 func (c *Coordinator) export(at time.Duration, plan limits) books.Books {
-	_, _, counts := c.times()
 	var claims []claim.Claim
 	for _, name := range slices.Sorted(maps.Keys(c.followers)) {
 		f := c.followers[name]
-		held := max(f.until-counts-f.echo, 0)
-		cl := claim.New(name, f.start, f.number).WithEcho(c.era, f.echo, held).WithKnown(c.hosts).
+		// Held is the time from the echo to the end of the promise.
+		cl := claim.New(name, f.start, f.number).WithEcho(c.era, f.echo, max(f.until-f.echo, 0)).WithKnown(c.hosts).
 			WithAccounts(max(f.cleanAt-at, 0), max(f.extraAt-at, 0))
 		shares := make([]share.Share, 0, len(f.entries))
 		for _, customer := range slices.Sorted(maps.Keys(f.entries)) {
@@ -120,23 +119,22 @@
 	for _, cl := range b.Claims {
 		c.noteKnown(now, cl.Known)
 	}
-	_, _, counts := c.times()
 	for _, s := range b.Free {
 		if limit, ok := plan.CustomerNamed(s.Customer); ok && limit.Limited() {
 			c.accounts[s.Customer] = &account{entries: map[string]*entry{}, tokens: s.Tokens, at: at, sweepAt: at + knownMemory}
 		}
 	}
 	for _, cl := range b.Claims {
-		c.restore(at, cl, counts)
+		c.restore(at, cl)
 	}
 	c.share(at)
 	return true
 }
 
-// restore adds a follower by the claim that it could have sent at a time.
-func (c *Coordinator) restore(at time.Duration, cl claim.Claim, counts time.Duration) {
+// restore adds a follower by its claim in the accounts.
+func (c *Coordinator) restore(at time.Duration, cl claim.Claim) {
 	f := &follower{start: cl.Start, number: cl.Number, echo: cl.Echo, heardAt: at, entries: map[string]*entry{}}
-	f.until = min(cl.Echo+time.Duration(cl.HeldMs)*time.Millisecond, at) + counts
+	f.until = cl.Echo + time.Duration(cl.HeldMs)*time.Millisecond
 	f.cleanAt = at + time.Duration(cl.CleanMs)*time.Millisecond
 	f.extraAt = at + time.Duration(cl.ExtraMs)*time.Millisecond
 	c.followers[cl.Host] = f
