--- a/process/follow/follower.go
+++ b/process/follow/follower.go
@@ -21,11 +21,6 @@
 	// startPatience is how long a host that knows the other hosts waits for their
 	// copy of a table before it reads the store.
 	startPatience = 400 * time.Millisecond
-	// startWait is how long a question to another host waits at the first start of the whole
-	// system, while this host lacks a table and does not read it from the store yet. Many hosts
-	// have no copy then, so that several are asked. When all hosts start again, the wait is as
-	// usual: with 50 ms, 77 hosts with 1,400 routes had them 30 ms later.
-	startWait = 50 * time.Millisecond
 	// firstRetryAges and retryAges are the pauses between reads of a table from the store
 	// that were not answered, by a host that follows others: the first pause and the later
 	// ones, as multiples of the table's age.
@@ -64,8 +59,6 @@
 	// read from the store before that, for up to hostPatience after the start.
 	hostTable    string
 	hostPatience time.Duration
-	// firstStart is set if the whole system starts for the first time.
-	firstStart bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -129,12 +122,6 @@
 	return func(f *Follower) { f.wait = wait }
 }
 
-// WithFirstStart returns an option that tells the Follower that the whole system starts for the
-// first time: other hosts may have no copy of a table yet.
-func WithFirstStart(first bool) func(*Follower) {
-	return func(f *Follower) { f.firstStart = first }
-}
-
 // SetHosts sets the live hosts.
 func (f *Follower) SetHosts(hosts []gossip.HostInfo) {
 	f.mu.Lock()
@@ -192,14 +179,9 @@
 			closeLink(link)
 			link = nil
 		}
-		var lacks bool
-		link, lacks = f.ask(ctx, link, upstream, hops)
-		switch {
-		case link == nil || !f.stale(hops):
-		case lacks:
-			f.noteOld(upstream, startPatience)
-		default:
-			f.noteOld(upstream, 2*f.wait)
+		link = f.ask(ctx, link, upstream, hops)
+		if link != nil && f.stale(hops) {
+			f.noteOld(upstream)
 		}
 	}
 }
@@ -228,30 +210,28 @@
 }
 
 // ask asks a host once for changes and applies them. It opens a connection if link is
-// nil, and returns the connection, or nil if the host did not answer in time. It also reports
-// whether this host is seeking and the other one lacks a table as well.
-func (f *Follower) ask(ctx context.Context, link *remote.Remote, upstream gossip.HostInfo, hops int) (*remote.Remote, bool) {
+// nil, and returns the connection, or nil if the host did not answer in time.
+func (f *Follower) ask(ctx context.Context, link *remote.Remote, upstream gossip.HostInfo, hops int) *remote.Remote {
 	began := f.now()
 	var err error
-	lacks := false
 	if link == nil {
 		link, err = f.dial(ctx, upstream)
 	}
 	if err == nil {
-		lacks, err = f.exchange(ctx, link, hops)
+		err = f.exchange(ctx, link, hops)
 	}
 	if err == nil {
 		f.mu.Lock()
 		f.skipped.Clear(upstream.Host)
 		f.answeredAt = f.now()
 		f.mu.Unlock()
-		return link, lacks
+		return link
 	}
 	if ctx.Err() == nil {
 		f.noteUnreachable(upstream, f.now()-began, err)
 	}
 	closeLink(link)
-	return nil, false
+	return nil
 }
 
 // dial opens a connection to a host.
@@ -261,23 +241,15 @@
 	return f.dialer.Host(ctx, h)
 }
 
-// exchange asks a host for changes over an open connection and applies them. It reports
-// whether this host is seeking and the other one has no copy of a table that this one lacks.
-func (f *Follower) exchange(ctx context.Context, link *remote.Remote, hops int) (lacks bool, err error) {
+// exchange asks a host for changes over an open connection and applies them.
+func (f *Follower) exchange(ctx context.Context, link *remote.Remote, hops int) error {
 	ctx, stop := context.WithTimeout(ctx, f.wait+maxTransfer)
 	defer stop()
-	missing, seeking := f.missing(), f.seeking()
-	wait := f.wait
-	if seeking && len(missing) > 0 {
-		wait = min(wait, startWait)
-	}
-	// A slow host is not given up earlier because it is to wait for less time.
-	news, err := link.Follow(ctx, f.mirror.Stamps(), wait, f.wait-wait+answerMargin)
+	news, err := link.Follow(ctx, f.mirror.Stamps(), f.wait, answerMargin)
 	if err != nil {
-		return false, err
+		return err
 	}
 	for _, d := range news {
-		delete(missing, d.Table)
 		if f.mirror.FreshAt(d.Table) == 0 && d.Age > f.MaxAge(d.Table) {
 			// A host that starts must not begin with what another host knew long
 			// ago: a target may have left, or a route been removed since.
@@ -290,26 +262,7 @@
 		}
 		rescue.Run(f.log, func() { f.mirror.Apply(d.WithFrom(link.Host, hops)) })
 	}
-	return seeking && len(missing) > 0, nil
-}
-
-// seeking reports whether other hosts may have no copy of a table yet, and this host does not
-// read those that it lacks from the store yet.
-func (f *Follower) seeking() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.firstStart && f.now()-f.knownAt < startPatience
-}
-
-// missing returns the tables of which this host has no copy.
-func (f *Follower) missing() map[string]bool {
-	missing := map[string]bool{}
-	for table := range f.ages {
-		if f.mirror.FreshAt(table) == 0 {
-			missing[table] = true
-		}
-	}
-	return missing
+	return nil
 }
 
 // noteUnreachable skips a host that could not be reached.
@@ -322,10 +275,11 @@
 	f.log.Info("upstream host lost", zap.String("Peer", h.Host), zap.Duration("Took", took), zap.Duration("Pause", length), zap.String("Error", err.Error()))
 }
 
-// noteOld skips a host whose copy is old, or that has none, for a while.
-func (f *Follower) noteOld(h gossip.HostInfo, pause time.Duration) {
+// noteOld skips a host whose copy is old for a while.
+func (f *Follower) noteOld(h gossip.HostInfo) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	pause := 2 * f.wait
 	f.skipped.Until(h.Host, f.now()+pause)
 	f.reason = "upstream old"
 	f.notifyChanged()
--- a/process/follow/system_test.go
+++ b/process/follow/system_test.go
@@ -12,13 +12,10 @@
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pistachiotray/pistachiotray/connection/relay"
 	"github.com/pistachiotray/pistachiotray/connection/remote"
-	"github.com/pistachiotray/pistachiotray/process/assign"
-	"github.com/pistachiotray/pistachiotray/process/enroll"
 	"github.com/pistachiotray/pistachiotray/process/follow"
 	"github.com/pistachiotray/pistachiotray/process/gossip"
 	"github.com/pistachiotray/pistachiotray/process/mirror"
@@ -35,13 +32,6 @@
 	leaseTable  = "lease"
 )
 
-const (
-	// storeLatency is how long a call takes until the store has it.
-	storeLatency = 10 * time.Millisecond
-	// settleDelay is what the proxy waits for hosts that start together to register.
-	settleDelay = 2500 * time.Millisecond
-)
-
 // sendBuffer is the number of messages that a connection takes before they arrive.
 const sendBuffer = 1000
 
@@ -102,16 +92,8 @@
 	// late holds the hosts that broke the rule.
 	late   map[string]bool
 	closed bool
-	// enrolled is set if hosts register in the store and know each other from it. They
-	// then start the system for the first time if first is set.
-	enrolled, first bool
-	// calls counts the calls to the store, by what they were for.
-	calls map[call]int
 }
 
-// call is a kind of call to the store, and its table.
-type call struct{ kind, table string }
-
 // node is a host of a system. It is also the listener of its relay and its client of the
 // store.
 type node struct {
@@ -125,11 +107,6 @@
 	// plan is the version of the plan in force, 0 while the host has none.
 	plan int
 	up   bool
-	// registry registers the host in the store, nil unless the system's hosts do.
-	registry *enroll.Registry
-	// startedAt is when the process started, and tablesAt when it knew each table first.
-	startedAt time.Time
-	tablesAt  map[string]time.Time
 	// cutFromStore, cutFromHosts and frozen are the disturbances of the host, and delay is
 	// the longest delay of its messages.
 	cutFromStore, frozen bool
@@ -160,20 +137,10 @@
 	due  time.Time
 }
 
-// newSystem returns a system whose hosts have started.
 func newSystem(t *testing.T, s shape, seed uint64) *system {
-	sys := newIdleSystem(t, s, seed)
-	for _, info := range sys.infos {
-		sys.start(info)
-	}
-	return sys
-}
-
-// newIdleSystem returns a system none of whose hosts has started.
-func newIdleSystem(t *testing.T, s shape, seed uint64) *system {
 	sys := &system{
 		t: t, shape: s, random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(), rows: map[string]map[string]record.Row{},
-		changed: make(chan struct{}), linksChanged: make(chan struct{}), nodes: map[string]*node{}, late: map[string]bool{}, calls: map[call]int{},
+		changed: make(chan struct{}), linksChanged: make(chan struct{}), nodes: map[string]*node{}, late: map[string]bool{},
 	}
 	for _, table := range []string{planTable, targetTable, hostTable, leaseTable} {
 		sys.rows[table] = map[string]record.Row{}
@@ -185,6 +152,9 @@
 			sys.infos = append(sys.infos, gossip.New(fmt.Sprintf("front-%d-%d-%d", seed, z, i), "10.0.0.1:1", fmt.Sprint("zone-", z), 0))
 		}
 	}
+	for _, info := range sys.infos {
+		sys.start(info)
+	}
 	return sys
 }
 
@@ -245,10 +215,7 @@
 	if closed {
 		return
 	}
-	n := &node{
-		system: s, info: info, incoming: make(chan net.Conn), ended: make(chan struct{}), up: true, disturbed: time.Now(), wires: map[*wire]bool{},
-		startedAt: time.Now(), tablesAt: map[string]time.Time{},
-	}
+	n := &node{system: s, info: info, incoming: make(chan net.Conn), ended: make(chan struct{}), up: true, disturbed: time.Now(), wires: map[*wire]bool{}}
 	ctx, stop := context.WithCancel(s.t.Context())
 	n.stop = stop
 	m := mirror.New(s.now)
@@ -256,15 +223,10 @@
 	ages := map[string]time.Duration{}
 	for table, wait := range waits {
 		ages[table] = wait + pauses[table]
-		m.Handle(table, func(rows []record.Row, at stamp.Stamp, whole bool) { n.apply(table, rows, at, whole) })
-	}
-	patience := 600 * time.Millisecond
-	if s.first {
-		patience += settleDelay
+		m.Handle(table, func(rows []record.Row, _ stamp.Stamp, _ bool) { n.apply(table, rows) })
 	}
-	n.follower = follow.New(zap.NewNop(), n, m, s.now, info, ages, follow.WithHostTable(hostTable, patience),
-		follow.WithWait(min(ages[planTable], ages[targetTable])/3), follow.WithFirstStart(s.first))
-	hostOptions := n.enroll(ctx)
+	n.follower = follow.New(zap.NewNop(), n, m, s.now, info, ages, follow.WithHostTable(hostTable, 600*time.Millisecond),
+		follow.WithWait(min(ages[planTable], ages[targetTable])/3))
 	s.mu.Lock()
 	s.nodes[info.Host] = n
 	s.mu.Unlock()
@@ -273,32 +235,8 @@
 	plans := watch.New(zap.NewNop(), n, m, planTable, pauses[planTable], waits[planTable], watch.WithGate(n.follower))
 	go plans.Run(ctx)
 	for _, table := range []string{targetTable, hostTable, leaseTable} {
-		options := []func(*watch.Watcher){watch.WithGate(n.follower), watch.WithPrerequisite(plans)}
-		if table == hostTable {
-			options = append(options, hostOptions...)
-		}
-		go watch.New(zap.NewNop(), n, m, table, pauses[table], waits[table], options...).Run(ctx)
-	}
-}
-
-// enroll registers the host in the store, if the system's hosts do, and returns the options of
-// its watcher of the hosts, as the proxy sets them.
-func (n *node) enroll(ctx context.Context) []func(*watch.Watcher) {
-	s := n.system
-	if !s.enrolled {
-		return nil
-	}
-	regions := map[string]string{}
-	for _, info := range s.infos {
-		regions[info.Zone] = "region"
+		go watch.New(zap.NewNop(), n, m, table, pauses[table], waits[table], watch.WithGate(n.follower), watch.WithPrerequisite(plans)).Run(ctx)
 	}
-	n.registry = enroll.New(zap.NewNop(), n, n.info, regions, func(a assign.Assignment) { n.follower.SetHosts(a.Live()) })
-	go n.registry.Register(ctx, false, s.first)
-	go n.registry.Maintain(ctx)
-	if s.first {
-		return []func(*watch.Watcher){watch.WithInitialDelay(settleDelay)}
-	}
-	return []func(*watch.Watcher){watch.WithSecondDelay(settleDelay)}
 }
 
 // kill ends the process of a host, unless it has ended.
@@ -330,16 +268,8 @@
 }
 
 // apply takes over rows of a table.
-func (n *node) apply(table string, rows []record.Row, at stamp.Stamp, whole bool) {
-	n.system.mu.Lock()
-	if n.tablesAt[table].IsZero() {
-		n.tablesAt[table] = time.Now()
-	}
-	n.system.mu.Unlock()
-	switch {
-	case table == hostTable && n.registry != nil:
-		n.registry.Apply(rows, at, whole)
-	case table == hostTable:
+func (n *node) apply(table string, rows []record.Row) {
+	if table == hostTable {
 		n.follower.SetHosts(n.system.infos)
 	}
 	if table != planTable {
@@ -392,73 +322,20 @@
 func (n *node) List(ctx context.Context, table string) ([]record.Row, stamp.Stamp, error) {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	n.count("list", table)
 	return n.read(ctx, table, 0, 0)
 }
 
 func (n *node) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]record.Row, stamp.Stamp, error) {
 	ctx, stop := context.WithTimeout(ctx, wait+callTimeout)
 	defer stop()
-	n.count("feed", table)
 	return n.read(ctx, table, after, wait)
 }
 
-// count counts a call to the store.
-func (n *node) count(kind, table string) {
-	n.system.mu.Lock()
-	defer n.system.mu.Unlock()
-	n.system.calls[call{kind, table}]++
-}
-
-// Get returns one row.
-func (n *node) Get(ctx context.Context, table, key string) (record.Row, time.Duration, error) {
-	n.count("get", table)
-	if err := n.reach(ctx); err != nil {
-		return record.Row{}, 0, err
-	}
-	s := n.system
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r, ok := s.rows[table][key]; ok {
-		return r, s.now(), nil
-	}
-	return record.New(key, nil).WithEra(1), s.now(), nil
-}
-
-// CompareAndSwap writes a row unless the stored one has another version.
-func (n *node) CompareAndSwap(ctx context.Context, table string, r record.Row) (stamp.Stamp, error) {
-	n.count("write", table)
-	if err := n.reach(ctx); err != nil {
-		return stamp.Stamp{}, err
-	}
-	s := n.system
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rows[table][r.Key].Version != r.Version {
-		return stamp.Stamp{}, errors.New("the row has another version")
-	}
-	s.write(table, r.Key, r.Value)
-	return stamp.New(1, s.version), nil
-}
-
-// reach waits until a call has reached the store, or fails if the store does not answer.
-func (n *node) reach(ctx context.Context) error {
-	ctx, stop := context.WithTimeout(ctx, callTimeout)
-	defer stop()
-	time.Sleep(storeLatency)
-	n.system.mu.Lock()
-	silent := n.storeSilent()
-	n.system.mu.Unlock()
-	if silent {
-		<-ctx.Done()
-	}
-	return ctx.Err()
-}
-
 // read returns the rows of a table after a version, and waits for a change for up to wait. A
 // call that the store did not get or could not answer stays unanswered.
 func (n *node) read(ctx context.Context, table string, after uint64, wait time.Duration) ([]record.Row, stamp.Stamp, error) {
 	s := n.system
+	const storeLatency = 10 * time.Millisecond
 	time.Sleep(storeLatency)
 	over := time.After(wait)
 	for {
@@ -519,11 +396,8 @@
 	s := n.system
 	s.mu.Lock()
 	peer := s.nodes[other.Host]
-	up := peer != nil && peer.up
+	up := peer.up
 	s.mu.Unlock()
-	if peer == nil {
-		return nil, io.ErrClosedPipe
-	}
 	if !s.await(ctx, func() bool { return blocked(n, peer) }) {
 		return nil, ctx.Err()
 	}
