Soak: customers with limits that change, more demand than they allow, and hosts that stop as planned

The soak knew customers without limits, so that neither the limits over all hosts nor the handover of their coordinator were seen on real processes. It fails if every operation is admitted: 315 operations in 5 s, 86 may run.

--- a/standin/soak/config_test.go
+++ b/standin/soak/config_test.go
@@ -66,6 +66,8 @@
 	storeDisturbed time.Time
 	// starts counts the starts of each host's process.
 	starts map[string]int
+	// served holds the operations of each customer with a limit that were served.
+	served map[string][]span
 	// answers counts the answers to probes by their first word.
 	answers map[string]int
 }
@@ -281,6 +283,7 @@
 	hostFrozen = iota
 	hostSlow
 	hostRestarted
+	hostStopped
 	hostStoreFault
 	storeSilent
 	hostFaults
@@ -344,8 +347,12 @@
 			h.signal(syscall.SIGCONT)
 			time.Sleep(round / share)
 		}
-	case hostRestarted:
-		r.restart(h, syscall.SIGKILL)
+	case hostRestarted, hostStopped:
+		sig := syscall.SIGKILL
+		if kind == hostStopped {
+			sig = syscall.SIGTERM
+		}
+		r.restart(h, sig)
 		r.configMu.Lock()
 		r.starts[h.name]++
 		r.configMu.Unlock()
@@ -360,7 +367,7 @@
 // newConfigRun starts the hosts of a run.
 func newConfigRun(t *testing.T, program string, seed uint64, zones []int, length time.Duration, customers bool) *configRun {
 	t.Helper()
-	r := &configRun{zones: zones, disturbed: map[string]time.Time{}, starts: map[string]int{}, answers: map[string]int{}}
+	r := &configRun{zones: zones, disturbed: map[string]time.Time{}, starts: map[string]int{}, served: map[string][]span{}, answers: map[string]int{}}
 	r.customers, r.operations = customers, map[string]operation{}
 	if seed%3 == 0 {
 		r.large = largeConfiguration
@@ -393,6 +400,7 @@
 		done.Go(func() { r.probe(h) })
 		if r.customers {
 			done.Go(func() { r.probeKeys(h) })
+			done.Go(func() { r.exceed(h) })
 		}
 	}
 	changes := rand.New(rand.NewPCG(r.random.Uint64(), 2))
@@ -411,6 +419,7 @@
 		h.storeProxy.Close()
 	}
 	r.checkNames()
+	r.checkLimits()
 }
 
 // spread returns how long after its acknowledgement each change came into force on the hosts,
--- a/standin/soak/customers_test.go
+++ b/standin/soak/customers_test.go
@@ -106,7 +106,11 @@
 	}
 	var all []any
 	for name, k := range keys {
-		all = append(all, map[string]any{"Name": name, "ApiKeys": k, "Priority": 1})
+		tenant := map[string]any{"Name": name, "ApiKeys": k, "Priority": 1}
+		if limited(name) {
+			tenant["RatePerS"], tenant["BurstSize"] = limitOf(version), limitOf(version)
+		}
+		all = append(all, tenant)
 	}
 	return all
 }
@@ -289,6 +293,7 @@
 	from, _ := r.from(h, sent)
 	o := operation{host: h.name, key: c.key, from: from, to: r.newest()}
 	r.checkAnswer(o, answer)
+	r.noteServed(o, sent, answer)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for n := first; n <= c.statements; n++ {
