Limits: tokens for waiting operations count as held again; a host takes over from others only

Counted as used, the token of an operation that was given up was unused and not counted for 0.5 s. The bound rests on all unused tokens being counted.

A host also offered with its first claim to take over its own accounts, and took them.

--- a/process/bucket/buckets.go
+++ b/process/bucket/buckets.go
@@ -158,7 +158,7 @@
 		return "", claim.Claim{}, false
 	}
 	bs.number++
-	c := claim.New(bs.self, bs.start, bs.number).WithKnown(len(bs.order)).WithReady(ready && slices.Contains(bs.order, bs.self))
+	c := claim.New(bs.self, bs.start, bs.number).WithKnown(len(bs.order)).WithReady(ready && to != bs.self && slices.Contains(bs.order, bs.self))
 	if to != bs.current {
 		return to, c, true
 	}
--- a/process/bucket/buckets_test.go
+++ b/process/bucket/buckets_test.go
@@ -156,3 +156,22 @@
 	is.Equal(c.Era, uint64(9))
 	is.Equal(c.CleanMs, int64(2900))
 }
+
+// A host must not offer to take over its own accounts, or it would give them away to itself with its
+// first claim. Nor must a host that is about to stop.
+func TestReadyForOthersOnly(t *testing.T) {
+	is := is.New(t)
+	names := names()
+	for _, c := range []struct {
+		self  string
+		live  []string
+		ready bool
+	}{{names[1], names, true}, {names[0], names[:1], false}, {"leaving", names, false}} {
+		bs := bucket.New(c.self, 1, 0)
+		bs.SetHosts(c.live)
+		to, cl, ok := bs.Claim(time.Second, true)
+		is.True(ok)
+		is.Equal(to, names[0])
+		is.Equal(cl.Ready, c.ready)
+	}
+}
--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -318,9 +318,7 @@
 	tokens = max(min(tokens, burst-s.Tokens), 0)
 	a.tokens -= tokens
 	e.granted = holding{max(rate, 0), burst, until}
-	// The operations that wait use their tokens at once. If they counted as unused until the
-	// next claim, few hosts with an operation each would seem to hold the whole stock.
-	a.recount(e, now, max(s.Tokens+tokens-float64(s.Waiting), 0))
+	a.recount(e, now, s.Tokens+tokens)
 	return share.New(s.Customer).WithBucket(max(rate, 0), burst, tokens).WithLimited(limited || burst < 1-rounding && a.tokens < 1 && !b.patient)
 }
 
