--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of the deploy file and review/build-3.sh first" >&2
   exit 2
 fi
-exec target/review3 shape review/12
+exec target/review3 unknown review/12
--- a/review/standins3/cluster.go
+++ b/review/standins3/cluster.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +28,8 @@
 	memoryMb       = 284
 	descriptors    = 4300
 	maxConnections = 32
+	// groupSize is the number of members of a group that are up at the start.
+	groupSize = 3
 	// restartPause is the pause before the platform starts a process again that ended.
 	restartPause = 500 * time.Millisecond
 	// watchInterval is the time between two looks at the memory of a process.
@@ -47,9 +51,9 @@
 }
 
 // newCluster starts a platform with the groups g1 to g3 and a number of hosts, which end with
-// the context. Each group has a database of each route kind: primary-gN and bounded-gN. The members are
-// registered at the addresses of the proxies before them, if there are any.
-func newCluster(ctx context.Context, rec *record, hosts int, proxies ...func(ctx context.Context, member string) string) (*cluster, error) {
+// the context. Each group has a database of each route kind: primary-gN and bounded-gN. Of its members,
+// groupSize are up.
+func newCluster(ctx context.Context, rec *record, hosts int, members int) (*cluster, error) {
 	folder, err := os.MkdirTemp("", "review3-")
 	if err != nil {
 		return nil, err
@@ -60,16 +64,13 @@
 	var routes, services []any
 	for i := range 3 {
 		name := fmt.Sprintf("g%d", i+1)
-		c.groups[name] = qgroup.New(name, 3, qgroup.WithConnectionLimit(maxConnections))
-		proxyFor := func(member string) string {
-			for _, p := range proxies {
-				member = p(ctx, member)
-			}
-			return member
-		}
-		if err := platform.Serve(ctx, name, c.groups[name], platd.WithProxy(proxyFor)); err != nil {
+		c.groups[name] = qgroup.New(name, members, qgroup.WithConnectionLimit(maxConnections))
+		if err := platform.Serve(ctx, name, c.groups[name]); err != nil {
 			return nil, err
 		}
+		for m := groupSize; m < members; m++ {
+			c.groups[name].Crash(m)
+		}
 		routes = append(routes,
 			map[string]any{"Name": "p-" + name, "DatabaseName": "primary-" + name, "RouteKind": "primary", "TimeoutMs": 1000, "TargetLatencyMs": 800, "Priority": 1, "ServiceName": name},
 			map[string]any{"Name": "b-" + name, "DatabaseName": "bounded-" + name, "RouteKind": "bounded_staleness", "TimeoutMs": 3000, "TargetLatencyMs": 1200, "Priority": 2, "ServiceName": name, "MaxStalenessMs": 1500})
@@ -173,16 +174,21 @@
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
-// freePorts returns ports that are free at present.
+// freePorts returns ports that are free at present. They are below the range from which the system
+// takes the ports of outgoing connections.
 func freePorts(n int) ([]string, error) {
+	const from, to = 12000, 32000
 	var ports []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(ports) < n; tries++ {
+		if tries == to-from {
+			return nil, errors.New("no free port")
+		}
+		port := strconv.Itoa(from + rand.IntN(to-from))
+		l, err := net.Listen("tcp", "127.0.0.1:"+port)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		_, port, _ := net.SplitHostPort(l.Addr().String())
 		ports = append(ports, port)
 	}
 	return ports, nil
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -28,9 +28,9 @@
 type scenario func(ctx context.Context, rec *record, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"memory": playMemory,
-	"rows":   playRows,
-	"shape":  playShape,
+	"memory":  playMemory,
+	"shape":   playShape,
+	"unknown": playUnknown,
 }
 
 func main() {
--- a/review/standins3/memory.go
+++ b/review/standins3/memory.go
@@ -33,7 +33,7 @@
 // legal. The rule Fault is broken if the processes of both hosts end three times.
 func playMemory(ctx context.Context, rec *record, trouble bool) (bool, error) {
 	ctx, stop := context.WithCancel(ctx)
-	c, err := newCluster(ctx, rec, memoryHosts)
+	c, err := newCluster(ctx, rec, memoryHosts, groupSize)
 	if c != nil {
 		defer c.wait()
 	}
--- a/review/standins3/shape.go
+++ b/review/standins3/shape.go
@@ -25,7 +25,7 @@
 // rule PINNED is broken if a member runs another shape than the client prepared.
 func playShape(ctx context.Context, rec *record, trouble bool) (bool, error) {
 	ctx, stop := context.WithCancel(ctx)
-	c, err := newCluster(ctx, rec, 3)
+	c, err := newCluster(ctx, rec, 3, groupSize)
 	if c != nil {
 		defer c.wait()
 	}
