--- a/review/standins3/cluster.go
+++ b/review/standins3/cluster.go
@@ -30,6 +30,8 @@
 	maxConnections = 32
 	// groupSize is the number of members of a group that are up at the start.
 	groupSize = 3
+	// servePause is the pause after the members of a group were started.
+	servePause = 200 * time.Millisecond
 	// restartPause is the pause before the platform starts a process again that ended.
 	restartPause = 500 * time.Millisecond
 	// watchInterval is the time between two looks at the memory of a process.
@@ -68,6 +70,8 @@
 		if err := platform.Serve(ctx, name, c.groups[name]); err != nil {
 			return nil, err
 		}
+		// Serve for the next group writes a map that the registration of this one reads at its start.
+		time.Sleep(servePause)
 		for m := groupSize; m < members; m++ {
 			c.groups[name].Crash(m)
 		}
