Commits: pass an acknowledgement on once a known replica has the commit

Cause: the primary acknowledges a commit when any replica has received it, also a member that has just started and that no host knows yet. A replacement asks only members that are known, and their logs may all lack the commit. What hosts know of acknowledged commits is a range of positions, so that no rule for the choice of the next primary closes this.

A host now asks a known replica that is not leaving for its position before it passes an acknowledgement on. Without a copy within the statement's time the outcome is unknown. The replica that should answer first is asked alone for 60 ms. The question takes no slot, and commits that come meanwhile share it.

The answer to a caller and the choice of the next primary now rest on the same members.

TestChecksNotice/acks: a primary that acknowledges too early loses nothing any more, so that BreakDurability now makes the replicas' reports wrong, too. The check must report LOST as before. The lenders of connection/relay's tests get an assignment, as they have in production: without one, the first lender took all connections to the replicas and left none to ask for a position.

--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -111,24 +111,23 @@
 		b := qgroup.New("g", 3, qgroup.WithConnectionLimit(3))
 		network := &hostNetwork{hosts: map[string]*host{}}
 		noDelay := func(string) time.Duration { return 0 }
-		var hosts assign.Assignment
-		for i, name := range []string{"far", "gate-1", "gate-2"} {
-			zone := "zone-0"
-			if i == 0 {
-				zone = "elsewhere"
-			}
-			n := gossip.New(name, "10.0.0.1:1", zone, 0)
-			if i == 0 {
-				hosts = assign.New(n, map[string]string{"zone-0": "a", "zone-1": "a", "zone-2": "a", "elsewhere": "b"})
+		infos := []gossip.HostInfo{gossip.New("far", "10.0.0.1:1", "elsewhere", 0), gossip.New("gate-1", "10.0.0.1:1", "zone-0", 0), gossip.New("gate-2", "10.0.0.1:1", "zone-0", 0)}
+		hostsFrom := func(self int) assign.Assignment {
+			hosts := assign.New(infos[self], map[string]string{"zone-0": "a", "zone-1": "a", "zone-2": "a", "elsewhere": "b"})
+			for _, n := range infos {
+				hosts = hosts.WithHost(n)
 			}
-			hosts = hosts.WithHost(n)
-			h := &host{group: rset.New("g", zap.NewNop(), b.From(i), now, noDelay, rset.WithFirstStart(true)), incoming: make(chan net.Conn)}
+			return hosts
+		}
+		for i, name := range []string{"far", "gate-1", "gate-2"} {
+			h := &host{group: rset.New("g", zap.NewNop(), b.From(i), now, noDelay, rset.WithBorrower(borrow.New(network, now)), rset.WithFirstStart(true)), incoming: make(chan net.Conn)}
+			h.group.SetAssignment(hostsFrom(i))
 			h.relay = relay.New(zap.NewNop(), h, nil)
 			network.hosts[name] = h
 			go h.relay.Serve(h)
 		}
 		far := rset.New("g", zap.NewNop(), b.From(0), now, noDelay, rset.WithBorrower(borrow.New(network, now)), rset.WithFirstStart(true))
-		far.SetAssignment(hosts)
+		far.SetAssignment(hostsFrom(0))
 		groups := []*rset.ReplicaSet{far, network.hosts["gate-1"].group, network.hosts["gate-2"].group}
 		for _, group := range groups {
 			group.Update(b.Targets(), b.Targets()[0], 3)
--- a/process/rset/commits.go
+++ b/process/rset/commits.go
@@ -48,8 +48,9 @@
 }
 
 // noteCommits records the commits that were acknowledged by the replies to a stage. sent is
-// what was known when the stage was sent.
-func (rs *ReplicaSet) noteCommits(cn *conn.Conn, sent acked.Acked, stage []stmt.Stmt, replies []reply.Reply) {
+// what was known when the stage was sent. It returns a position that covers these commits, zero if
+// there are none.
+func (rs *ReplicaSet) noteCommits(cn *conn.Conn, sent acked.Acked, stage []stmt.Stmt, replies []reply.Reply) (committed mark.Mark) {
 	for i, r := range replies {
 		s := stage[i]
 		begins := s.Kind == stmt.Begin || s.Kind == stmt.BeginRead
@@ -61,9 +62,11 @@
 			rs.mu.Lock()
 			rs.acked = rs.acked.WithCommit(sent, r.Mark)
 			rs.mu.Unlock()
+			committed = committed.Max(r.Mark)
 		}
 		cn.Wrote = false
 	}
+	return committed
 }
 
 // GatherAcknowledged asks the other hosts that connect to the group, or did shortly before,
--- a/process/rset/health.go
+++ b/process/rset/health.go
@@ -84,7 +84,12 @@
 	if commits && !cn.Borrowed && rs.permitLeft() <= 0 {
 		return nil, errLapsed
 	}
-	rs.noteCommits(cn, sent, stage, replies)
+	committed := rs.noteCommits(cn, sent, stage, replies)
+	if !cn.Borrowed && !committed.IsZero() {
+		if err := rs.awaitCopy(ctx, cn.Target, committed); err != nil {
+			return nil, err
+		}
+	}
 	return replies, nil
 }
 
--- a/process/rset/replicaset.go
+++ b/process/rset/replicaset.go
@@ -17,6 +17,8 @@
 	"github.com/pistachiotray/pistachiotray/process/assign"
 	"github.com/pistachiotray/pistachiotray/process/borrow"
 	"github.com/pistachiotray/pistachiotray/process/conns"
+	"github.com/pistachiotray/pistachiotray/process/copies"
+	"github.com/pistachiotray/pistachiotray/process/member"
 	"github.com/pistachiotray/pistachiotray/process/permit"
 	"github.com/pistachiotray/pistachiotray/process/spread"
 	"github.com/pistachiotray/pistachiotray/process/stamp"
@@ -54,7 +56,7 @@
 
 // ReplicaSet is one database group as this host sees it. Its mutex also guards
 // the target states. Lock order: the mutex of the Topology, then of the
-// ReplicaSet, then of a Pool or the Borrower.
+// ReplicaSet, then of a Pool, the Borrower or the Copies.
 type ReplicaSet struct {
 	// Name is the group's name.
 	Name string
@@ -88,6 +90,10 @@
 	// commits that were acknowledged.
 	term  uint64
 	acked acked.Acked
+	// copies holds the acknowledged commits that wait until a replica has received them, and
+	// members returns the group's members, nil if only registered targets are known.
+	copies  *copies.Copies
+	members func() member.Set
 	// lastLeader is the last leader that was known, and doubt is whether the present one may
 	// be being replaced.
 	lastLeader string
@@ -157,7 +163,7 @@
 func New(name string, log *zap.Logger, d dialer, now func() time.Duration, distance func(zone string) time.Duration, options ...func(*ReplicaSet)) *ReplicaSet {
 	rs := &ReplicaSet{
 		Name: name, log: log, dialer: d, now: now, distance: distance,
-		states: map[string]*targetState{}, changed: make(chan struct{}), watermarks: wmark.New(),
+		states: map[string]*targetState{}, copies: copies.New(), changed: make(chan struct{}), watermarks: wmark.New(),
 		alarm: make(chan struct{}, 1), targetsChanged: make(chan struct{}, 1), drainTime: defaultDrainTime,
 		doubted: make(chan struct{}, 1), formerHosts: map[string]formerHost{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), kindTimes: map[string]time.Duration{},
@@ -282,6 +288,7 @@
 func (rs *ReplicaSet) removeTarget(id string, ts *targetState) {
 	ts.pool.Close()
 	delete(rs.states, id)
+	rs.copies.Forget(id)
 	rs.noteRemoval(ts.target)
 	signal(rs.targetsChanged)
 	rs.log.Info("target removed", zap.String("Group", rs.Name), zap.String("Target", id))
--- a/standin/qgroup/connection.go
+++ b/standin/qgroup/connection.go
@@ -102,7 +102,7 @@
 		m.pauseTerm = 0
 		c.group.scheduleShipping()
 	}
-	return report.Report{Term: m.term, Primary: m.leads, Received: m.lastMark(), Held: m.pauseTerm}, nil
+	return report.Report{Term: m.term, Primary: m.leads, Received: c.group.reportedMark(m), Held: m.pauseTerm}, nil
 }
 
 // awaitReachable waits until the connection's host can reach the member. It fails
--- a/standin/qgroup/group.go
+++ b/standin/qgroup/group.go
@@ -44,7 +44,8 @@
 	BreakReset = "reset"
 	// BreakRefusals makes members report some writes as not run although they ran.
 	BreakRefusals = "busy"
-	// BreakDurability makes leaders acknowledge commits that no replica has received.
+	// BreakDurability makes leaders acknowledge commits that no replica has received, and
+	// replicas report that they have received them: hosts ask a replica after a commit.
 	BreakDurability = "acks"
 	// BreakReadOnly lets replicas begin transactions that may write, and lets
 	// these transactions continue at a member that lost the leadership.
--- a/standin/qgroup/promises_test.go
+++ b/standin/qgroup/promises_test.go
@@ -209,6 +209,7 @@
 	c.leasesCut = append(c.leasesCut, &atomic.Bool{})
 	go c.feedLeases(ctx, rs, leasesKnownAt, c.leasesCut[i])
 	members := keeper.New("g", log, c.store, rs, now)
+	rs.SetMembers(members.Known)
 	go members.Run(ctx)
 	isolated := &atomic.Bool{}
 	c.isolated = append(c.isolated, isolated)
--- a/standin/qgroup/promotion.go
+++ b/standin/qgroup/promotion.go
@@ -143,3 +143,17 @@
 	}
 	return false
 }
+
+// reportedMark returns the position that a member reports to have received; the caller holds the
+// lock. With BreakDurability it is the last one of any member that runs.
+func (g *Group) reportedMark(m *member) mark.Mark {
+	last := m.lastMark()
+	if g.brokenPromise == BreakDurability {
+		for _, o := range g.members {
+			if o.up {
+				last = last.Max(o.lastMark())
+			}
+		}
+	}
+	return last
+}
