--- a/connection/relay/quota_test.go
+++ b/connection/relay/quota_test.go
@@ -48,8 +48,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			h := &host{incoming: make(chan net.Conn, 1)}
-			defer close(h.incoming)
+			h := &host{incoming: make(chan net.Conn, 1), closed: make(chan struct{})}
+			defer close(h.closed)
 			go relay.New(zap.NewNop(), h, nil, test.options...).Serve(h)
 			b := borrow.New(single{h}, func() time.Duration { return time.Hour })
 			ctx, stop := context.WithTimeout(t.Context(), time.Second)
--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -43,7 +43,9 @@
 	group    *rset.ReplicaSet
 	relay    *relay.Relay
 	incoming chan net.Conn
-	down     bool
+	// closed is closed when the host stops listening.
+	closed chan struct{}
+	down   bool
 	// silent means that all answers of the host are lost, as if its machine had lost
 	// power.
 	silent bool
@@ -53,11 +55,12 @@
 
 func (h *host) ReplicaSet(string) (*rset.ReplicaSet, bool) { return h.group, true }
 func (h *host) Accept() (net.Conn, error) {
-	c, ok := <-h.incoming
-	if !ok {
+	select {
+	case c := <-h.incoming:
+		return c, nil
+	case <-h.closed:
 		return nil, net.ErrClosed
 	}
-	return c, nil
 }
 func (h *host) Close() error   { return nil }
 func (h *host) Addr() net.Addr { return nil }
@@ -80,7 +83,11 @@
 	h.dialed = true
 	hn.conns = append(hn.conns, borrowerEnd)
 	hn.mu.Unlock()
-	h.incoming <- lenderEnd
+	select {
+	case h.incoming <- lenderEnd:
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
 	return remote.New(n.Host, &silenceableConn{borrowerEnd, h}), nil
 }
 
@@ -120,7 +127,7 @@
 			return hosts
 		}
 		for i, name := range []string{"far", "gate-1", "gate-2"} {
-			h := &host{group: rset.New("g", zap.NewNop(), b.From(i), now, noDelay, rset.WithBorrower(borrow.New(network, now)), rset.WithFirstStart(true)), incoming: make(chan net.Conn)}
+			h := &host{group: rset.New("g", zap.NewNop(), b.From(i), now, noDelay, rset.WithBorrower(borrow.New(network, now)), rset.WithFirstStart(true)), incoming: make(chan net.Conn), closed: make(chan struct{})}
 			h.group.SetAssignment(hostsFrom(i))
 			h.relay = relay.New(zap.NewNop(), h, nil)
 			network.hosts[name] = h
@@ -140,7 +147,7 @@
 				group.Update(nil, target.Target{}, 3)
 			}
 			for _, h := range network.hosts {
-				close(h.incoming)
+				close(h.closed)
 			}
 			time.Sleep(time.Minute)
 		}()
