Connections: number the prepared statements of a connection

Cause: the name at the member was the statement's text or, if that is long, its XXH64 hash. A short text may be the hash of a long one, and texts with one hash are easily made. Equal names were taken for equal texts.

It depends on nothing that a client chooses, and does not leave the host that owns the connection.

Evidence: TestEachTextHasItsOwnName failed before at its second text. Each text is still prepared once a connection.

--- a/connection/conn/conn.go
+++ b/connection/conn/conn.go
@@ -8,10 +8,8 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
@@ -25,9 +23,6 @@
 	// preparedLimit is how many prepared statements a connection keeps before it is
 	// reset. The limit bounds the memory that is used at the target.
 	preparedLimit = 200
-	// maxNameBytes is the maximum length of a statement text that is used in the
-	// statement's name at targets. A longer text is hashed.
-	maxNameBytes = 40
 	// maxSetupBatch is how many statements are sent together to bring a connection to a
 	// caller's state. It is less than the number of replies that a connection keeps.
 	maxSetupBatch = 24
@@ -85,13 +80,14 @@
 	// values are the fingerprints of the session values that are set on the connection. The
 	// texts may be long, and the session that set them may have ended.
 	values map[string]string
-	// prepared holds the names of the statements that are prepared on it.
-	prepared map[string]bool
+	// prepared holds the numbers of the statements that are prepared on it, which are their names
+	// at the target.
+	prepared map[preparedText]int
 }
 
 // New returns the Conn of a newly opened connection.
 func New(target string, tc targetConn, options ...func(*Conn)) *Conn {
-	cn := &Conn{Target: target, direct: tc, values: map[string]string{}, prepared: map[string]bool{}}
+	cn := &Conn{Target: target, direct: tc, values: map[string]string{}, prepared: map[preparedText]int{}}
 	for _, o := range options {
 		o(cn)
 	}
@@ -222,10 +218,9 @@
 			continue
 		}
 		statement, writes, ok := c.Prepared(s.Name)
-		name := preparedName(statement, writes)
-		if ok && !cn.prepared[name] {
+		if _, known := cn.targetName(statement, writes); ok && !known {
+			name := cn.addPrepared(statement, writes)
 			steps = append(steps, stmt.New(stmt.ProxyID, stmt.Prepare, "").WithName(name, statement).WithWrites(writes))
-			cn.prepared[name] = true
 		}
 	}
 	return steps
@@ -263,21 +258,29 @@
 	if !ok {
 		return s
 	}
-	return s.WithName(preparedName(statement, writes), s.Rest)
+	name, _ := cn.targetName(statement, writes)
+	return s.WithName(name, s.Rest)
 }
 
-// preparedName returns the name of a prepared statement at targets. It is derived
-// from the statement's text, so that sessions that prepare the same statement
-// share it.
-func preparedName(statement string, writes bool) string {
-	prefix := "r-"
-	if writes {
-		prefix = "w-"
-	}
-	if len(statement) > maxNameBytes || strings.ContainsAny(statement, " \t") {
-		return prefix + strconv.FormatUint(xxhash.Sum64String(statement), 36)
-	}
-	return prefix + statement
+// preparedText is a fingerprint of a prepared statement's text, and whether it writes.
+type preparedText struct {
+	text   string
+	writes bool
+}
+
+// targetName returns the name of a statement that is prepared on the connection, and false if it
+// is not.
+func (cn *Conn) targetName(statement string, writes bool) (string, bool) {
+	n, ok := cn.prepared[preparedText{fingerprint(statement), writes}]
+	return "s" + strconv.Itoa(n), ok
+}
+
+// addPrepared records a statement as prepared on the connection and returns its name there. Names
+// are counted: one that depends on the text could be that of another text, by a caller's choice.
+func (cn *Conn) addPrepared(statement string, writes bool) string {
+	n := len(cn.prepared) + 1
+	cn.prepared[preparedText{fingerprint(statement), writes}] = n
+	return "s" + strconv.Itoa(n)
 }
 
 // Report runs a command and returns the target's report. The connection must not be
--- a/connection/conn/conn_test.go
+++ b/connection/conn/conn_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/pistachiotray/pistachiotray/connection/caller"
@@ -13,6 +17,7 @@
 	"github.com/pistachiotray/pistachiotray/request/code"
 	"github.com/pistachiotray/pistachiotray/request/reply"
 	"github.com/pistachiotray/pistachiotray/request/stmt"
+	"github.com/pistachiotray/pistachiotray/standin/twins"
 )
 
 // target is a connection to a target that runs each statement, but fails those of one kind and
@@ -108,3 +113,55 @@
 		is.Equal(to.rounds, 4)
 	}
 }
+
+// preparingTarget is a connection to a target that prepares and executes statements.
+type preparingTarget struct {
+	target
+	prepared map[string]string
+	// executed holds the texts of the statements that were executed, and prepares counts the
+	// statements that were prepared.
+	executed []string
+	prepares int
+}
+
+func (t *preparingTarget) Run(ctx context.Context, batch []stmt.Stmt) ([]reply.Reply, error) {
+	for _, s := range batch {
+		switch s.Kind {
+		case stmt.Reset:
+			clear(t.prepared)
+		case stmt.Prepare:
+			t.prepares++
+			t.prepared[s.Name] = fmt.Sprint(s.Writes, s.Rest)
+		case stmt.Execute:
+			t.executed = append(t.executed, t.prepared[s.Name])
+		}
+	}
+	return t.target.Run(ctx, batch)
+}
+
+// Guards against names of prepared statements that two texts share at a target: an execution ran
+// the text of another session.
+func TestEachTextHasItsOwnName(t *testing.T) {
+	const ordinary = "size of crew member by base"
+	first, second := twins.XXHash64()
+	texts := []string{
+		ordinary, strconv.FormatUint(xxhash.Sum64String(ordinary), 36), "r-" + ordinary, "w-1", "r-1", "1", "2", "10", "",
+		first, second, strconv.FormatUint(xxhash.Sum64String(first), 36), fmt.Sprintf("%x", sha256.Sum256([]byte(first))), first + " ", first + "\t",
+	}
+	sum := sha256.Sum256([]byte(first))
+	texts = append(texts, string(sum[:]), string(sum[:31]))
+	is := is.New(t)
+	to := &preparingTarget{target: target{failing: -1}, prepared: map[string]string{}}
+	cn := conn.New("t", to)
+	for range 3 {
+		for _, text := range texts {
+			for _, writes := range []bool{false, true} {
+				c := caller.New("a", "orders").WithPrepared("p", text, writes)
+				_, err := cn.Run(t.Context(), c, stmt.New("1", stmt.Execute, "").WithName("p", "x").WithWrites(writes))
+				is.NoErr(err)
+				is.Equal(to.executed[len(to.executed)-1], fmt.Sprint(writes, text))
+			}
+		}
+		is.Equal(to.prepares, 2*len(texts)) // once a connection
+	}
+}
