Front: name prepared statements by a cryptographic hash

Owners of groups take statements of one name for the same, so that one session could run the other's statement.

--- a/connection/front/batch.go
+++ b/connection/front/batch.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"io"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/pistachiotray/pistachiotray/connection/frame"
@@ -235,14 +237,15 @@
 }
 
 // sharedStatementName returns a name derived from the statement's text and
-// parameter types.
+// parameter types. The hash must be cryptographic: a caller who finds two texts with
+// one hash could have a statement of its choice run in place of another session's.
 func sharedStatementName(m *pgproto3.Parse) string {
-	d := xxhash.New()
-	_, _ = d.WriteString(m.Query)
+	h := sha256.New()
+	_, _ = io.WriteString(h, m.Query)
 	for _, oid := range m.ParameterOIDs {
-		_, _ = d.WriteString("\x00" + strconv.FormatUint(uint64(oid), 10))
+		_, _ = io.WriteString(h, "\x00"+strconv.FormatUint(uint64(oid), 10))
 	}
-	return "pt_" + strconv.FormatUint(d.Sum64(), 16) + "_" + strconv.Itoa(len(m.Query))
+	return "pt_" + base64.RawURLEncoding.EncodeToString(h.Sum(nil))
 }
 
 // resolveStatement replaces the caller's name of a prepared statement with the
--- a/connection/front/front_test.go
+++ b/connection/front/front_test.go
@@ -14,11 +14,13 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/zap"
 
+	"github.com/pistachiotray/pistachiotray/connection/frame"
 	"github.com/pistachiotray/pistachiotray/connection/front"
 	"github.com/pistachiotray/pistachiotray/process/budget"
 	"github.com/pistachiotray/pistachiotray/request/answer"
 	"github.com/pistachiotray/pistachiotray/request/call"
 	"github.com/pistachiotray/pistachiotray/request/mark"
+	"github.com/pistachiotray/pistachiotray/standin/twins"
 	"github.com/pistachiotray/pistachiotray/version/policy"
 )
 
@@ -251,3 +253,46 @@
 		t.Error("a statement was refused after another was closed")
 	}
 }
+
+// callLog is a backend that records the calls.
+type callLog struct {
+	backend
+	calls chan call.Call
+}
+
+func (l callLog) Submit(c call.Call) *answer.Answer {
+	l.calls <- c
+	return l.backend.Submit(c)
+}
+
+// Guards against names of prepared statements that two texts share at a target: an execution ran
+// the statement of another session.
+func TestStatementsOfOneHashHaveNamesOfTheirOwn(t *testing.T) {
+	first, second := twins.XXHash64()
+	l := callLog{calls: make(chan call.Call, 10)}
+	server := front.New("h", zap.NewNop(), l, l, l)
+	startup := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "clerk", "database": "d"}}
+	names := map[string]string{}
+	for _, query := range []string{first, second, first} {
+		callerEnd, hostEnd := net.Pipe()
+		go server.Handle(hostEnd)
+		go func() { _, _ = io.Copy(io.Discard, callerEnd) }()
+		_, _ = callerEnd.Write(encode(t, startup, &pgproto3.Parse{Name: "s", Query: query}, &pgproto3.Sync{}))
+		c := <-l.calls
+		_ = callerEnd.Close()
+		var m pgproto3.Parse
+		if _, p, _, ok := frame.Split(c.Body); !ok || m.Decode(frame.Body(p)) != nil || m.Query != query {
+			t.Fatalf("the call is %q", c.Body)
+		}
+		if other, ok := names[m.Name]; ok && other != query {
+			t.Errorf("two statements have the name %q", m.Name)
+		}
+		if len(m.Name) > 63 {
+			t.Errorf("the name %q is longer than PostgreSQL's names", m.Name)
+		}
+		names[m.Name] = query
+	}
+	if len(names) != 2 {
+		t.Errorf("two statements have %d names", len(names))
+	}
+}
