Slot: compare the text of a prepared statement, not only its name

Hosts of the earlier version send names that two statements may share, also to owners of the new one during a release. A slot took the name for the statement and ran the one that was prepared first. It now compares the hash of the Parse message, and closes another statement of that name before it prepares the new one. A Parse that the member refused no longer counts as prepared.

--- a/connection/slot/read.go
+++ b/connection/slot/read.go
@@ -105,6 +105,7 @@
 	switch kind {
 	case 'E':
 		r.errored = true
+		r.forgetParsed()
 	case 'Z':
 		if r.call.Key != "" && !r.call.InTransaction {
 			return true
@@ -164,6 +165,7 @@
 		r.noMarkerTable = true
 	default:
 		r.errored = true
+		r.forgetParsed()
 		r.sink.Append(p)
 	}
 }
--- a/connection/slot/run.go
+++ b/connection/slot/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/hex"
 	"time"
 
@@ -58,6 +59,8 @@
 	noMarkerTable bool
 	// errored means that the target answered with an error.
 	errored bool
+	// parsed holds the names of the statements that the run prepares.
+	parsed []string
 	// preparing is set while prepare runs, and refused means that the target refused one of its
 	// messages.
 	preparing, refused bool
@@ -263,32 +266,42 @@
 // already prepared in the slot.
 func (r *run) appendParse(p []byte, prepared map[string]bool) {
 	name := parseName(p)
-	if name != "" && r.slot.prepared[name] {
+	if r.slot.hasPrepared(name, p) {
 		r.pipeline.AddLocal(mustEncode(&pgproto3.ParseComplete{}))
 		return
 	}
-	prepared[name] = true
-	if name != "" {
-		r.slot.prepared[name] = true
-	}
-	r.appendRaw('P', p, pipe.Caller)
+	r.sendParse(name, p, pipe.Caller, prepared)
 }
 
 // ensurePrepared adds the Parse of a statement that is prepared in the session but
 // not in the slot.
 func (r *run) ensurePrepared(name string, prepared map[string]bool) {
-	if prepared[name] || (name != "" && r.slot.prepared[name]) {
-		return
-	}
 	p, ok := r.call.Prepare[name]
-	if !ok {
+	if prepared[name] || !ok || r.slot.hasPrepared(name, p) {
 		return
 	}
+	r.sendParse(name, p, pipe.Prepare, prepared)
+}
+
+// sendParse adds a Parse. A host of an earlier version may give two statements the same name, so
+// that another statement of that name is closed first.
+func (r *run) sendParse(name string, p []byte, origin int, prepared map[string]bool) {
 	prepared[name] = true
 	if name != "" {
-		r.slot.prepared[name] = true
+		if _, taken := r.slot.prepared[name]; taken {
+			r.appendEncoded(&pgproto3.Close{ObjectType: 'S', Name: name}, 'C', pipe.Prepare)
+		}
+		r.slot.prepared[name] = sha256.Sum256(p)
+		r.parsed = append(r.parsed, name)
+	}
+	r.appendRaw('P', p, origin)
+}
+
+// forgetParsed records that it is not known whether the statements of this run were prepared.
+func (r *run) forgetParsed() {
+	for _, name := range r.parsed {
+		r.slot.prepared[name] = [sha256.Size]byte{}
 	}
-	r.appendRaw('P', p, pipe.Prepare)
 }
 
 // appendClose adds a Close. The Close of a statement is not sent, but answered by
--- a/connection/slot/slot.go
+++ b/connection/slot/slot.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/tls"
 	"io"
 	"net"
@@ -45,8 +46,9 @@
 	pid        uint32
 	secret     []byte
 	parameters map[string]string
-	// prepared holds the names of the statements that are prepared in the slot.
-	prepared map[string]bool
+	// prepared holds the hashes of the Parse messages of the statements that are prepared in the
+	// slot, by name. The hash is zero if it is not known which statement has the name, if any.
+	prepared map[string][sha256.Size]byte
 	// settings are the statements that set the session's settings. settingsKnown is
 	// unset after a call that may have changed settings.
 	settings      []string
@@ -75,7 +77,7 @@
 // target refuses the connection, the error wraps the target's error, so that its
 // SQLSTATE can be checked.
 func New(ctx context.Context, member, dsn string, options ...func(*Slot)) (*Slot, error) {
-	s := &Slot{member: member, adapter: adapt.New(), prepared: map[string]bool{}, settingsKnown: true, now: time.Now}
+	s := &Slot{member: member, adapter: adapt.New(), prepared: map[string][sha256.Size]byte{}, settingsKnown: true, now: time.Now}
 	for _, o := range options {
 		o(s)
 	}
@@ -136,6 +138,12 @@
 	}
 }
 
+// hasPrepared reports whether the named statement of a Parse message is prepared in the slot.
+func (s *Slot) hasPrepared(name string, p []byte) bool {
+	sum, ok := s.prepared[name]
+	return ok && sum == sha256.Sum256(p)
+}
+
 // Parameters returns the parameters that the target reported at startup.
 func (s *Slot) Parameters() map[string]string {
 	return s.parameters
