Promo: leave a silent member that has left out only if all hosts answer

Cause: hosts answered callers when any replica had a commit, and a replacement counted only members that stay. Since hosts ask a replica that is not leaving, that holds for all commits but those from the moment before they learn of the drain. For these, the replacement must hear all hosts if it leaves a member out that is silent. It did so for members that were absent, but not for those that had left.

--- a/process/promo/pause.go
+++ b/process/promo/pause.go
@@ -120,7 +120,7 @@
 			}
 		case countedLeft, countedAbsent:
 			polled.leftOut = true
-			polled.silent = polled.silent || counted == countedAbsent && !hasEnded(o.err) && !members.Lost(o.target.ID)
+			polled.silent = polled.silent || !hasEnded(o.err) && !members.Lost(o.target.ID)
 		case countedEnded:
 			polled.ended = true
 		case countedReceives, countedNotHeard:
