Connections: keep no messages of sessions

Cause: a connection to a member remembers the names and short texts of the values that are set on it. They were parts of the messages that set them, up to 1 MiB each, and kept these, after the session had set the value anew or ended. The budget does not count them.

Names are now kept by their fingerprint, and short texts are copied: 64 bytes a value at most, on lent connections too.

--- a/connection/conn/conn.go
+++ b/connection/conn/conn.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -77,8 +78,8 @@
 	// host is the host that lends the connection, nil if the connection is not
 	// borrowed.
 	host remoteHost
-	// values are the fingerprints of the session values that are set on the connection. The
-	// texts may be long, and the session that set them may have ended.
+	// values are the fingerprints of the session values that are set on the connection, by those of
+	// their names. The session that set them may have ended, and they don't keep its messages.
 	values map[string]string
 	// prepared holds the numbers of the statements that are prepared on it, which are their names
 	// at the target.
@@ -188,7 +189,7 @@
 	matching, total := 0, 0
 	c.Values(func(name, text string) {
 		total++
-		if cn.values[name] == fingerprint(text) {
+		if cn.values[fingerprint(name)] == fingerprint(text) {
 			matching++
 		}
 	})
@@ -208,9 +209,9 @@
 		clear(cn.prepared)
 	}
 	c.Values(func(name, text string) {
-		if current, ok := cn.values[name]; !ok || current != fingerprint(text) {
+		if current, ok := cn.values[fingerprint(name)]; !ok || current != fingerprint(text) {
 			steps = append(steps, stmt.New(stmt.ProxyID, stmt.Set, "").WithName(name, text))
-			cn.values[name] = fingerprint(text)
+			cn.values[strings.Clone(fingerprint(name))] = strings.Clone(fingerprint(text))
 		}
 	})
 	for _, s := range batch {
@@ -226,8 +227,9 @@
 	return steps
 }
 
-// fingerprint returns a short text that no other value has: the text itself if it is short, or
-// else its SHA-256, which is longer than any short text.
+// fingerprint returns a short text that no other text has: the text itself if it is short, or
+// else its SHA-256, which is longer than any short text. A short text may still be a part of a
+// message, which it keeps in memory.
 func fingerprint(text string) string {
 	const maxShortBytes = 31
 	if len(text) <= maxShortBytes {
@@ -240,12 +242,13 @@
 // hasExtraValues reports whether a value is set on the connection that the caller
 // does not have.
 func (cn *Conn) hasExtraValues(c caller.Caller) bool {
-	for name := range cn.values {
-		if _, ok := c.Value(name); !ok {
-			return true
+	known := 0
+	c.Values(func(name, _ string) {
+		if _, ok := cn.values[fingerprint(name)]; ok {
+			known++
 		}
-	}
-	return false
+	})
+	return known < len(cn.values)
 }
 
 // withTargetName returns a statement with the caller's name of a prepared statement
@@ -279,7 +282,7 @@
 // are counted: one that depends on the text could be that of another text, by a caller's choice.
 func (cn *Conn) addPrepared(statement string, writes bool) string {
 	n := len(cn.prepared) + 1
-	cn.prepared[preparedText{fingerprint(statement), writes}] = n
+	cn.prepared[preparedText{strings.Clone(fingerprint(statement)), writes}] = n
 	return "s" + strconv.Itoa(n)
 }
 
--- a/connection/conn/conn_test.go
+++ b/connection/conn/conn_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -165,3 +167,28 @@
 		is.Equal(to.prepares, 2*len(texts)) // once a connection
 	}
 }
+
+// Guards against connections that keep the messages of sessions which have ended: a name or a short
+// value is a part of a message of up to 1 MiB.
+func TestConnectionKeepsNoMessages(t *testing.T) {
+	is := is.New(t)
+	const messageBytes, limit = 1 << 20, 64 << 10
+	to := &target{failing: -1}
+	cn := conn.New("t", to)
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	for part, cut := range map[string]int{"short name": 6, "long name": 1 << 10, "short text": messageBytes - 6} {
+		message := part + strings.Repeat("x", messageBytes)
+		c := caller.New("a", "orders").WithValue(message[:cut], message[cut:]).WithPrepared("p", message[:cut], false)
+		_, err := cn.Run(t.Context(), c, stmt.New("1", stmt.Execute, "").WithName("p", "x"))
+		is.NoErr(err)
+		to.ran = nil
+		is.True(heap() < before+limit)
+	}
+	runtime.KeepAlive(cn)
+}
