--- a/connection/relay/relay_test.go
+++ b/connection/relay/relay_test.go
@@ -140,15 +140,20 @@
 			group.Update(b.Targets(), b.Targets()[0], 3)
 		}
 		defer func() {
-			for _, conn := range network.conns {
+			// No connections are opened from here on, so that all are closed below.
+			for _, h := range network.hosts {
+				close(h.closed)
+			}
+			synctest.Wait()
+			network.mu.Lock()
+			opened := network.conns
+			network.mu.Unlock()
+			for _, conn := range opened {
 				_ = conn.Close()
 			}
 			for _, group := range groups {
 				group.Update(nil, target.Target{}, 3)
 			}
-			for _, h := range network.hosts {
-				close(h.closed)
-			}
 			time.Sleep(time.Minute)
 		}()
 		test(t, network, far, b)
