--- a/process/rset/copies.go
+++ b/process/rset/copies.go
@@ -72,12 +72,19 @@
 	}
 }
 
-// copyTarget is a replica that may confirm commits.
+// How a replica can be asked for its position. The ones that are easier to reach come first.
+const (
+	answering = iota
+	failing
+	unregistered
+)
+
+// copyTarget is a replica that may confirm commits. reach is one of the constants above, and cost
+// the expected time of its answer.
 type copyTarget struct {
 	target target.Target
-	// registered is set if the replica is registered, and failing if it does not answer.
-	registered, failing bool
-	cost                time.Duration
+	reach  int
+	cost   time.Duration
 }
 
 // copyTargets returns the replicas whose logs a replacement of the leader would take into
@@ -88,16 +95,21 @@
 	now, known := rs.now(), rs.members
 	var found []copyTarget
 	for id, ts := range rs.states {
-		if id != leader {
-			found = append(found, copyTarget{ts.target, true, ts.failingSince != 0, rs.distance(ts.target.Zone) + ts.expectedLatency(now)})
+		if id == leader {
+			continue
+		}
+		reach := answering
+		if ts.failingSince != 0 {
+			reach = failing
 		}
+		found = append(found, copyTarget{ts.target, reach, rs.distance(ts.target.Zone) + ts.expectedLatency(now)})
 	}
 	rs.mu.Unlock()
 	if known != nil {
 		// The ReplicaSet must not be locked here: the members are read from it.
 		for _, t := range known().Members() {
 			if t.ID != leader && !slices.ContainsFunc(found, func(c copyTarget) bool { return c.target.ID == t.ID }) {
-				found = append(found, copyTarget{target: t})
+				found = append(found, copyTarget{target: t, reach: unregistered})
 			}
 		}
 	}
@@ -105,22 +117,11 @@
 		found = slices.DeleteFunc(found, func(c copyTarget) bool { return c.target.Leaving })
 	}
 	slices.SortFunc(found, func(a, b copyTarget) int {
-		return cmp.Or(compareBool(b.registered, a.registered), compareBool(a.failing, b.failing), cmp.Compare(a.cost, b.cost), cmp.Compare(a.target.ID, b.target.ID))
+		return cmp.Or(cmp.Compare(a.reach, b.reach), cmp.Compare(a.cost, b.cost), cmp.Compare(a.target.ID, b.target.ID))
 	})
 	return found
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // askForCopies asks replicas for their positions as long as commits wait, unless they are being
 // asked.
 func (rs *ReplicaSet) askForCopies(replicas []copyTarget) {
@@ -131,7 +132,11 @@
 	}
 }
 
+// askForCopy asks a replica for its position as long as commits wait.
 func (rs *ReplicaSet) askForCopy(c copyTarget) {
+	if c.reach == unregistered {
+		defer rs.copies.Forget(c.target.ID)
+	}
 	pause := minCopyPause
 	for again := true; again; again = rs.copies.AskAgain(c.target.ID) {
 		r, err := rs.reportPosition(c)
@@ -139,8 +144,10 @@
 			pause = minCopyPause
 			continue
 		}
-		// Another host may have a connection to a replica that this one does not reach.
-		c.failing = err != nil
+		if err != nil && c.reach == answering {
+			// Another host may have a connection to the replica.
+			c.reach = failing
+		}
 		sleep.For(context.Background(), pause)
 		pause = min(2*pause, maxCopyPause)
 	}
@@ -152,11 +159,11 @@
 	ctx, stop := context.WithTimeout(context.Background(), copyTimeout)
 	defer stop()
 	ask := stmt.New(stmt.ProxyID, stmt.Pause, "").WithName("", "0")
-	switch {
-	case !c.registered:
-		return rs.ReportFromAny(ctx, c.target, ask, rs.ReportUnregistered)
-	case c.failing:
+	switch c.reach {
+	case answering:
+		return rs.Report(ctx, c.target, ask)
+	case failing:
 		return rs.ReportFromAny(ctx, c.target, ask, rs.Report)
 	}
-	return rs.Report(ctx, c.target, ask)
+	return rs.ReportFromAny(ctx, c.target, ask, rs.ReportUnregistered)
 }
