--- a/standin/qgroup/copies_test.go
+++ b/standin/qgroup/copies_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,12 +61,10 @@
 	return c.lostOf(stop())
 }
 
-// Guards against commits that were acknowledged to callers while only the leader and members
-// that no host knew had them, and that were lost with the leader.
-func TestCommitsOfUnknownMembersAreNotAcknowledged(t *testing.T) {
-	crash := func(c *testCluster) { c.group.Crash(0) }
-	ways := map[string]func(c *testCluster){
-		"crashed":        crash,
+// waysToLoseTheLeader returns the ways in which the leader, member 0, is lost.
+func waysToLoseTheLeader() map[string]func(c *testCluster) {
+	return map[string]func(c *testCluster){
+		"crashed":        func(c *testCluster) { c.group.Crash(0) },
 		"silent":         func(c *testCluster) { c.group.SetSilent(0, true) },
 		"cut from hosts": func(c *testCluster) { c.group.SetPartitioned(0, qgroup.AllHosts, true) },
 		"leaving": func(c *testCluster) {
@@ -80,6 +82,12 @@
 			c.introduce()
 		},
 	}
+}
+
+// Guards against commits that were acknowledged to callers while only the leader and members
+// that no host knew had them, and that were lost with the leader.
+func TestCommitsOfUnknownMembersAreNotAcknowledged(t *testing.T) {
+	ways, crash := waysToLoseTheLeader(), func(c *testCluster) { c.group.Crash(0) }
 	both := []int{1, 2}
 	courses := map[string]unknownMembers{
 		"more writers":     {4, 4, 90 * time.Millisecond, 60 * time.Millisecond, both, crash, true},
@@ -103,3 +111,29 @@
 		})
 	}
 }
+
+// The same with random sizes, times and events.
+func TestCommitsOfUnknownMembersInRandomRuns(t *testing.T) {
+	seeds := uint64(40)
+	if os.Getenv("PISTACHIOTRAY_SEEDS") != "" {
+		seeds = seedCount(t)
+	}
+	ways := waysToLoseTheLeader()
+	names := slices.Sorted(maps.Keys(ways))
+	for seed := uint64(1); seed <= seeds; seed++ {
+		random := rand.New(rand.NewPCG(seed, 62))
+		upTo := func(ms int) time.Duration { return time.Duration(1+random.IntN(ms)) * time.Millisecond }
+		way := names[random.IntN(len(names))]
+		course := unknownMembers{
+			4 + random.IntN(2), 1 + random.IntN(4), upTo(100), upTo([]int{60, 600}[random.IntN(2)]),
+			[][]int{{1}, {2}, {1, 2}, {1, 2}}[random.IntN(4)], ways[way], random.IntN(2) == 0,
+		}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runWithHosts(t, course.members, 3, func(_ context.Context, t *testing.T, c *testCluster) {
+				if lost := course.play(c); len(lost) > 0 {
+					t.Errorf("seed %d, leader %s: %d acknowledged writes are lost", seed, way, len(lost))
+				}
+			})
+		})
+	}
+}
